--- /dev/null
+++ b/cmd/depot/main.go
@@ -0,0 +1,86 @@
+// Depot rehearses: it starts a fleet of real processes on loopback, plays its outside, brings failures about and reports.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"snowflow/internal/depot/layout"
+	"snowflow/internal/depot/scenario"
+	"snowflow/internal/house"
+)
+
+func main() {
+	root := &cobra.Command{Use: "depot", Short: "rehearsals: a fleet on loopback, its outside, failures and checkers", SilenceUsage: true, SilenceErrors: true, Version: house.Release}
+	root.AddCommand(run(), list())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return house.Misused(err) })
+	house.Main(root)
+}
+
+func run() *cobra.Command {
+	options := scenario.Options{}
+	asJSON := false
+	command := &cobra.Command{Use: "run", Short: "run one scenario on a fresh fleet", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		if _, err := layout.Find(options.Layout); err != nil {
+			return house.Misused(err)
+		}
+		if _, known := scenario.All[options.Scenario]; !known {
+			return house.Misused(fmt.Errorf("no scenario %q; there are %v", options.Scenario, scenario.Names()))
+		}
+		if options.Length <= 0 || options.Factor <= 0 || options.Base < 1 || options.Base > 254 {
+			return house.Misused(errors.New("length and factor must be above zero, base from 1 to 254"))
+		}
+		if options.Binaries == "" {
+			own, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			options.Binaries = filepath.Dir(own)
+		}
+		if options.Folder == "" {
+			folder, err := os.MkdirTemp("", "depot")
+			if err != nil {
+				return err
+			}
+			options.Folder = folder
+		}
+		report, err := scenario.Run(options, func(format string, arguments ...any) {
+			fmt.Fprintf(os.Stderr, time.Now().Format("15:04:05 ")+format+"\n", arguments...)
+		})
+		if err != nil && !errors.Is(err, scenario.ErrFindings) {
+			return house.Misused(err) // the fleet could not be brought up or the scenario not be played: no verdict
+		}
+		if asJSON {
+			fmt.Println(report.JSON())
+		} else {
+			fmt.Print(report.Text())
+		}
+		return err
+	}}
+	flags := command.Flags()
+	flags.StringVar(&options.Layout, "layout", "small", "small, association or raahbar")
+	flags.StringVar(&options.Scenario, "scenario", "steady", "see depot list")
+	flags.DurationVar(&options.Length, "length", 20*time.Second, "how long the traffic goes on, about")
+	flags.Float64Var(&options.Factor, "factor", 1, "multiplies the callers' rates")
+	flags.StringVar(&options.Folder, "folder", "", "where the fleet's settings, data and logs go; a temporary folder if left out")
+	flags.StringVar(&options.Binaries, "binaries", "", "folder of the daemons; depot's own if left out")
+	flags.StringVar(&options.Older, "older", "", "folder of an earlier build's daemons, for the versions scenario")
+	flags.IntVar(&options.Base, "base", 77, "second part of the fleet's loopback numbers")
+	flags.BoolVar(&options.Relays, "relays", true, "put relays between the processes, for cuts and for counting bytes")
+	flags.StringVar(&options.Level, "log", "info", "least level of events the daemons log")
+	flags.BoolVar(&asJSON, "json", false, "print the report as JSON")
+	return command
+}
+
+func list() *cobra.Command {
+	return &cobra.Command{Use: "list", Short: "list the scenarios", Args: cobra.NoArgs, Run: func(*cobra.Command, []string) {
+		for _, name := range scenario.Names() {
+			fmt.Printf("%-24s %s\n", name, scenario.All[name].Short)
+		}
+	}}
+}
--- /dev/null
+++ b/cmd/postmaster/main.go
@@ -0,0 +1,29 @@
+// Postmaster is the store of desired states, and the operators' door.
+package main
+
+import (
+	"snowflow/internal/env"
+	"snowflow/internal/house"
+	"snowflow/internal/postmaster"
+	"snowflow/internal/postmaster/door"
+)
+
+func main() {
+	house.Main(house.Command("postmaster", "the store of desired states and the operators' door", env.Core(), postmaster.Group, build))
+}
+
+func build(home *house.House) error {
+	store, err := postmaster.Open(postmaster.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters")})
+	if err != nil {
+		return err
+	}
+	store.Register(home.Table)
+	home.CoreGauges(store.Member)
+	pages := door.New(home.Place, home.Book, home.Metrics(), func() any { return store.Status() })
+	if err := home.HTTP(home.Values["desk"], door.Server(pages)); err != nil {
+		return err
+	}
+	store.Start()
+	home.Drain = func() { store.Member.HandOver("planned stop") }
+	return nil
+}
--- /dev/null
+++ b/cmd/sorter/main.go
@@ -0,0 +1,34 @@
+// Sorter is the registry: sessions, backends, guards, claims and duties.
+package main
+
+import (
+	"net/http"
+
+	"snowflow/internal/env"
+	"snowflow/internal/house"
+	"snowflow/internal/postmaster/door"
+	"snowflow/internal/sorter"
+)
+
+func main() {
+	house.Main(house.Command("sorter", "the registry of carriers, backends and guards", env.Core(), sorter.Group, build))
+}
+
+func build(home *house.House) error {
+	registry, err := sorter.Open(sorter.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters")})
+	if err != nil {
+		return err
+	}
+	registry.Register(home.Table)
+	home.CoreGauges(registry.Member)
+	pages := http.NewServeMux()
+	pages.Handle("/metrics", home.Metrics())
+	pages.Handle("/local", house.Page(func() any { return registry.Status() }))
+	pages.Handle("/live", house.Page(func() any { return map[string]bool{"live": true} }))
+	if err := home.HTTP(home.Values["desk"], door.Server(pages)); err != nil {
+		return err
+	}
+	registry.Start()
+	home.Drain = func() { registry.Member.HandOver("planned stop") }
+	return nil
+}
--- /dev/null
+++ b/internal/carrier/carrier.go
@@ -0,0 +1,170 @@
+// Package carrier is the proxy that stands beside each caller and each server.
+package carrier
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/carrier/desk"
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/carrier/passage"
+	"snowflow/internal/carrier/purse"
+	"snowflow/internal/carrier/restante"
+	"snowflow/internal/carrier/roll"
+	"snowflow/internal/carrier/wicket"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+
+	"go.uber.org/atomic"
+)
+
+// Env is what a carrier is made of.
+type Env struct {
+	Place    office.Office
+	Book     *gazetteer.Book
+	Name     string
+	Domain   string
+	Address  string
+	Delivery gate.Delivery
+	Finished func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
+}
+
+// Carrier puts the parts together. Invariant: incarnation is new in every life of the process.
+type Carrier struct {
+	env         Env
+	incarnation uint64
+	Desk        *desk.Desk
+	Roll        *roll.Roll
+	Hutch       *hutch.Hutch
+	Wicket      *wicket.Wicket
+	Purse       *purse.Purse
+	Gate        *gate.Gate
+	Passage     *passage.Passage
+	leaving     atomic.Bool
+}
+
+// New makes a carrier.
+func New(env Env) *Carrier {
+	carrier := &Carrier{env: env, incarnation: env.Place.Random() | 1}
+	carrier.Desk = desk.New(env.Place, env.Book, env.Name, carrier.incarnation)
+	carrier.Roll = roll.New(env.Place, env.Book, carrier.session)
+	carrier.Hutch = hutch.New(env.Place, carrier.Roll.Soon)
+	carrier.Wicket = wicket.New(wicket.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Call: carrier.callPrimaryOnce})
+	carrier.Roll.Activity = carrier.Wicket.Activity
+	carrier.Roll.Guards = func(records []*wire.GuardRecord, reached bool) { carrier.Wicket.Polled(records, reached) }
+	carrier.Purse = purse.New(env.Place, carrier.Roll.Share)
+	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk,
+		Hutch: carrier.Hutch, Shelf: restante.New(env.Place), Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
+	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
+		Domain: env.Domain, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
+		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished})
+	return carrier
+}
+
+// Start begins work.
+func (carrier *Carrier) Start() {
+	for _, task := range []func(){carrier.Desk.Follow, carrier.Roll.Follow, carrier.Wicket.Lane, carrier.sweep} {
+		carrier.env.Place.Go(task)
+	}
+}
+
+// Register adds the carrier's handlers.
+func (carrier *Carrier) Register(table office.Table) { carrier.Gate.Register(table) }
+
+func (carrier *Carrier) sweep() {
+	for {
+		carrier.env.Place.Sleep(500 * postmark.Millisecond)
+		carrier.Hutch.Sweep()
+	}
+}
+
+func (carrier *Carrier) session() *wire.Session {
+	serial, _ := carrier.Desk.Serial()
+	return &wire.Session{Carrier: carrier.env.Name, Incarnation: carrier.incarnation, Address: carrier.env.Address, Domain: carrier.env.Domain,
+		Backends: carrier.Hutch.Told(), Leaving: carrier.leaving.Load(), DesiredSerial: serial}
+}
+
+func (carrier *Carrier) callPrimaryOnce(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	name := carrier.env.Book.Leader("sorter")
+	if name == "" {
+		return seal.Unreachable.New("no primary sorter is known")
+	}
+	return carrier.env.Book.Call(name, kind, ask, tell, patience)
+}
+
+func (carrier *Carrier) callCarrier(name string, kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	return carrier.env.Place.Call(carrier.Roll.Directory().Addresses[name], kind, ask, tell, patience)
+}
+
+// Ready tells whether this carrier may be sent callers, and if not why.
+func (carrier *Carrier) Ready() (ready bool, why string) {
+	if carrier.leaving.Load() {
+		return false, "draining"
+	}
+	view, live := carrier.Desk.Current()
+	if view == nil {
+		return false, "no desired state adopted from a live primary yet"
+	}
+	if !live {
+		return false, "the tenure to serve by the desired state has ended"
+	}
+	if !carrier.Roll.Member() {
+		return false, "no sorter has heard this carrier lately"
+	}
+	return true, ""
+}
+
+// Moment is a moment of holder time that has certainly passed.
+func (carrier *Carrier) Moment() *wire.HolderMoment { return carrier.Roll.Moment() }
+
+// Incarnation names this life.
+func (carrier *Carrier) Incarnation() uint64 { return carrier.incarnation }
+
+// The parts of a drain: others are told at once, and are given spreadTime to stop choosing this carrier.
+const spreadTime = 1500 * postmark.Millisecond
+
+// Drain stops taking callers' requests, answers everything that was read, and drains the lane. It ends within grace.
+func (carrier *Carrier) Drain(grace postmark.Micros) bool {
+	place := carrier.env.Place
+	cutoff := place.Now() + grace
+	place.Report(bulletin.ProcessDraining, map[string]any{"running": carrier.Passage.Running() + carrier.Gate.Running()})
+	carrier.leaving.Store(true)
+	carrier.Passage.Refuse()
+	carrier.Roll.Soon()
+	answered := carrier.Passage.Drain(cutoff - place.Now())
+	place.Sleep(min(max(cutoff-place.Now()-postmark.Second, 0), spreadTime))
+	carrier.Gate.Refuse()
+	answered = carrier.Gate.Drain(cutoff-place.Now()) && answered
+	carrier.Wicket.Close(min(max(cutoff-place.Now(), 0), postmark.Second))
+	place.Report(bulletin.ProcessDrained, map[string]any{"answered": answered})
+	return answered
+}
+
+// Status is what operators are shown of a carrier.
+type Status struct {
+	Name        string          `json:"name"`
+	Domain      string          `json:"domain"`
+	Incarnation uint64          `json:"incarnation"`
+	Ready       bool            `json:"ready"`
+	Why         string          `json:"why,omitempty"`
+	Serial      uint64          `json:"desired_serial"`
+	Running     int64           `json:"requests_running"`
+	Passes      int64           `json:"passes_running"`
+	Backends    []*wire.Backend `json:"backends"`
+	Guards      []wicket.Shown  `json:"guards"`
+	Members     int             `json:"members_seen"`
+}
+
+// Status tells how this carrier stands.
+func (carrier *Carrier) Status() Status {
+	status := Status{Name: carrier.env.Name, Domain: carrier.env.Domain, Incarnation: carrier.incarnation, Running: carrier.Passage.Running(),
+		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Members: carrier.Roll.Directory().Live}
+	status.Ready, status.Why = carrier.Ready()
+	status.Serial, _ = carrier.Desk.Serial()
+	return status
+}
--- /dev/null
+++ b/internal/carrier/delivery/delivery.go
@@ -0,0 +1,282 @@
+// Package delivery hands requests to backends over HTTP/1.1 and only takes whole, well-formed answers for answers.
+package delivery
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+const (
+	dialPatience = time.Second
+	idleLife     = 20 * time.Second
+	mostIdle     = 32
+	headRoom     = 64 << 10
+	// IdentityPath is the page that every backend answers with its service and instance.
+	IdentityPath = "/.snowflow/identity"
+)
+
+// Courier keeps connections to backends, by instance.
+// Invariant: every kept connection had its instance's identity checked when it was dialled, and nothing unread on it.
+type Courier struct {
+	clock postmark.Clock
+	lock  sync.Mutex
+	idle  map[string][]*line
+}
+
+type line struct {
+	connection net.Conn
+	limited    *io.LimitedReader
+	reader     *bufio.Reader
+	since      time.Time
+}
+
+// New makes a courier.
+func New(clock postmark.Clock) *Courier { return &Courier{clock: clock, idle: map[string][]*line{}} }
+
+// Deliver hands one request over and reads the whole answer.
+func (courier *Courier) Deliver(order gate.Order) (*letter.Answer, *seal.Fault) {
+	cutoff := time.Now().Add((order.Cutoff - courier.clock.Now()).Duration())
+	connection, fault := courier.line(order, cutoff)
+	if fault != nil {
+		return nil, fault
+	}
+	keep := false
+	defer func() {
+		if keep {
+			courier.put(order.Backend.Instance, connection)
+		} else {
+			_ = connection.connection.Close()
+		}
+	}()
+	if fault := order.Still(); fault != nil {
+		keep = true
+		return nil, fault
+	}
+	_ = connection.connection.SetDeadline(cutoff)
+	if written, err := connection.connection.Write(encode(order)); err != nil {
+		verdict := seal.MayHaveRun
+		if written == 0 {
+			verdict = seal.NotRun
+		}
+		return nil, seal.New(seal.AnswerBroken, verdict, "sending to %s: %v", order.Backend.Instance, err)
+	}
+	answer, reusable, fault := connection.read(order)
+	keep = reusable && fault == nil
+	return answer, fault
+}
+
+// line takes a kept connection or dials one and checks who answers there.
+func (courier *Courier) line(order gate.Order, cutoff time.Time) (*line, *seal.Fault) {
+	if !order.Fresh {
+		for kept := courier.take(order.Backend.Instance); kept != nil; kept = courier.take(order.Backend.Instance) {
+			if kept.quiet() {
+				return kept, nil
+			}
+			_ = kept.connection.Close()
+		}
+	}
+	connection, err := net.DialTimeout("tcp", order.Backend.Address, min(dialPatience, time.Until(cutoff)))
+	if err != nil {
+		return nil, seal.New(seal.BackendDial, seal.NotRun, "%v", err)
+	}
+	limited := &io.LimitedReader{R: connection, N: headRoom}
+	fresh := &line{connection: connection, limited: limited, reader: bufio.NewReaderSize(limited, 16<<10)}
+	_ = connection.SetDeadline(minTime(cutoff, time.Now().Add(dialPatience)))
+	if err := fresh.identify(order); err != nil {
+		_ = connection.Close()
+		return nil, seal.New(seal.BackendIdentity, seal.NotRun, "%s: %v", order.Backend.Address, err)
+	}
+	return fresh, nil
+}
+
+func minTime(one, other time.Time) time.Time {
+	if other.Before(one) {
+		return other
+	}
+	return one
+}
+
+func (courier *Courier) take(instance string) *line {
+	courier.lock.Lock()
+	defer courier.lock.Unlock()
+	kept := courier.idle[instance]
+	if len(kept) == 0 {
+		delete(courier.idle, instance)
+		return nil
+	}
+	last := kept[len(kept)-1]
+	courier.idle[instance] = kept[:len(kept)-1]
+	return last
+}
+
+func (courier *Courier) put(instance string, used *line) {
+	courier.lock.Lock()
+	defer courier.lock.Unlock()
+	kept := courier.idle[instance]
+	for len(kept) > 0 && (len(kept) >= mostIdle || time.Since(kept[0].since) > idleLife) {
+		_ = kept[0].connection.Close()
+		kept = kept[1:]
+	}
+	used.since = time.Now()
+	courier.idle[instance] = append(kept, used)
+}
+
+// quiet tells whether a kept connection is open with nothing to read on it: bytes that came unasked would be taken
+// for the next answer.
+func (line *line) quiet() bool {
+	if line.reader.Buffered() > 0 || time.Since(line.since) > idleLife {
+		return false
+	}
+	raw, err := line.connection.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && silent
+}
+
+type identity struct {
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+}
+
+func (line *line) identify(order gate.Order) error {
+	request := "GET " + IdentityPath + " HTTP/1.1\r\nHost: " + order.Backend.Address + "\r\n\r\n"
+	if _, err := io.WriteString(line.connection, request); err != nil {
+		return err
+	}
+	line.limited.N = headRoom
+	response, err := http.ReadResponse(line.reader, &http.Request{Method: "GET"})
+	if err != nil {
+		return err
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	var told identity
+	if response.StatusCode != http.StatusOK || json.Unmarshal(content, &told) != nil {
+		return fmt.Errorf("no identity page (status %d)", response.StatusCode)
+	}
+	if told.Service != order.Backend.Service || told.Instance != order.Backend.Instance {
+		return fmt.Errorf("it's %s of %s, not %s of %s", told.Instance, told.Service, order.Backend.Instance, order.Backend.Service)
+	}
+	if response.Close || line.reader.Buffered() > 0 {
+		return errors.New("the identity page ended the connection or said more than it should")
+	}
+	return nil
+}
+
+func encode(order gate.Order) []byte {
+	var buffer bytes.Buffer
+	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", order.Method, order.Target, order.Backend.Address)
+	for _, header := range order.Headers {
+		fmt.Fprintf(&buffer, "%s: %s\r\n", header.Name, header.Value)
+	}
+	fmt.Fprintf(&buffer, "%s: %s\r\n", letter.RequestHeader, order.ID)
+	if len(order.Body) > 0 || order.Method == http.MethodPost || order.Method == http.MethodPut || order.Method == http.MethodPatch {
+		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", len(order.Body))
+	}
+	buffer.WriteString("\r\n")
+	buffer.Write(order.Body)
+	return buffer.Bytes()
+}
+
+// read takes the answer off the connection. Whatever isn't whole, or says more than it announced, is no answer.
+func (line *line) read(order gate.Order) (answer *letter.Answer, reusable bool, fault *seal.Fault) {
+	broken := func(format string, arguments ...any) (*letter.Answer, bool, *seal.Fault) {
+		return nil, false, seal.New(seal.AnswerBroken, seal.MayHaveRun, "%s: %s", order.Backend.Instance, fmt.Sprintf(format, arguments...))
+	}
+	line.limited.N = int64(order.AnswerLimit) + headRoom
+	request := &http.Request{Method: order.Method}
+	var response *http.Response
+	for interim := 0; ; interim++ {
+		var err error
+		if response, err = http.ReadResponse(line.reader, request); err != nil {
+			if late(err) {
+				return nil, false, seal.New(seal.AnswerLate, seal.MayHaveRun, "%s gave no answer before the cutoff", order.Backend.Instance)
+			}
+			return broken("%v", err)
+		}
+		if response.StatusCode >= 200 {
+			break
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols || interim >= 4 {
+			return broken("interim status %d", response.StatusCode)
+		}
+	}
+	bodyless := order.Method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !bodyless {
+		return broken("the answer's end can't be told from a broken connection")
+	}
+	if response.ContentLength > int64(order.AnswerLimit) {
+		return nil, false, seal.New(seal.AnswerTooLarge, seal.MayHaveRun, "%s announced %d bytes, limit %d", order.Backend.Instance, response.ContentLength, order.AnswerLimit)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(order.AnswerLimit)+1))
+	if err != nil {
+		if late(err) {
+			return nil, false, seal.New(seal.AnswerLate, seal.MayHaveRun, "%s did not finish its answer before the cutoff", order.Backend.Instance)
+		}
+		return broken("%v", err)
+	}
+	if uint64(len(body)) > order.AnswerLimit {
+		return nil, false, seal.New(seal.AnswerTooLarge, seal.MayHaveRun, "%s sent more than %d bytes", order.Backend.Instance, order.AnswerLimit)
+	}
+	line.since = time.Now()
+	if line.reader.Buffered() > 0 {
+		return broken("%d bytes behind the end of the answer", line.reader.Buffered())
+	}
+	if echoed := response.Header.Get(letter.RequestHeader); echoed != "" && echoed != order.ID {
+		return nil, false, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "%s answered request %s, not %s", order.Backend.Instance, echoed, order.ID)
+	}
+	return &letter.Answer{Status: uint32(response.StatusCode), Headers: Kept(response.Header), Body: body},
+		!response.Close && !bodyless && line.quiet(), nil
+}
+
+func late(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// hopByHop are the headers that belong to one connection, or that this mesh writes itself.
+var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
+	"Proxy-Connection": true, letter.CutoffHeader: true}
+
+// Kept lists the headers that are passed on.
+func Kept(headers http.Header) (kept []*wire.Header) {
+	named := map[string]bool{}
+	for _, value := range headers.Values("Connection") {
+		for _, name := range bytes.Split([]byte(value), []byte(",")) {
+			named[http.CanonicalHeaderKey(string(bytes.TrimSpace(name)))] = true
+		}
+	}
+	for name, values := range headers {
+		if hopByHop[name] || named[name] {
+			continue
+		}
+		for _, value := range values {
+			kept = append(kept, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/carrier/desk/desk.go
@@ -0,0 +1,157 @@
+// Package desk keeps the adopted desired state and the tenure to serve by it.
+package desk
+
+import (
+	"sync"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/franking"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+const postmasters = "postmaster"
+
+// Desk follows the postmasters.
+// Invariants: the serial never falls; until counts from before the poll that gave the tenure; a view is only served
+// by before until.
+type Desk struct {
+	place       office.Office
+	book        *gazetteer.Book
+	carrier     string
+	incarnation uint64
+
+	lock    sync.Mutex
+	view    *franking.View
+	until   postmark.Micros
+	adopted postmark.Micros
+	lapsed  bool
+	waiters []office.Signal
+}
+
+// New makes a desk.
+func New(place office.Office, book *gazetteer.Book, carrier string, incarnation uint64) *Desk {
+	return &Desk{place: place, book: book, carrier: carrier, incarnation: incarnation}
+}
+
+// Current is the view to serve by; live tells whether the tenure still stands.
+func (desk *Desk) Current() (view *franking.View, live bool) {
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	return desk.view, desk.view != nil && desk.place.Now() < desk.until
+}
+
+// Serial is the adopted serial and how long ago it was adopted.
+func (desk *Desk) Serial() (serial uint64, age postmark.Micros) {
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	if desk.view == nil {
+		return 0, 0
+	}
+	return desk.view.Serial, desk.place.Now() - desk.adopted
+}
+
+// Renew waits, at most patience, until the desk has adopted at least this serial.
+func (desk *Desk) Renew(serial uint64, patience postmark.Micros) bool {
+	cutoff := desk.place.Now() + patience
+	for {
+		signal := desk.place.NewSignal()
+		desk.lock.Lock()
+		if desk.view != nil && desk.view.Serial >= serial {
+			desk.lock.Unlock()
+			return true
+		}
+		desk.waiters = append(desk.waiters, signal)
+		desk.lock.Unlock()
+		remaining := cutoff - desk.place.Now()
+		if remaining <= 0 {
+			return false
+		}
+		signal.Wait(remaining)
+	}
+}
+
+// Follow polls for ever. Each adoption is told to the postmaster by the next poll, at once.
+func (desk *Desk) Follow() {
+	first := true
+	for {
+		if !desk.poll(first) {
+			first = true
+			desk.place.Sleep(100*postmark.Millisecond + postmark.Micros(desk.place.Random()%uint64(100*postmark.Millisecond)))
+			desk.noteLapse()
+			continue
+		}
+		first = false
+	}
+}
+
+func (desk *Desk) poll(first bool) bool {
+	name := desk.book.Leader(postmasters)
+	if name == "" {
+		desk.book.Ask()
+		return false
+	}
+	serial, _ := desk.Serial()
+	asked := desk.place.Now()
+	tell := &wire.DesiredPollTell{}
+	err := desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.carrier, Incarnation: desk.incarnation,
+		Have: serial, First: first}, tell, 1500*postmark.Millisecond)
+	if err != nil {
+		desk.book.Ask()
+		return false
+	}
+	desk.book.Hint(tell.Primaries)
+	if !tell.Primary {
+		desk.book.Ask()
+		return false
+	}
+	return desk.adopt(tell, asked+postmark.Micros(tell.Tenure))
+}
+
+func (desk *Desk) adopt(tell *wire.DesiredPollTell, until postmark.Micros) bool {
+	var fresh *franking.View
+	serial, _ := desk.Serial()
+	if tell.Serial < serial {
+		return false // never back to an older one
+	}
+	if tell.Serial > serial {
+		state, faults := franking.Parse(tell.Content)
+		if len(faults) > 0 {
+			desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "faults": len(faults)})
+			return false
+		}
+		fresh = franking.Compile(state, tell.Serial, franking.Digest(tell.Content))
+	}
+	desk.lock.Lock()
+	if fresh != nil {
+		desk.view, desk.adopted = fresh, desk.place.Now()
+	}
+	if desk.view != nil {
+		desk.until = max(desk.until, until)
+		desk.lapsed = false
+	}
+	waiters := desk.waiters
+	if fresh != nil {
+		desk.waiters = nil
+	}
+	desk.lock.Unlock()
+	if fresh != nil {
+		for _, waiter := range waiters {
+			waiter.Fire()
+		}
+		desk.place.Report(bulletin.DesiredAdopted, map[string]any{"serial": fresh.Serial})
+	}
+	return true
+}
+
+func (desk *Desk) noteLapse() {
+	desk.lock.Lock()
+	lapsed := desk.view != nil && desk.place.Now() >= desk.until && !desk.lapsed
+	desk.lapsed = desk.lapsed || lapsed
+	desk.lock.Unlock()
+	if lapsed {
+		desk.place.Report(bulletin.DesiredTenureLost, map[string]any{})
+	}
+}
--- /dev/null
+++ b/internal/carrier/gate/gate.go
@@ -0,0 +1,293 @@
+// Package gate is the server side of a carrier: the last check before a backend, and the one that claims run-once keys.
+package gate
+
+import (
+	"go.uber.org/atomic"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/carrier/desk"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/carrier/restante"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/frame"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+	"snowflow/internal/sorter/counterfoil"
+)
+
+const (
+	// claimLife is how long a claim permits starting, counted from before the ask.
+	claimLife = postmark.Second
+	// olderGrace is how long after an adoption passes that were resolved by the serial before are still let in. The
+	// sender's own tenure is what keeps the 2 s rule; this bounds a sender that froze with a request in hand.
+	olderGrace = postmark.Second
+	// catchUp is how long a pass of a newer serial waits for this carrier to adopt it.
+	catchUp = 500 * postmark.Millisecond
+)
+
+// Order is one request for a backend.
+type Order struct {
+	ID          string
+	Backend     hutch.Backend
+	Method      string
+	Target      string
+	Headers     []*wire.Header
+	Body        []byte
+	Fresh       bool // take a connection that nothing was sent on before
+	Cutoff      postmark.Micros
+	AnswerLimit uint64
+	// Still is asked right before the first byte of the request is written; a fault stops it.
+	Still func() *seal.Fault
+}
+
+// Delivery hands a request to a backend and reads its whole answer. Its faults say whether the request may have run.
+type Delivery interface {
+	Deliver(order Order) (*letter.Answer, *seal.Fault)
+}
+
+// Env is what a gate is made of.
+type Env struct {
+	Place       office.Office
+	Carrier     string
+	Incarnation uint64
+	Desk        *desk.Desk
+	Hutch       *hutch.Hutch
+	Shelf       *restante.Shelf
+	Delivery    Delivery
+	// CallPrimary asks the primary sorter until patience ends.
+	CallPrimary func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
+	// CallCarrier asks another carrier by name.
+	CallCarrier func(name string, kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
+}
+
+// Gate answers passes. Invariant: running counts the passes between being read and being answered.
+type Gate struct {
+	env     Env
+	running atomic.Int64
+	closed  atomic.Bool
+	idle    office.Signal
+}
+
+// New makes a gate.
+func New(env Env) *Gate {
+	return &Gate{env: env, idle: env.Place.NewSignal()}
+}
+
+// Register adds the handlers.
+func (gate *Gate) Register(table office.Table) {
+	office.Handle(table, wire.Kind_pass, gate.Pass)
+	office.Handle(table, wire.Kind_recall, func(ask *wire.RecallAsk) (*wire.PassTell, error) {
+		if answer := gate.env.Shelf.Find(ask.Scope, ask.Digest); answer != nil {
+			return answered("", answer), nil
+		}
+		return &wire.PassTell{Refused: true, Cause: uint32(seal.KeyHeld), Verdict: string(seal.MayHaveRun)}, nil
+	})
+}
+
+// Running is the number of passes under way.
+func (gate *Gate) Running() int64 { return gate.running.Load() }
+
+// Refuse makes the gate turn new passes down, as not run.
+func (gate *Gate) Refuse() { gate.closed.Store(true) }
+
+// checks are made in order before anything is claimed. Each refusal here is certain: nothing ran.
+var checks = []func(gate *Gate, ask *wire.PassAsk) *seal.Fault{
+	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
+		if gate.closed.Load() {
+			return seal.New(seal.Draining, seal.NotRun, "carrier %s is stopping", gate.env.Carrier)
+		}
+		return nil
+	},
+	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
+		if ask.ToIncarnation != gate.env.Incarnation {
+			return seal.New(seal.BackendUnknown, seal.NotRun, "addressed to another life of this carrier")
+		}
+		return nil
+	},
+	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
+		if _, live := gate.env.Desk.Current(); !live {
+			return seal.New(seal.TenureEnded, seal.NotRun, "carrier %s has no tenure to serve", gate.env.Carrier)
+		}
+		return nil
+	},
+	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
+		serial, age := gate.env.Desk.Serial()
+		if ask.Serial < serial && (ask.Serial+1 < serial || age > olderGrace) {
+			return seal.New(seal.SerialOlder, seal.NotRun, "resolved by serial %d, %d is in force", ask.Serial, serial)
+		}
+		if ask.Serial > serial && !gate.env.Desk.Renew(ask.Serial, min(catchUp, postmark.Micros(ask.Remaining))) {
+			return seal.New(seal.SerialBehind, seal.NotRun, "resolved by serial %d, this carrier has %d", ask.Serial, serial)
+		}
+		return nil
+	},
+	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
+		view, _ := gate.env.Desk.Current()
+		if view.Services[ask.Service] == nil {
+			return seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial)
+		}
+		return nil
+	},
+}
+
+// Pass handles one request from another carrier, or from this one.
+func (gate *Gate) Pass(ask *wire.PassAsk) (*wire.PassTell, error) {
+	gate.running.Inc()
+	defer func() {
+		if gate.running.Dec() == 0 {
+			gate.idle.Fire()
+		}
+	}()
+	cutoff := gate.env.Place.Now() + postmark.Micros(ask.Remaining)
+	for _, check := range checks {
+		if fault := check(gate, ask); fault != nil {
+			return gate.refused(ask, fault), nil
+		}
+	}
+	view, _ := gate.env.Desk.Current()
+	service := view.Services[ask.Service]
+	backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, service.Limits.GetInFlightPerBackend())
+	if fault != nil {
+		return gate.refused(ask, fault), nil
+	}
+	defer leave()
+	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
+		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
+	startBy := cutoff
+	if ask.Once {
+		var earlier *letter.Answer
+		if startBy, earlier, fault = gate.claim(ask, cutoff); fault != nil {
+			if fault.Cause == seal.ClaimUnreachable {
+				gate.env.Place.Go(func() { gate.free(ask) })
+			}
+			return gate.refused(ask, fault), nil
+		}
+		if earlier != nil {
+			return answered(ask.Id, earlier), nil
+		}
+	}
+	order.Still = func() *seal.Fault {
+		if gate.env.Place.Now() >= startBy {
+			return seal.New(seal.ClaimLate, seal.NotRun, "too late to start")
+		}
+		if _, live := gate.env.Desk.Current(); !live {
+			return seal.New(seal.TenureEnded, seal.NotRun, "carrier %s has no tenure to serve", gate.env.Carrier)
+		}
+		return gate.env.Hutch.Still(backend.Instance, backend.Service)
+	}
+	answer, fault := gate.env.Delivery.Deliver(order)
+	if fault == nil && letter.Header(answer.Headers, letter.NotExecutedHeader) != "" {
+		fault = seal.New(seal.NotExecuted, seal.NotRun, "backend %s answered %d, not executed", backend.Instance, answer.Status)
+	}
+	if fault != nil {
+		if ask.Once && fault.NotRun() {
+			gate.free(ask)
+		}
+		if fault.Cause == seal.AnswerBroken {
+			gate.env.Place.Report(bulletin.AnswerBrokenSeen, map[string]any{"instance": backend.Instance, "detail": fault.Detail})
+		}
+		return gate.refused(ask, fault), nil
+	}
+	answer.Instance = backend.Instance
+	if ask.Once {
+		gate.env.Shelf.Put(ask.Scope, ask.Digest, answer)
+	}
+	return answered(ask.Id, answer), nil
+}
+
+// claimFaults are what the outcomes of a claim other than granted and held come to.
+var claimFaults = map[string]func(ask *wire.PassAsk) *seal.Fault{
+	counterfoil.OtherBody: func(ask *wire.PassAsk) *seal.Fault {
+		return seal.New(seal.OtherBody, seal.MayHaveRun, "the key was used with another body")
+	},
+	counterfoil.Voided: func(ask *wire.PassAsk) *seal.Fault {
+		return seal.New(seal.KeyFenced, seal.NotRun, "try %s is void", ask.Try)
+	},
+	counterfoil.Fenced: func(ask *wire.PassAsk) *seal.Fault {
+		return seal.New(seal.KeyFenced, seal.NotRun, "the key was refused since this request was read")
+	},
+}
+
+// claim asks for the right to run, right before the hand-over. It gives the moment by which the request must start, or
+// the recorded answer of an earlier run.
+func (gate *Gate) claim(ask *wire.PassAsk, cutoff postmark.Micros) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
+	place := gate.env.Place
+	for {
+		asked := place.Now()
+		remaining := min(cutoff-asked, 700*postmark.Millisecond)
+		if remaining <= 0 {
+			// An ask may have been granted unheard, but this carrier won't use it and nobody else can.
+			return 0, nil, seal.New(seal.ClaimUnreachable, seal.NotRun, "the sorter did not answer in time")
+		}
+		tell := &wire.ClaimTell{}
+		err := gate.env.CallPrimary(wire.Kind_claim, &wire.ClaimAsk{Scope: ask.Scope, Digest: ask.Digest, Try: ask.Try,
+			Carrier: gate.env.Carrier, Incarnation: gate.env.Incarnation, ReadAt: ask.ReadAt}, tell, remaining)
+		if err != nil {
+			continue
+		}
+		if tell.Outcome == counterfoil.Granted {
+			return min(asked+claimLife, cutoff), nil, nil
+		}
+		if tell.Outcome == counterfoil.Held {
+			if answer := gate.recall(ask, tell, cutoff); answer != nil {
+				return 0, answer, nil
+			}
+			return 0, nil, seal.New(seal.KeyHeld, seal.MayHaveRun, "the key is held by try %s at %s", tell.Try, tell.Holder)
+		}
+		if find := claimFaults[tell.Outcome]; find != nil {
+			return 0, nil, find(ask)
+		}
+		return 0, nil, seal.New(seal.ClaimUnreachable, seal.MayHaveRun, "claim outcome %q", tell.Outcome)
+	}
+}
+
+// recall finds the answer of an earlier run, here or at the carrier that holds the key.
+func (gate *Gate) recall(ask *wire.PassAsk, held *wire.ClaimTell, cutoff postmark.Micros) *letter.Answer {
+	if held.Holder == gate.env.Carrier {
+		return gate.env.Shelf.Find(ask.Scope, ask.Digest)
+	}
+	tell := &wire.PassTell{}
+	err := gate.env.CallCarrier(held.Holder, wire.Kind_recall, &wire.RecallAsk{Scope: ask.Scope, Digest: ask.Digest, Try: held.Try},
+		tell, min(cutoff-gate.env.Place.Now(), 500*postmark.Millisecond))
+	if err != nil || tell.Refused || !Whole(tell) {
+		return nil
+	}
+	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance}
+}
+
+// free gives a key back after the backend, or this carrier, was certain that nothing ran. If the sorter can't be told,
+// the key stays held: safe, but the caller has to wait.
+func (gate *Gate) free(ask *wire.PassAsk) {
+	_ = gate.env.CallPrimary(wire.Kind_claim_settle, &wire.SettleAsk{Scope: ask.Scope, Try: ask.Try}, &wire.SettleTell{}, postmark.Second)
+}
+
+func (gate *Gate) refused(ask *wire.PassAsk, fault *seal.Fault) *wire.PassTell {
+	serial, _ := gate.env.Desk.Serial()
+	return &wire.PassTell{Id: ask.Id, Refused: true, Cause: uint32(fault.Cause), Verdict: string(fault.Verdict), RetryAfter: int64(fault.RetryAfter),
+		BackendFault: fault.Backend, Serial: serial, Detail: fault.Detail}
+}
+
+func answered(id string, answer *letter.Answer) *wire.PassTell {
+	return &wire.PassTell{Id: id, Status: answer.Status, Headers: answer.Headers, Body: answer.Body, Length: uint64(len(answer.Body)),
+		Checksum: frame.Checksum(answer.Body), Instance: answer.Instance}
+}
+
+// Whole tells whether a passed answer is what the other side meant to send.
+func Whole(tell *wire.PassTell) bool {
+	return uint64(len(tell.Body)) == tell.Length && frame.Checksum(tell.Body) == tell.Checksum
+}
+
+// Drain waits until every pass under way is answered, at most for patience.
+func (gate *Gate) Drain(patience postmark.Micros) bool {
+	cutoff := gate.env.Place.Now() + patience
+	for gate.running.Load() > 0 {
+		remaining := cutoff - gate.env.Place.Now()
+		if remaining <= 0 {
+			return false
+		}
+		gate.idle.Wait(min(remaining, 100*postmark.Millisecond))
+	}
+	return true
+}
--- /dev/null
+++ b/internal/carrier/letter/letter.go
@@ -0,0 +1,51 @@
+// Package letter is a request on its way through a carrier, and what came of it.
+package letter
+
+import (
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// Names of the headers that snowflow gives meaning to.
+const (
+	KeyHeader         = "X-Snowflow-Key"
+	CutoffHeader      = "X-Snowflow-Cutoff-Micros"
+	NotExecutedHeader = "X-Snowflow-Not-Executed"
+	RequestHeader     = "X-Snowflow-Request"
+	// SerialHeader names the desired state that an answer was handled by.
+	SerialHeader = "X-Snowflow-Serial"
+)
+
+// Request is one request, read whole. Invariant: it isn't changed after it was read.
+type Request struct {
+	ID      string
+	Method  string
+	Path    string // without the query
+	Target  string // path and query, as it was sent
+	Headers []*wire.Header
+	Body    []byte
+	Key     string
+	// Cutoff is this process's clock at which the caller gives up; zero leaves it to the service's limit.
+	Cutoff postmark.Micros
+	// ReadAt is the latest moment of holder time that this carrier knew had passed when it read the request.
+	ReadAt *wire.HolderMoment
+}
+
+// Answer is a backend's own complete answer.
+type Answer struct {
+	Status   uint32
+	Headers  []*wire.Header
+	Body     []byte
+	Instance string
+	Serial   uint64
+}
+
+// Header finds a header's first value; names are matched as they were sent by the process's own canonical form.
+func Header(headers []*wire.Header, name string) string {
+	for _, header := range headers {
+		if header.Name == name {
+			return header.Value
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/carrier/passage/chooser.go
@@ -0,0 +1,133 @@
+package passage
+
+import (
+	"sync"
+
+	"snowflow/internal/carrier/roll"
+	"snowflow/internal/office"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// shunned is how long a carrier or backend that just failed is only chosen when nothing else is left.
+const shunned = 2 * postmark.Second
+
+// chooser picks backends: in the own domain first, and beyond it for the part of the load that the own domain's share
+// of the backends can't bear.
+// Invariant: inFlight counts this carrier's own passes under way, by instance.
+type chooser struct {
+	place    office.Office
+	domain   string
+	lock     sync.Mutex
+	inFlight map[string]int
+	avoided  map[string]postmark.Micros
+	choices  map[bool]uint64
+}
+
+func newChooser(place office.Office, domain string) *chooser {
+	return &chooser{place: place, domain: domain, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, choices: map[bool]uint64{}}
+}
+
+func (chooser *chooser) shun(name string) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	chooser.avoided[name] = chooser.place.Now() + shunned
+}
+
+func (chooser *chooser) shuns(name string, now postmark.Micros) bool {
+	until, present := chooser.avoided[name]
+	if present && now >= until {
+		delete(chooser.avoided, name)
+		return false
+	}
+	return present
+}
+
+// choose picks a backend of a service. leave must be called once the pass is over.
+func (chooser *chooser) choose(directory *roll.Directory, service string, avoid map[string]bool) (roll.Candidate, func(), *seal.Fault) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	now := chooser.place.Now()
+	all := directory.Candidates[service]
+	if len(all) == 0 {
+		return roll.Candidate{}, nil, seal.New(seal.NoBackend, seal.NotRun, "no backend of %s is known", service)
+	}
+	var fit, worse []roll.Candidate
+	for _, candidate := range all {
+		if avoid[candidate.Instance] || chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) {
+			worse = append(worse, candidate)
+			continue
+		}
+		fit = append(fit, candidate)
+	}
+	if len(fit) == 0 {
+		fit = worse
+	}
+	chosen := chooser.lighter(chooser.near(directory, fit))
+	chooser.inFlight[chosen.Instance]++
+	chooser.choices[chosen.Domain == chooser.domain]++
+	return chosen, func() {
+		chooser.lock.Lock()
+		defer chooser.lock.Unlock()
+		if chooser.inFlight[chosen.Instance]--; chooser.inFlight[chosen.Instance] == 0 {
+			delete(chooser.inFlight, chosen.Instance)
+		}
+	}, nil
+}
+
+// near keeps to the own domain with the probability that makes every backend's load the same: the domain's share of the
+// backends over its share of the carriers. The rest goes to domains that have backends to spare.
+func (chooser *chooser) near(directory *roll.Directory, fit []roll.Candidate) []roll.Candidate {
+	byDomain := map[string][]roll.Candidate{}
+	for _, candidate := range fit {
+		byDomain[candidate.Domain] = append(byDomain[candidate.Domain], candidate)
+	}
+	own := byDomain[chooser.domain]
+	if len(own) == len(fit) {
+		return fit
+	}
+	spare := func(domain string) float64 {
+		backends := float64(len(byDomain[domain])) / float64(len(fit))
+		return backends - float64(directory.Carriers[domain])/float64(max(1, directory.Live))
+	}
+	random := float64(chooser.place.Random()%1000000) / 1000000
+	callers := float64(max(1, directory.Carriers[chooser.domain])) / float64(max(1, directory.Live))
+	if share := float64(len(own)) / float64(len(fit)); random < share/callers {
+		return own
+	}
+	// Beyond the own domain, each candidate weighs what its domain has to spare.
+	var far []roll.Candidate
+	var weights []float64
+	total := 0.0
+	for _, candidate := range fit {
+		weight := spare(candidate.Domain) / float64(len(byDomain[candidate.Domain]))
+		if candidate.Domain == chooser.domain || weight <= 0 {
+			continue
+		}
+		far, weights, total = append(far, candidate), append(weights, weight), total+weight
+	}
+	if len(far) == 0 {
+		return fit
+	}
+	picks := make([]roll.Candidate, 0, 2)
+	for len(picks) < 2 {
+		point := total * float64(chooser.place.Random()%1000000) / 1000000
+		index := 0
+		for index < len(weights)-1 && point >= weights[index] {
+			point -= weights[index]
+			index++
+		}
+		picks = append(picks, far[index])
+	}
+	return picks
+}
+
+// lighter is the better of two picks.
+func (chooser *chooser) lighter(fit []roll.Candidate) roll.Candidate {
+	one := fit[chooser.place.Random()%uint64(len(fit))]
+	other := fit[chooser.place.Random()%uint64(len(fit))]
+	if chooser.inFlight[other.Instance] < chooser.inFlight[one.Instance] {
+		return other
+	}
+	return one
+}
--- /dev/null
+++ b/internal/carrier/passage/passage.go
@@ -0,0 +1,306 @@
+// Package passage is the caller's side of a carrier: it resolves a request, grants it entry, carries it to a backend's
+// carrier, tries again within its budget, and gives one final outcome.
+package passage
+
+import (
+	"fmt"
+	"sync"
+
+	"go.uber.org/atomic"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/carrier/desk"
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/carrier/purse"
+	"snowflow/internal/carrier/roll"
+	"snowflow/internal/carrier/wicket"
+	"snowflow/internal/franking"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+	"snowflow/internal/sorter/counterfoil"
+)
+
+// voidPatience is how long a lost pass may take to be voided, beyond which the outcome stays open.
+const voidPatience = 1500 * postmark.Millisecond
+
+// Env is what a passage is made of.
+type Env struct {
+	Place       office.Office
+	Carrier     string
+	Incarnation uint64
+	Address     string
+	Domain      string
+	Desk        *desk.Desk
+	Roll        *roll.Roll
+	Wicket      *wicket.Wicket
+	Purse       *purse.Purse
+	Gate        *gate.Gate
+	CallPrimary func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
+	// Finished is told every outcome, for counting; it must not block.
+	Finished func(trip *Trip, answer *letter.Answer, fault *seal.Fault)
+}
+
+// Passage carries requests.
+type Passage struct {
+	env      Env
+	policies []Policy
+	draining atomic.Bool
+	running  atomic.Int64
+	idle     office.Signal
+	counts   sync.Map // service name to *atomic.Int64
+	choices  *chooser
+}
+
+// Trip is one request's way. Invariant: View, Path, Service and Cutoff are set by the resolve policy and don't change.
+type Trip struct {
+	Request *letter.Request
+	Began   postmark.Micros
+	Cutoff  postmark.Micros
+	View    *franking.View
+	Path    franking.Path
+	Service *franking.Service
+	Scope   string
+	Digest  []byte
+	Tries   int
+	// Final is set once the verdict was checked against the claims.
+	Final bool
+}
+
+// New makes a passage.
+func New(env Env) *Passage {
+	passage := &Passage{env: env, idle: env.Place.NewSignal(), choices: newChooser(env.Place, env.Domain)}
+	passage.policies = passage.Policies()
+	return passage
+}
+
+func (passage *Passage) count(service string) *atomic.Int64 {
+	if present, found := passage.counts.Load(service); found {
+		return present.(*atomic.Int64)
+	}
+	present, _ := passage.counts.LoadOrStore(service, atomic.NewInt64(0))
+	return present.(*atomic.Int64)
+}
+
+// Running is the number of requests under way.
+func (passage *Passage) Running() int64 { return passage.running.Load() }
+
+// Refuse makes the passage turn new requests down.
+func (passage *Passage) Refuse() { passage.draining.Store(true) }
+
+// Drain waits until every request under way has its outcome, at most for patience.
+func (passage *Passage) Drain(patience postmark.Micros) bool {
+	cutoff := passage.env.Place.Now() + patience
+	for passage.running.Load() > 0 {
+		remaining := cutoff - passage.env.Place.Now()
+		if remaining <= 0 {
+			return false
+		}
+		passage.idle.Wait(min(remaining, 100*postmark.Millisecond))
+	}
+	return true
+}
+
+// Carry gives a request its one outcome: the backend's own complete answer, or a fault.
+func (passage *Passage) Carry(request *letter.Request) (answer *letter.Answer, fault *seal.Fault) {
+	passage.running.Inc()
+	trip := &Trip{Request: request, Began: passage.env.Place.Now()}
+	defer func() {
+		if passage.env.Finished != nil {
+			passage.env.Finished(trip, answer, fault)
+		}
+		if fault != nil {
+			passage.env.Place.Report(bulletin.RequestRefused, map[string]any{"request": request.ID, "cause": int(fault.Cause), "verdict": string(fault.Verdict), "detail": fault.Detail})
+		}
+		if passage.running.Dec() == 0 {
+			passage.idle.Fire()
+		}
+	}()
+	for _, policy := range passage.policies {
+		if fault := policy.Enter(trip); fault != nil {
+			return nil, passage.final(trip, fault)
+		}
+		defer policy.Leave(trip)
+	}
+	answer, fault = passage.attempts(trip)
+	if fault != nil {
+		return nil, passage.final(trip, fault)
+	}
+	return answer, nil
+}
+
+// attempts makes the first try and, while it's safe, allowed and in time, further ones.
+func (passage *Passage) attempts(trip *Trip) (*letter.Answer, *seal.Fault) {
+	place := passage.env.Place
+	avoid := map[string]bool{}
+	for {
+		answer, fault, retriable := passage.try(trip, avoid)
+		if fault == nil {
+			return answer, nil
+		}
+		retry := trip.Service.Retry
+		if !retriable || trip.Tries >= int(retry.GetMostTries()) {
+			return nil, fault
+		}
+		backoff := postmark.Micros(retry.GetBackoffMicros())
+		backoff += postmark.Micros(place.Random() % uint64(backoff+1))
+		if place.Now()+backoff+50*postmark.Millisecond >= trip.Cutoff {
+			return nil, fault
+		}
+		if !passage.env.Purse.Spend(trip.Service.Name, retry.GetBudgetRatio(), retry.GetAllowance()) {
+			spent := seal.New(seal.BudgetSpent, fault.Verdict, "no further try is left; the last said: %s", fault.Detail)
+			return nil, spent
+		}
+		if fault.Cause == seal.SerialOlder || fault.Cause == seal.SerialBehind {
+			passage.repin(trip)
+		}
+		place.Sleep(backoff)
+	}
+}
+
+// repin resolves a trip anew after a refusal for its serial; only the newest view may be used from then on.
+func (passage *Passage) repin(trip *Trip) {
+	passage.env.Desk.Renew(trip.View.Serial+1, 300*postmark.Millisecond)
+	view, live := passage.env.Desk.Current()
+	if !live {
+		return
+	}
+	path, found := view.Resolve(trip.Request.Method, trip.Request.Path)
+	if found && path.Once == trip.Path.Once && path.Service.Name == trip.Service.Name {
+		trip.View, trip.Path, trip.Service = view, path, path.Service
+	}
+}
+
+// try makes one try. retriable tells that another one can't make the request run twice.
+func (passage *Passage) try(trip *Trip, avoid map[string]bool) (answer *letter.Answer, fault *seal.Fault, retriable bool) {
+	place := passage.env.Place
+	view, live := passage.env.Desk.Current()
+	if !live {
+		return nil, seal.New(seal.TenureEnded, seal.NotRun, "the tenure to serve by serial %d has ended", view.Serial), false
+	}
+	if view.Serial != trip.View.Serial {
+		passage.repin(trip)
+	}
+	ticket, fault := passage.env.Wicket.Admit(trip.Service)
+	if fault != nil {
+		return nil, fault, false
+	}
+	candidate, leave, fault := passage.choices.choose(passage.env.Roll.Directory(), trip.Service.Name, avoid)
+	if fault != nil {
+		ticket.Done(wicket.Neutral)
+		return nil, fault, false
+	}
+	defer leave()
+	avoid[candidate.Instance] = true
+	trip.Tries++
+	if trip.Tries == 1 {
+		passage.env.Purse.First(trip.Service.Name)
+	}
+	remaining := trip.Cutoff - place.Now()
+	if remaining <= 0 {
+		ticket.Done(wicket.Neutral)
+		return nil, seal.New(seal.CutoffReached, seal.NotRun, "the cutoff was reached before the pass"), false
+	}
+	ask := &wire.PassAsk{Id: fmt.Sprintf("%s.%d", trip.Request.ID, trip.Tries), Serial: trip.View.Serial, Service: trip.Service.Name,
+		Instance: candidate.Instance, Method: trip.Request.Method, Target: trip.Request.Target, Headers: trip.Request.Headers,
+		Body: trip.Request.Body, Once: trip.Path.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
+		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
+		AnswerLimit: trip.Service.Limits.GetAnswerBytes()}
+	if trip.Path.Once {
+		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
+	}
+	tell, err := passage.send(candidate, ask, remaining)
+	if err != nil {
+		return passage.lost(trip, ticket, candidate, ask, err)
+	}
+	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
+		ticket.Done(wicket.Neutral)
+		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Path.Once
+	}
+	if tell.Refused {
+		return passage.turnedDown(trip, ticket, candidate, tell)
+	}
+	outcome := wicket.Success
+	if tell.Status >= 500 {
+		outcome = wicket.Failure
+	}
+	ticket.Done(outcome)
+	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance, Serial: trip.View.Serial}, nil, false
+}
+
+// send passes a request on; to this carrier's own gate without a connection.
+func (passage *Passage) send(candidate roll.Candidate, ask *wire.PassAsk, patience postmark.Micros) (*wire.PassTell, error) {
+	if candidate.Carrier == passage.env.Carrier && candidate.Incarnation == passage.env.Incarnation {
+		return passage.env.Gate.Pass(ask)
+	}
+	tell := &wire.PassTell{}
+	return tell, passage.env.Place.Call(candidate.Address, wire.Kind_pass, ask, tell, patience)
+}
+
+// lost handles a pass without an answer. A run-once pass is voided first: void means proof that it has not run and won't.
+func (passage *Passage) lost(trip *Trip, ticket *wicket.Ticket, candidate roll.Candidate, ask *wire.PassAsk, cause error) (*letter.Answer, *seal.Fault, bool) {
+	passage.choices.shun(candidate.Carrier)
+	ticket.Done(wicket.Neutral)
+	if seal.IsUnreachable(cause) {
+		return nil, seal.New(seal.PassUnreachable, seal.NotRun, "%s: %v", candidate.Carrier, cause), true
+	}
+	if !trip.Path.Once {
+		fault := seal.New(seal.PassLost, seal.MayHaveRun, "%s: %v", candidate.Carrier, cause)
+		if passage.env.Place.Now() >= trip.Cutoff {
+			fault = seal.New(seal.CutoffReached, seal.MayHaveRun, "%s gave no answer before the cutoff", candidate.Carrier)
+		}
+		return nil, fault, true
+	}
+	if passage.void(trip, ask.Try, false) == counterfoil.Voided {
+		return nil, seal.New(seal.PassLost, seal.NotRun, "%s: %v; the try is void", candidate.Carrier, cause), true
+	}
+	return nil, seal.New(seal.PassLost, seal.MayHaveRun, "%s: %v", candidate.Carrier, cause), false
+}
+
+// turnedDown handles a refusal by the server's side.
+func (passage *Passage) turnedDown(trip *Trip, ticket *wicket.Ticket, candidate roll.Candidate, tell *wire.PassTell) (*letter.Answer, *seal.Fault, bool) {
+	fault := &seal.Fault{Cause: seal.Cause(tell.Cause), Verdict: seal.Verdict(tell.Verdict), RetryAfter: postmark.Micros(tell.RetryAfter),
+		Detail: tell.Detail, Backend: tell.BackendFault}
+	outcome := wicket.Neutral
+	if fault.Backend {
+		outcome = wicket.Failure
+	}
+	ticket.Done(outcome)
+	if fault.Cause == seal.BackendDial || fault.Cause == seal.BackendIdentity || fault.Cause == seal.BackendLeaving || fault.Cause == seal.BackendUnknown {
+		passage.choices.shun(candidate.Instance)
+	}
+	retriable := fault.NotRun() || !trip.Path.Once
+	if fault.Cause == seal.KeyFenced || fault.Cause == seal.ClaimUnreachable {
+		retriable = false
+	}
+	return nil, fault, retriable
+}
+
+// void asks the sorter to make sure a try never runs. With fence it closes the key to every request read before now.
+func (passage *Passage) void(trip *Trip, try string, fence bool) string {
+	tell := &wire.VoidTell{}
+	patience := min(max(trip.Cutoff-passage.env.Place.Now(), 300*postmark.Millisecond), voidPatience)
+	err := passage.env.CallPrimary(wire.Kind_void, &wire.VoidAsk{Scope: trip.Scope, Digest: trip.Digest, Try: try, Fence: fence}, tell, patience)
+	if err != nil {
+		return ""
+	}
+	return tell.Outcome
+}
+
+// final makes sure a verdict speaks of the key, not of one try: not run is only said of a run-once request once the
+// claims say the same and are fenced, so that nothing read before can run under the key later.
+func (passage *Passage) final(trip *Trip, fault *seal.Fault) *seal.Fault {
+	if trip.Final || trip.Scope == "" || !fault.NotRun() {
+		return fault
+	}
+	trip.Final = true
+	if passage.void(trip, "", true) != counterfoil.Voided {
+		checked := *fault
+		checked.Verdict = seal.MayHaveRun
+		return &checked
+	}
+	return fault
+}
--- /dev/null
+++ b/internal/carrier/passage/policies.go
@@ -0,0 +1,109 @@
+package passage
+
+import (
+	"crypto/sha256"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// Policy is one step that a request takes before it's carried. Leave is called for each policy entered, last first,
+// once the request has its outcome.
+type Policy interface {
+	Name() string
+	Enter(trip *Trip) *seal.Fault
+	Leave(trip *Trip)
+}
+
+// step makes a policy of functions.
+type step struct {
+	name  string
+	enter func(trip *Trip) *seal.Fault
+	leave func(trip *Trip)
+}
+
+func (step step) Name() string                 { return step.name }
+func (step step) Enter(trip *Trip) *seal.Fault { return step.enter(trip) }
+func (step step) Leave(trip *Trip) {
+	if step.leave != nil {
+		step.leave(trip)
+	}
+}
+
+// Policies is the ordered table of the built-in policies. Others may be put before or behind them.
+func (passage *Passage) Policies() []Policy {
+	return []Policy{
+		step{name: "drain", enter: passage.notDraining},
+		step{name: "resolve", enter: passage.resolve},
+		step{name: "key", enter: passage.key},
+		step{name: "size", enter: passage.size},
+		step{name: "crowd", enter: passage.crowd, leave: passage.leaveCrowd},
+	}
+}
+
+func (passage *Passage) notDraining(trip *Trip) *seal.Fault {
+	if passage.draining.Load() {
+		return seal.New(seal.Draining, seal.NotRun, "this carrier is stopping")
+	}
+	return nil
+}
+
+// resolve pins the trip to one view of the desired state.
+func (passage *Passage) resolve(trip *Trip) *seal.Fault {
+	view, live := passage.env.Desk.Current()
+	if view == nil {
+		return seal.New(seal.NotReady, seal.NotRun, "no desired state is adopted yet")
+	}
+	if !live {
+		return seal.New(seal.TenureEnded, seal.NotRun, "the tenure to serve by serial %d has ended", view.Serial)
+	}
+	path, found := view.Resolve(trip.Request.Method, trip.Request.Path)
+	if !found {
+		return seal.New(seal.UnknownPath, seal.NotRun, "no service has %s %s", trip.Request.Method, trip.Request.Path)
+	}
+	trip.View, trip.Path, trip.Service = view, path, path.Service
+	limit := trip.Began + postmark.Micros(path.Service.Limits.GetCutoffMicros())
+	trip.Cutoff = limit
+	if trip.Request.Cutoff > 0 {
+		trip.Cutoff = min(limit, trip.Request.Cutoff)
+	}
+	return nil
+}
+
+// key gives a run-once request its scope. The service is no part of it: a key must not run twice even when a new
+// desired state sends its path to another service.
+func (passage *Passage) key(trip *Trip) *seal.Fault {
+	if !trip.Path.Once {
+		return nil
+	}
+	if trip.Request.Key == "" || len(trip.Request.Key) > 200 {
+		return seal.New(seal.NoKey, seal.NotRun, "%s needs a reference key of at most 200 bytes in %s", trip.Request.Path, letter.KeyHeader)
+	}
+	sum := sha256.New()
+	sum.Write([]byte(trip.Request.Method + " " + trip.Request.Target + "\n"))
+	sum.Write(trip.Request.Body)
+	trip.Scope, trip.Digest = trip.Request.Path+"\n"+trip.Request.Key, sum.Sum(nil)
+	return nil
+}
+
+func (passage *Passage) size(trip *Trip) *seal.Fault {
+	if limit := trip.Service.Limits.GetBodyBytes(); uint64(len(trip.Request.Body)) > limit {
+		return seal.New(seal.BodyTooLarge, seal.NotRun, "%d bytes, %s takes %d", len(trip.Request.Body), trip.Service.Name, limit)
+	}
+	return nil
+}
+
+// crowd refuses early what couldn't be served in time: more requests under way than all backends may have at once.
+func (passage *Passage) crowd(trip *Trip) *seal.Fault {
+	backends := len(passage.env.Roll.Directory().Candidates[trip.Service.Name])
+	limit := int64(max(1, backends)) * int64(trip.Service.Limits.GetInFlightPerBackend())
+	count := passage.count(trip.Service.Name)
+	if count.Inc() > limit {
+		count.Dec()
+		return passage.final(trip, seal.New(seal.Overloaded, seal.NotRun, "%d requests for %s are under way here", limit, trip.Service.Name))
+	}
+	return nil
+}
+
+func (passage *Passage) leaveCrowd(trip *Trip) { passage.count(trip.Service.Name).Dec() }
--- /dev/null
+++ b/internal/carrier/restante/restante.go
@@ -0,0 +1,66 @@
+// Package restante keeps backends' complete answers to run-once requests for a while, for callers that ask again.
+package restante
+
+import (
+	"bytes"
+	"sync"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/postmark"
+)
+
+const (
+	life      = 120 * postmark.Second
+	mostBytes = 16 << 20
+)
+
+// Shelf holds answers. Invariants: held is the sum of the kept bodies' sizes and at most mostBytes; order lists the
+// kept scopes, oldest first.
+type Shelf struct {
+	clock postmark.Clock
+	lock  sync.Mutex
+	kept  map[string]*parcel
+	order []string
+	held  int
+}
+
+type parcel struct {
+	digest []byte
+	answer *letter.Answer
+	at     postmark.Micros
+}
+
+// New makes a shelf.
+func New(clock postmark.Clock) *Shelf { return &Shelf{clock: clock, kept: map[string]*parcel{}} }
+
+// Put keeps an answer.
+func (shelf *Shelf) Put(scope string, digest []byte, answer *letter.Answer) {
+	shelf.lock.Lock()
+	defer shelf.lock.Unlock()
+	if len(answer.Body) > mostBytes/16 || shelf.kept[scope] != nil {
+		return
+	}
+	shelf.kept[scope] = &parcel{digest: digest, answer: answer, at: shelf.clock.Now()}
+	shelf.order = append(shelf.order, scope)
+	shelf.held += len(answer.Body)
+	for len(shelf.order) > 0 {
+		oldest := shelf.kept[shelf.order[0]]
+		if shelf.held <= mostBytes && shelf.clock.Now()-oldest.at < life {
+			break
+		}
+		shelf.held -= len(oldest.answer.Body)
+		delete(shelf.kept, shelf.order[0])
+		shelf.order = shelf.order[1:]
+	}
+}
+
+// Find gives the answer kept for a scope and digest, or nothing.
+func (shelf *Shelf) Find(scope string, digest []byte) *letter.Answer {
+	shelf.lock.Lock()
+	defer shelf.lock.Unlock()
+	kept := shelf.kept[scope]
+	if kept == nil || !bytes.Equal(kept.digest, digest) || shelf.clock.Now()-kept.at >= life {
+		return nil
+	}
+	return kept.answer
+}
--- /dev/null
+++ b/internal/carrier/roll/roll.go
@@ -0,0 +1,226 @@
+// Package roll keeps this carrier's membership: its session with a sorter, and the directory it's shown in return.
+package roll
+
+import (
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+const sorters = "sorter"
+
+// PollEvery is the cadence of polls: the session's beat, the directory's and the guards' cached read in one.
+const PollEvery = postmark.Second
+
+// Candidate is one backend that may be chosen.
+type Candidate struct {
+	Carrier     string
+	Incarnation uint64
+	Address     string
+	Domain      string
+	Service     string
+	Instance    string
+}
+
+// Directory is one view of who is there. Invariant: it doesn't change once made; candidates are sorted by instance.
+type Directory struct {
+	Candidates map[string][]Candidate
+	// Carriers counts live carriers by domain.
+	Carriers map[string]int
+	Live     int
+	// Addresses finds a live carrier, leaving or not, by name.
+	Addresses map[string]string
+}
+
+// Roll follows the sorters.
+type Roll struct {
+	place   office.Office
+	book    *gazetteer.Book
+	session func() *wire.Session
+	// Activity gives what this carrier called since the last poll.
+	Activity func() []*wire.Activity
+	// Guards takes the guards' records from the primary, or nothing when it couldn't be reached.
+	Guards func(records []*wire.GuardRecord, reached bool)
+
+	soon office.Signal
+
+	lock      sync.Mutex
+	directory *Directory
+	source    uint64
+	serial    uint64
+	beat      uint64
+	live      uint32
+	moment    *wire.HolderMoment
+	momentAt  postmark.Micros
+	polled    postmark.Micros
+	primary   postmark.Micros
+}
+
+// New makes a roll; session gives this carrier's session as it is now.
+func New(place office.Office, book *gazetteer.Book, session func() *wire.Session) *Roll {
+	return &Roll{place: place, book: book, session: session, soon: place.NewSignal(), directory: &Directory{Candidates: map[string][]Candidate{}, Carriers: map[string]int{}, Addresses: map[string]string{}},
+		polled: -postmark.Minute, primary: -postmark.Minute}
+}
+
+// Soon has the session told at once, because it changed.
+func (roll *Roll) Soon() { roll.soon.Fire() }
+
+// Follow polls for ever.
+func (roll *Roll) Follow() {
+	for {
+		started := roll.place.Now()
+		roll.Poll()
+		if remaining := PollEvery - (roll.place.Now() - started); remaining > 0 {
+			roll.soon.Wait(remaining)
+		}
+	}
+}
+
+// Poll asks the primary sorter, or another one when that fails.
+func (roll *Roll) Poll() {
+	leader := roll.book.Leader(sorters)
+	names := roll.book.Members(sorters)
+	sort.SliceStable(names, func(one, other int) bool { return names[one] == leader && names[other] != leader })
+	reached := false
+	for _, name := range names {
+		tell, asked, err := roll.ask(name)
+		if err != nil {
+			continue
+		}
+		roll.take(tell, asked)
+		reached = true
+		if !tell.Primary && name != roll.book.Leader(sorters) && roll.book.Leader(sorters) != leader {
+			// The answer named another primary: ask that one in the same round.
+			if second, askedSecond, err := roll.ask(roll.book.Leader(sorters)); err == nil {
+				roll.take(second, askedSecond)
+				tell = second
+			}
+		}
+		if tell.Primary {
+			roll.Guards(tell.Guards, true)
+			return
+		}
+		break
+	}
+	roll.Guards(nil, false)
+	if !reached || len(names) == 0 {
+		roll.book.Ask()
+	}
+}
+
+func (roll *Roll) ask(name string) (*wire.SorterPollTell, postmark.Micros, error) {
+	session := roll.session()
+	roll.lock.Lock()
+	roll.beat++
+	session.Beat = roll.beat
+	ask := &wire.SorterPollAsk{Session: session, DirectorySource: roll.source, DirectorySerial: roll.serial}
+	roll.lock.Unlock()
+	ask.Activity = roll.Activity()
+	asked := roll.place.Now()
+	tell := &wire.SorterPollTell{}
+	return tell, asked, roll.book.Call(name, wire.Kind_sorter_poll, ask, tell, 600*postmark.Millisecond)
+}
+
+func (roll *Roll) take(tell *wire.SorterPollTell, asked postmark.Micros) {
+	roll.book.Hint(tell.Primaries)
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	now := roll.place.Now()
+	roll.polled, roll.live = now, tell.Carriers
+	if tell.Primary {
+		roll.primary = now
+		if roll.moment == nil || tell.Epoch >= roll.moment.Epoch {
+			roll.moment, roll.momentAt = &wire.HolderMoment{Epoch: tell.Epoch, Time: tell.HolderTime}, now
+		}
+	}
+	if !tell.DirectorySame {
+		roll.source, roll.serial = tell.DirectorySource, tell.DirectorySerial
+		roll.directory = index(tell.Sessions)
+	}
+}
+
+func index(sessions []*wire.Session) *Directory {
+	directory := &Directory{Candidates: map[string][]Candidate{}, Carriers: map[string]int{}, Addresses: map[string]string{}}
+	for _, session := range sessions {
+		directory.Addresses[session.Carrier] = session.Address
+		if session.Leaving {
+			continue
+		}
+		directory.Carriers[session.Domain]++
+		directory.Live++
+		for _, backend := range session.Backends {
+			if backend.Condition != "alive" && backend.Condition != "working" {
+				continue
+			}
+			directory.Candidates[backend.Service] = append(directory.Candidates[backend.Service], Candidate{Carrier: session.Carrier,
+				Incarnation: session.Incarnation, Address: session.Address, Domain: session.Domain, Service: backend.Service, Instance: backend.Instance})
+		}
+	}
+	for _, candidates := range directory.Candidates {
+		sort.Slice(candidates, func(one, other int) bool { return candidates[one].Instance < candidates[other].Instance })
+	}
+	return directory
+}
+
+// Directory is the newest view of who is there.
+func (roll *Roll) Directory() *Directory {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	return roll.directory
+}
+
+// Member tells whether this carrier's session stands, as far as it can know.
+func (roll *Roll) Member() bool {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	return roll.place.Now()-roll.polled < 3*postmark.Second
+}
+
+// Share is this carrier's part of an allowance for the whole mesh: nothing before it was told how many share it.
+func (roll *Roll) Share(allowance uint32) float64 {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	if roll.live == 0 || roll.place.Now()-roll.polled >= 10*postmark.Second {
+		return 0
+	}
+	return float64(allowance) / float64(roll.live)
+}
+
+// Moment is a moment of holder time that has certainly passed.
+func (roll *Roll) Moment() *wire.HolderMoment {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	if roll.moment == nil {
+		return &wire.HolderMoment{}
+	}
+	moment := proto.Clone(roll.moment).(*wire.HolderMoment)
+	moment.Time += int64(roll.place.Now() - roll.momentAt)
+	return moment
+}
+
+// CallPrimary asks the primary sorter, again after a failover, until patience ends. Only asks that may be repeated
+// go this way.
+func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	cutoff := roll.place.Now() + patience
+	var last error = seal.Unreachable.New("no primary sorter is known")
+	for {
+		remaining := cutoff - roll.place.Now()
+		if remaining <= 0 {
+			return last
+		}
+		if name := roll.book.Leader(sorters); name != "" {
+			if last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond)); last == nil {
+				return nil
+			}
+		}
+		roll.book.Ask()
+		roll.place.Sleep(min(50*postmark.Millisecond, max(cutoff-roll.place.Now(), 0)))
+	}
+}
--- /dev/null
+++ b/internal/carrier/wicket/wicket.go
@@ -0,0 +1,498 @@
+// Package wicket is the guard at the caller's side: one breaker per service, with its own window for detecting trips and
+// a cached read of the shared record for the verdict. Nothing is asked inline while the record is closed or open; half
+// open, each try leases one probe from the budget that all callers share.
+package wicket
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/franking"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+	"snowflow/internal/sorter/pigeonhole"
+)
+
+// Env is what a guard is made of.
+type Env struct {
+	Place       office.Office
+	Carrier     string
+	Incarnation uint64
+	// Call asks the primary sorter once.
+	Call func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
+	// LaneLength bounds the lane of writes.
+	LaneLength int
+	// RetryBackoff is how long writes are dropped after a failure, growing by RetryMultiplier up to RetryBackoffMax,
+	// with up to RetryJitter of it added.
+	RetryBackoff, RetryBackoffMax postmark.Micros
+	RetryMultiplier, RetryJitter  float64
+}
+
+// The manual controls. They are local to this carrier and go before the shared verdict.
+const (
+	ControlNone        = ""
+	ControlForceOpen   = "force_open"
+	ControlDisable     = "disable"
+	ControlMetricsOnly = "metrics_only"
+)
+
+// Wicket holds the breakers of all services this carrier calls.
+type Wicket struct {
+	env  Env
+	lane *office.Inbox[*wire.GuardWriteAsk]
+
+	lock     sync.Mutex
+	breakers map[string]*breaker
+	degraded bool
+	failures int
+	retryAt  postmark.Micros
+	queued   int
+	closed   bool
+	idle     office.Signal
+}
+
+// breaker is one service's.
+// Invariants: shared is only replaced by a record of the same or a higher serial; local is Closed whenever the shared
+// verdict is not, except while degraded; ids of probes are used once.
+type breaker struct {
+	lock    sync.Mutex
+	service string
+	shared  *wire.GuardRecord
+	window  *window
+	local   local
+	control string
+	terms   *wire.GuardTerms
+	calls   uint64
+	failed  uint64
+	told    uint64
+}
+
+// Ticket is one admitted try. Done must be called once.
+type Ticket struct {
+	wicket  *Wicket
+	breaker *breaker
+	service *franking.Service
+	probe   string
+	serial  uint64
+	local   bool
+	started postmark.Micros
+	ignored bool
+}
+
+// New makes the guard.
+func New(env Env) *Wicket {
+	if env.LaneLength == 0 {
+		env.LaneLength = 128
+	}
+	if env.RetryBackoff == 0 {
+		env.RetryBackoff = 5 * postmark.Second
+	}
+	if env.RetryMultiplier < 1 {
+		env.RetryMultiplier = 1
+	}
+	return &Wicket{env: env, lane: office.NewInbox[*wire.GuardWriteAsk](env.Place), breakers: map[string]*breaker{}, idle: env.Place.NewSignal()}
+}
+
+func (wicket *Wicket) breaker(service string) *breaker {
+	wicket.lock.Lock()
+	defer wicket.lock.Unlock()
+	present := wicket.breakers[service]
+	if present == nil {
+		present = &breaker{service: service, window: newWindow(100), local: local{state: pigeonhole.Closed}}
+		wicket.breakers[service] = present
+	}
+	return present
+}
+
+func (wicket *Wicket) all() []*breaker {
+	wicket.lock.Lock()
+	defer wicket.lock.Unlock()
+	breakers := make([]*breaker, 0, len(wicket.breakers))
+	for _, present := range wicket.breakers {
+		breakers = append(breakers, present)
+	}
+	sort.Slice(breakers, func(one, other int) bool { return breakers[one].service < breakers[other].service })
+	return breakers
+}
+
+func (wicket *Wicket) isDegraded() bool {
+	wicket.lock.Lock()
+	defer wicket.lock.Unlock()
+	return wicket.degraded
+}
+
+// admissions decide by the shared verdict.
+var admissions = map[string]func(wicket *Wicket, breaker *breaker, ticket *Ticket) *seal.Fault{
+	pigeonhole.Closed:   (*Wicket).admitLocal,
+	pigeonhole.Open:     (*Wicket).admitOpen,
+	pigeonhole.HalfOpen: (*Wicket).admitProbe,
+}
+
+// Admit grants one try entry, or refuses it.
+func (wicket *Wicket) Admit(service *franking.Service) (*Ticket, *seal.Fault) {
+	breaker := wicket.breaker(service.Name)
+	ticket := &Ticket{wicket: wicket, breaker: breaker, service: service, started: wicket.env.Place.Now()}
+	breaker.lock.Lock()
+	breaker.terms = service.Terms()
+	control := breaker.control
+	state := pigeonhole.Closed
+	if breaker.shared != nil {
+		state = breaker.shared.State
+		ticket.serial = breaker.shared.Serial
+	}
+	breaker.lock.Unlock()
+	if control == ControlForceOpen {
+		return nil, seal.New(seal.GuardOpen, seal.NotRun, "guard of %s is forced open on this node", service.Name)
+	}
+	if control != ControlNone || service.Guard.GetDisabled() {
+		ticket.ignored = control != ControlMetricsOnly
+		return ticket, nil
+	}
+	if wicket.isDegraded() {
+		state = pigeonhole.Closed
+	}
+	if fault := admissions[state](wicket, breaker, ticket); fault != nil {
+		return nil, fault
+	}
+	return ticket, nil
+}
+
+func (wicket *Wicket) admitOpen(breaker *breaker, ticket *Ticket) *seal.Fault {
+	fault := seal.New(seal.GuardOpen, seal.NotRun, "guard of %s is open", breaker.service)
+	fault.RetryAfter = min(max(postmark.Micros(ticket.service.Guard.GetWaitOpenMicros()), postmark.Second), 5*postmark.Second)
+	return fault
+}
+
+// admitProbe is the one inline call.
+func (wicket *Wicket) admitProbe(breaker *breaker, ticket *Ticket) *seal.Fault {
+	ticket.probe = fmt.Sprintf("%s-%016x", wicket.env.Carrier, wicket.env.Place.Random())
+	tell := &wire.ProbeLeaseTell{}
+	err := wicket.env.Call(wire.Kind_probe_lease, &wire.ProbeLeaseAsk{Service: breaker.service, Id: ticket.probe,
+		Carrier: wicket.env.Carrier, Incarnation: wicket.env.Incarnation}, tell, 300*postmark.Millisecond)
+	if err != nil {
+		wicket.degrade(err)
+		ticket.probe = ""
+		return wicket.admitLocal(breaker, ticket)
+	}
+	wicket.learn(breaker, tell.Record)
+	if tell.Granted {
+		ticket.serial = tell.Record.Serial
+		return nil
+	}
+	if tell.Record != nil && tell.Record.State == pigeonhole.Closed {
+		ticket.probe, ticket.serial = "", tell.Record.Serial
+		return wicket.admitLocal(breaker, ticket)
+	}
+	return seal.New(seal.NoProbe, seal.NotRun, "guard of %s has no probe left", breaker.service)
+}
+
+// admitLocal decides by this node's own breaker.
+func (wicket *Wicket) admitLocal(breaker *breaker, ticket *Ticket) *seal.Fault {
+	breaker.lock.Lock()
+	defer breaker.lock.Unlock()
+	own := &breaker.local
+	if own.state == pigeonhole.Closed {
+		return nil
+	}
+	now := wicket.env.Place.Now()
+	if own.state == pigeonhole.Open && now-own.entered >= postmark.Micros(ticket.service.Guard.GetWaitOpenMicros()) {
+		*own = local{state: pigeonhole.HalfOpen, entered: now, left: int(ticket.service.Guard.GetPermittedHalfOpen())}
+	}
+	if own.state == pigeonhole.HalfOpen && own.left > 0 {
+		own.left--
+		own.out++
+		ticket.local = true
+		return nil
+	}
+	fault := seal.New(seal.GuardOpen, seal.NotRun, "guard of %s is open on this node", breaker.service)
+	fault.RetryAfter = min(max(postmark.Micros(ticket.service.Guard.GetWaitOpenMicros())-(now-own.entered), postmark.Second), 5*postmark.Second)
+	return fault
+}
+
+// Outcome is what a try says of its backend.
+type Outcome int
+
+// The outcomes. Neutral says nothing of the backend: the trouble was this node's own or another carrier's.
+const (
+	Success Outcome = iota
+	Failure
+	Neutral
+)
+
+// Done tells how an admitted try ended.
+func (ticket *Ticket) Done(outcome Outcome) {
+	wicket, breaker := ticket.wicket, ticket.breaker
+	took := wicket.env.Place.Now() - ticket.started
+	guard := ticket.service.Guard
+	slow := took > postmark.Micros(guard.GetSlowMicros())
+	if ticket.probe != "" {
+		// Trouble of this node's own tells nothing, so its probe is left to go back when its tenure ends.
+		if outcome != Neutral {
+			wicket.write(&wire.GuardWriteAsk{Service: breaker.service, Verb: "probe", ExpectedSerial: ticket.serial,
+				Id: ticket.probe, Success: outcome == Success && !slow, Terms: breaker.terms})
+		}
+		return
+	}
+	breaker.lock.Lock()
+	defer breaker.lock.Unlock()
+	if ticket.local {
+		wicket.tallyLocal(breaker, guard, outcome, slow)
+		return
+	}
+	if outcome == Neutral || ticket.ignored {
+		return
+	}
+	breaker.calls++
+	if outcome == Failure {
+		breaker.failed++
+	}
+	breaker.window.add(mark{failed: outcome == Failure, slow: slow}, int(guard.GetWindowCalls()))
+	if breaker.local.state != pigeonhole.Closed || breaker.control != ControlNone ||
+		!breaker.window.over(int(guard.GetMinimumCalls()), guard.GetFailureRate(), guard.GetSlowRate()) {
+		return
+	}
+	wicket.trip(breaker)
+}
+
+// trip opens this node's own breaker and reports it. The lock is held.
+func (wicket *Wicket) trip(breaker *breaker) {
+	breaker.local = local{state: pigeonhole.Open, entered: wicket.env.Place.Now()}
+	breaker.window = newWindow(len(breaker.window.ring))
+	serial := uint64(1)
+	if breaker.shared != nil {
+		serial = breaker.shared.Serial
+	}
+	wicket.env.Place.Report(bulletin.GuardLocalTrip, map[string]any{"service": breaker.service})
+	wicket.write(&wire.GuardWriteAsk{Service: breaker.service, Verb: "trip", ExpectedSerial: serial, Terms: breaker.terms})
+}
+
+// tallyLocal counts a probe of this node's own half-open round. The lock is held.
+func (wicket *Wicket) tallyLocal(breaker *breaker, guard *wire.Guard, outcome Outcome, slow bool) {
+	own := &breaker.local
+	if own.state != pigeonhole.HalfOpen {
+		return
+	}
+	own.out--
+	if outcome == Neutral {
+		own.left++
+		return
+	}
+	own.tallied++
+	if outcome == Failure || slow {
+		own.failed++
+	}
+	if own.tallied < int(guard.GetPermittedHalfOpen()) {
+		return
+	}
+	if float64(own.failed) >= guard.GetFailureRate()*float64(own.tallied) {
+		wicket.trip(breaker)
+		return
+	}
+	*own = local{state: pigeonhole.Closed}
+}
+
+// learn takes a shared record, unless a newer one is known. A verdict that changed clears this node's own.
+func (wicket *Wicket) learn(breaker *breaker, record *wire.GuardRecord) {
+	if record == nil {
+		return
+	}
+	breaker.lock.Lock()
+	defer breaker.lock.Unlock()
+	present := breaker.shared
+	if present != nil && record.Serial < present.Serial {
+		return
+	}
+	breaker.shared = record
+	if present == nil && record.State == pigeonhole.Closed || present != nil && present.State == record.State {
+		return
+	}
+	breaker.window = newWindow(len(breaker.window.ring))
+	breaker.local = local{state: pigeonhole.Closed}
+	wicket.env.Place.Report(bulletin.GuardChanged, map[string]any{"service": breaker.service, "state": record.State, "serial": record.Serial})
+}
+
+// Polled takes the poll's records, or nothing when the primary wasn't reached.
+func (wicket *Wicket) Polled(records []*wire.GuardRecord, reached bool) {
+	if !reached {
+		wicket.degrade(seal.Unreachable.New("poll"))
+		return
+	}
+	wicket.recover()
+	for _, record := range records {
+		wicket.learn(wicket.breaker(record.Service), record)
+	}
+}
+
+// degrade falls back to this node's own windows and drops what waits in the lane.
+func (wicket *Wicket) degrade(cause error) {
+	wicket.lock.Lock()
+	first := !wicket.degraded
+	wicket.degraded = true
+	if first {
+		delay := float64(wicket.env.RetryBackoff) * math.Pow(wicket.env.RetryMultiplier, float64(wicket.failures))
+		if wicket.env.RetryBackoffMax > 0 {
+			delay = min(delay, float64(wicket.env.RetryBackoffMax))
+		}
+		delay += delay * wicket.env.RetryJitter * float64(wicket.env.Place.Random()%1000) / 1000
+		wicket.failures++
+		wicket.retryAt = wicket.env.Place.Now() + postmark.Micros(delay)
+	}
+	wicket.lock.Unlock()
+	if first {
+		wicket.env.Place.Report(bulletin.GuardDegraded, map[string]any{"error": cause.Error()})
+	}
+}
+
+func (wicket *Wicket) recover() {
+	wicket.lock.Lock()
+	was := wicket.degraded
+	wicket.degraded, wicket.failures = false, 0
+	wicket.lock.Unlock()
+	if was {
+		wicket.env.Place.Report(bulletin.GuardRecovered, map[string]any{})
+	}
+}
+
+// write puts a write on the lane, or drops it and says so. It never blocks.
+func (wicket *Wicket) write(ask *wire.GuardWriteAsk) {
+	ask.Carrier, ask.Incarnation = wicket.env.Carrier, wicket.env.Incarnation
+	wicket.lock.Lock()
+	gated := wicket.degraded && wicket.env.Place.Now() < wicket.retryAt
+	full := wicket.queued >= wicket.env.LaneLength || wicket.closed
+	if !gated && !full {
+		wicket.queued++
+	}
+	wicket.lock.Unlock()
+	if gated || full {
+		wicket.env.Place.Report(bulletin.GuardWriteDropped, map[string]any{"service": ask.Service, "verb": ask.Verb, "degraded": gated})
+		return
+	}
+	wicket.lane.Put(ask)
+}
+
+// Lane sends the writes, in order, for ever.
+func (wicket *Wicket) Lane() {
+	for {
+		for _, ask := range wicket.lane.Take(postmark.Second) {
+			wicket.send(ask)
+			wicket.lock.Lock()
+			wicket.queued--
+			empty := wicket.queued == 0
+			wicket.lock.Unlock()
+			if empty {
+				wicket.idle.Fire()
+			}
+		}
+	}
+}
+
+func (wicket *Wicket) send(ask *wire.GuardWriteAsk) {
+	if wicket.isDegraded() {
+		wicket.env.Place.Report(bulletin.GuardWriteDropped, map[string]any{"service": ask.Service, "verb": ask.Verb, "degraded": true})
+		return
+	}
+	tell := &wire.GuardWriteTell{}
+	if err := wicket.env.Call(wire.Kind_guard_write, ask, tell, 700*postmark.Millisecond); err != nil {
+		wicket.degrade(err)
+		return
+	}
+	wicket.learn(wicket.breaker(ask.Service), tell.Record)
+	if ask.Verb == "trip" && tell.Applied && tell.Record.State == pigeonhole.Closed {
+		wicket.env.Place.Report(bulletin.GuardReported, map[string]any{"service": ask.Service, "reports": len(tell.Record.Reports)})
+	}
+	if ask.Verb != "probe" || !tell.Applied || !tell.RoundComplete {
+		return
+	}
+	// This node's outcome was the round's last, so it decides, by the thresholds, fenced by the round's serial.
+	decision := &wire.GuardWriteAsk{Service: ask.Service, Verb: "decide", ExpectedSerial: tell.Record.Serial, Decision: pigeonhole.Judge(tell.Record),
+		Carrier: wicket.env.Carrier, Incarnation: wicket.env.Incarnation, Terms: ask.Terms}
+	decided := &wire.GuardWriteTell{}
+	if err := wicket.env.Call(wire.Kind_guard_write, decision, decided, 700*postmark.Millisecond); err != nil {
+		wicket.degrade(err)
+		return
+	}
+	wicket.learn(wicket.breaker(ask.Service), decided.Record)
+}
+
+// Close drains the lane, at most for patience. Afterwards writes are dropped and the cached verdicts are forgotten.
+func (wicket *Wicket) Close(patience postmark.Micros) {
+	cutoff := wicket.env.Place.Now() + patience
+	for wicket.env.Place.Now() < cutoff {
+		wicket.lock.Lock()
+		empty := wicket.queued == 0
+		wicket.lock.Unlock()
+		if empty {
+			break
+		}
+		wicket.idle.Wait(min(cutoff-wicket.env.Place.Now(), 100*postmark.Millisecond))
+	}
+	wicket.lock.Lock()
+	wicket.closed, wicket.degraded = true, true
+	wicket.lock.Unlock()
+}
+
+// controls are the manual ones; reset clears them and this node's own window, not the shared record.
+var controls = map[string]string{"force_open": ControlForceOpen, "disable": ControlDisable, "metrics_only": ControlMetricsOnly, "reset": ControlNone}
+
+// Control sets a manual control.
+func (wicket *Wicket) Control(service, verb string) error {
+	control, known := controls[verb]
+	if !known {
+		return seal.Invalid.New("%q is not force_open, disable, metrics_only or reset", verb)
+	}
+	breaker := wicket.breaker(service)
+	breaker.lock.Lock()
+	breaker.control = control
+	if control == ControlNone {
+		breaker.window, breaker.local = newWindow(len(breaker.window.ring)), local{state: pigeonhole.Closed}
+	}
+	breaker.lock.Unlock()
+	wicket.env.Place.Report(bulletin.GuardControl, map[string]any{"service": service, "control": verb})
+	return nil
+}
+
+// Activity tells which services were called since it was last asked.
+func (wicket *Wicket) Activity() (activity []*wire.Activity) {
+	for _, breaker := range wicket.all() {
+		breaker.lock.Lock()
+		if fresh := breaker.calls - breaker.told; fresh > 0 {
+			activity = append(activity, &wire.Activity{Service: breaker.service, Calls: fresh, Failures: breaker.failed})
+			breaker.told = breaker.calls
+		}
+		breaker.lock.Unlock()
+	}
+	return activity
+}
+
+// Shown is one guard as operators see it on a node.
+type Shown struct {
+	Service string `json:"service"`
+	Shared  string `json:"shared"`
+	Serial  uint64 `json:"serial"`
+	Local   string `json:"local"`
+	Control string `json:"control,omitempty"`
+	Calls   uint64 `json:"calls"`
+	Failed  uint64 `json:"failed"`
+}
+
+// Show lists the guards.
+func (wicket *Wicket) Show() (shown []Shown) {
+	for _, breaker := range wicket.all() {
+		breaker.lock.Lock()
+		entry := Shown{Service: breaker.service, Shared: pigeonhole.Closed, Local: breaker.local.state, Control: breaker.control,
+			Calls: breaker.calls, Failed: breaker.failed}
+		if breaker.shared != nil {
+			entry.Shared, entry.Serial = breaker.shared.State, breaker.shared.Serial
+		}
+		breaker.lock.Unlock()
+		shown = append(shown, entry)
+	}
+	return shown
+}
--- /dev/null
+++ b/internal/clerk/clerk.go
@@ -0,0 +1,196 @@
+// Package clerk is the operators' command line: desired states, status, guards and drains.
+package clerk
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"snowflow/internal/env"
+	"snowflow/internal/franking"
+	"snowflow/internal/house"
+	"snowflow/internal/postmaster/door"
+)
+
+// desks asks postmasters' doors in turn, until one answers.
+type desks struct {
+	addresses string
+	client    *http.Client
+}
+
+func (desks *desks) list() ([]string, error) {
+	if err := env.Addresses(desks.addresses); err != nil {
+		return nil, house.Misused(fmt.Errorf("--desks: %w", err))
+	}
+	return strings.Split(desks.addresses, ","), nil
+}
+
+// ask sends one request to the first desk that answers with anything but a 503.
+func (desks *desks) ask(method, path string, body []byte) (int, []byte, error) {
+	addresses, err := desks.list()
+	if err != nil {
+		return 0, nil, err
+	}
+	var faults []error
+	for _, address := range addresses {
+		request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+		if err != nil {
+			return 0, nil, err
+		}
+		response, err := desks.client.Do(request)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		content, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		if response.StatusCode == http.StatusServiceUnavailable {
+			faults = append(faults, fmt.Errorf("%s: %s", address, strings.TrimSpace(string(content))))
+			continue
+		}
+		return response.StatusCode, content, nil
+	}
+	return 0, nil, errors.Join(faults...)
+}
+
+// Root makes the command line.
+func Root() *cobra.Command {
+	shared := &desks{client: &http.Client{Timeout: 25 * time.Second}}
+	root := &cobra.Command{Use: "clerk", Short: "the operators' command line of snowflow", SilenceUsage: true, SilenceErrors: true, Version: house.Release}
+	root.PersistentFlags().StringVar(&shared.addresses, "desks", "127.0.0.1:7201", "addresses of postmasters' desks, with commas between")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return house.Misused(err) })
+	root.AddCommand(apply(shared), check(), get(shared), history(shared), status(shared), guard(), drain())
+	return root
+}
+
+func apply(shared *desks) *cobra.Command {
+	expected, request := "", ""
+	command := &cobra.Command{Use: "apply FILE", Short: "apply a desired state; it's acknowledged once it's in force everywhere", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			content, err := os.ReadFile(arguments[0])
+			if err != nil {
+				return house.Misused(err)
+			}
+			if expected == "" {
+				return house.Misused(errors.New("--expected is needed: the serial this state follows, or any"))
+			}
+			if request == "" {
+				request = uuid.NewString()
+			}
+			code, answer, err := shared.ask(http.MethodPut, "/desired-state?expected="+expected+"&request="+request, content)
+			if err != nil {
+				return fmt.Errorf("no certain outcome; apply again with --request %s: %w", request, err)
+			}
+			var applied door.Applied
+			if err := json.Unmarshal(answer, &applied); err != nil {
+				return fmt.Errorf("status %d: %s", code, answer)
+			}
+			switch applied.Outcome {
+			case "accepted":
+				fmt.Printf("accepted as serial %d, digest %s\n", applied.Serial, applied.Digest)
+				return nil
+			case "conflict":
+				return fmt.Errorf("conflict: the serial is %d now %s", applied.Serial, strings.Join(applied.Faults, "; "))
+			}
+			return fmt.Errorf("%s:\n  %s", applied.Outcome, strings.Join(applied.Faults, "\n  "))
+		}}
+	command.Flags().StringVar(&expected, "expected", "", "the serial that this state follows, or any")
+	command.Flags().StringVar(&request, "request", "", "request id; the same id again repeats an apply harmlessly")
+	return command
+}
+
+func check() *cobra.Command {
+	return &cobra.Command{Use: "check FILE", Short: "check a desired state without a mesh", Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, arguments []string) error {
+		content, err := os.ReadFile(arguments[0])
+		if err != nil {
+			return house.Misused(err)
+		}
+		if _, faults := franking.Parse(content); len(faults) > 0 {
+			texts := make([]string, len(faults))
+			for index, fault := range faults {
+				texts[index] = fault.String()
+			}
+			return fmt.Errorf("%d faults:\n  %s", len(faults), strings.Join(texts, "\n  "))
+		}
+		fmt.Printf("valid, digest %s\n", franking.Digest(content))
+		return nil
+	}}
+}
+
+// show prints an answer's JSON, indented.
+func show(code int, answer []byte, err error) error {
+	if err != nil {
+		return err
+	}
+	if code != http.StatusOK {
+		return fmt.Errorf("status %d: %s", code, strings.TrimSpace(string(answer)))
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, answer, "", "  "); err != nil {
+		return err
+	}
+	fmt.Println(strings.TrimSpace(indented.String()))
+	return nil
+}
+
+func get(shared *desks) *cobra.Command {
+	return &cobra.Command{Use: "get [SERIAL]", Short: "read a desired state back, the newest if no serial is named", Args: cobra.MaximumNArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			return show(shared.ask(http.MethodGet, "/desired-state"+suffix(arguments), nil))
+		}}
+}
+
+func suffix(arguments []string) string {
+	if len(arguments) == 0 {
+		return ""
+	}
+	return "/" + arguments[0]
+}
+
+func history(shared *desks) *cobra.Command {
+	return &cobra.Command{Use: "history", Short: "list every accepted desired state", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		return show(shared.ask(http.MethodGet, "/history", nil))
+	}}
+}
+
+func status(shared *desks) *cobra.Command {
+	return &cobra.Command{Use: "status", Short: "show how the core, the carriers and the guards stand", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		return show(shared.ask(http.MethodGet, "/status", nil))
+	}}
+}
+
+// carrier asks one carrier's desk.
+func carrier(address, method, path string) error {
+	if err := env.Address(address); err != nil {
+		return house.Misused(err)
+	}
+	one := &desks{addresses: address, client: &http.Client{Timeout: 5 * time.Second}}
+	return show(one.ask(method, path, nil))
+}
+
+func guard() *cobra.Command {
+	return &cobra.Command{Use: "guard DESK SERVICE force_open|disable|metrics_only|reset", Short: "set a manual control on one carrier", Args: cobra.ExactArgs(3),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			return carrier(arguments[0], http.MethodPost, "/guards/"+arguments[1]+"/"+arguments[2])
+		}}
+}
+
+func drain() *cobra.Command {
+	return &cobra.Command{Use: "drain DESK", Short: "have one carrier answer what it read and stop", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			return carrier(arguments[0], http.MethodPost, "/drain")
+		}}
+}
--- /dev/null
+++ b/internal/countersign/copy.go
@@ -0,0 +1,238 @@
+package countersign
+
+import (
+	"errors"
+	"fmt"
+
+	"go.uber.org/atomic"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/strongbox"
+)
+
+const journalFile = "journal"
+
+// copy is this process's copy of the state: a journal on disk and the machine it has been applied to. Its owner is
+// Member.keeper.
+//
+// Invariants:
+//   - the journal starts with a view; each entry behind it has the next sequence and an epoch that never falls;
+//   - epoch and sequence are those of the last record; a primary numbers within an epoch it won in this life, so the pair
+//     names one entry;
+//   - fenced is above every epoch whose primary this copy must no longer obey;
+//   - applied <= sequence; what lies between was written here but not answered.
+type copy struct {
+	box         *strongbox.Box
+	incarnation atomic.Uint64
+	epoch       uint64
+	sequence    uint64
+	holderTime  postmark.Micros
+	fenced      uint64
+	pending     []*wire.Entry
+	lastSync    postmark.Micros
+}
+
+func (member *Member) openCopy() error {
+	place := member.env.Place
+	name := member.file(journalFile)
+	box, err := strongbox.Open(place.Disk(), name, func(content []byte) error {
+		record := &wire.JournalRecord{}
+		if err := proto.Unmarshal(content, record); err != nil {
+			return err
+		}
+		if record.View != nil {
+			return member.restore(record.View, record.Part)
+		}
+		if record.Entry == nil || record.Entry.Sequence != member.copy.sequence+1 {
+			return fmt.Errorf("entry out of turn")
+		}
+		member.apply(record.Entry)
+		return nil
+	})
+	if isDamaged(err) {
+		place.Report(bulletin.DiskDamaged, map[string]any{"file": name, "error": err.Error()})
+		member.copy = copy{}
+		if box, err = strongbox.Discard(place.Disk(), name); err == nil {
+			err = member.env.Machine.Restore(nil)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if box.Cut > 0 {
+		place.Report(bulletin.DiskTornTail, map[string]any{"file": name, "bytes": box.Cut})
+	}
+	member.copy.box = box
+	if member.copy.incarnation.Load() == 0 {
+		member.copy.incarnation.Store(place.Random() | 1)
+		return member.rewrite()
+	}
+	return nil
+}
+
+func (member *Member) restore(view *wire.View, incarnation uint64) error {
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	if err := member.env.Machine.Restore(view.Content); err != nil {
+		return err
+	}
+	member.copy.incarnation.Store(incarnation)
+	member.copy.epoch, member.copy.sequence, member.copy.holderTime = view.Epoch, view.Sequence, postmark.Micros(view.HolderTime)
+	member.copy.pending = nil
+	return nil
+}
+
+// apply carries an entry out and notes how far the copy is.
+func (member *Member) apply(entry *wire.Entry) []byte {
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	member.copy.epoch, member.copy.sequence = entry.Epoch, entry.Sequence
+	member.copy.holderTime = max(member.copy.holderTime, postmark.Micros(entry.HolderTime))
+	return member.env.Machine.Apply(entry.Epoch, postmark.Micros(entry.HolderTime), entry.Command)
+}
+
+func (member *Member) view() *wire.View {
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	return &wire.View{Epoch: member.copy.epoch, Sequence: member.copy.sequence, HolderTime: int64(member.copy.holderTime),
+		Content: member.env.Machine.View()}
+}
+
+// rewrite replaces the journal by one view of all that is applied.
+func (member *Member) rewrite() error {
+	content := marshal(&wire.JournalRecord{View: member.view(), Part: member.copy.incarnation.Load()})
+	err := member.copy.box.Rewrite(content)
+	if isFull(err) && member.releaseReserve() {
+		if err = member.copy.box.Rewrite(content); err == nil {
+			_ = strongbox.Reserve(member.env.Place.Disk(), 1<<20) // best effort: without room the doctor tells
+		}
+	}
+	return member.surviving(err)
+}
+
+// surviving stops the process on a failed sync, and passes every error on.
+func (member *Member) surviving(err error) error {
+	if isPoisoned(err) {
+		member.stop("journal: " + err.Error())
+	}
+	return err
+}
+
+// store writes entries and syncs them. They are not applied yet.
+func (member *Member) store(entries []*wire.Entry) error {
+	if member.copy.box.Size() > member.env.CompactFrom && len(member.copy.pending) == 0 {
+		if err := member.rewrite(); err != nil {
+			return err
+		}
+	}
+	payloads := make([][]byte, len(entries))
+	for index, entry := range entries {
+		payloads[index] = marshal(&wire.JournalRecord{Entry: entry})
+	}
+	started := member.env.Place.Now()
+	err := member.copy.box.Append(payloads...)
+	if isFull(err) && len(member.copy.pending) == 0 && member.copy.box.Size() > 64<<10 {
+		if err = member.rewrite(); err == nil {
+			err = member.copy.box.Append(payloads...)
+		}
+	}
+	if err == nil {
+		err = member.copy.box.Sync()
+	}
+	member.copy.lastSync = member.env.Place.Now() - started
+	return member.surviving(err)
+}
+
+// answerReplicate takes a primary's entries into the backup's copy.
+func (member *Member) answerReplicate(ask *wire.ReplicateAsk) (*wire.ReplicateTell, error) {
+	tell := &wire.ReplicateTell{}
+	var failure error
+	member.keeper.Do(func() {
+		state := &member.copy
+		tell.Incarnation = state.incarnation.Load()
+		if tell.Why = member.unfit(ask, state); tell.Why != "" {
+			return
+		}
+		if len(ask.Entries) > 0 {
+			if failure = member.store(ask.Entries); failure != nil {
+				return
+			}
+			for _, entry := range ask.Entries {
+				member.apply(entry)
+			}
+		}
+		state.holderTime = max(state.holderTime, postmark.Micros(ask.HolderTime))
+		state.fenced = max(state.fenced, ask.Epoch)
+		member.yieldTo(ask.Epoch)
+		tell.Stored = true
+		member.heardPrimary()
+	})
+	return tell, failure
+}
+
+func (member *Member) unfit(ask *wire.ReplicateAsk, state *copy) string {
+	switch {
+	case ask.ToIncarnation != state.incarnation.Load():
+		return "another copy"
+	case ask.Epoch < state.fenced || ask.Epoch < member.knownEpoch():
+		return "an older epoch"
+	case ask.PreviousEpoch != state.epoch || ask.PreviousSequence != state.sequence || len(state.pending) > 0:
+		return "not in step"
+	}
+	return ""
+}
+
+// answerInstall replaces this copy by the primary's view, unless the copy is one that must outlive that primary.
+func (member *Member) answerInstall(ask *wire.InstallAsk) (*wire.InstallTell, error) {
+	tell := &wire.InstallTell{}
+	var failure error
+	member.keeper.Do(func() {
+		state := &member.copy
+		tell.Incarnation = state.incarnation.Load()
+		if ask.Epoch < state.fenced || ask.Epoch < member.knownEpoch() || ask.Epoch < state.epoch {
+			tell.Why = "an older epoch"
+			return
+		}
+		view := proto.Clone(ask.View).(*wire.View)
+		view.Epoch = max(view.Epoch, ask.Epoch)
+		previous := member.view()
+		if failure = member.restore(view, state.incarnation.Load()); failure != nil {
+			return
+		}
+		if failure = member.rewrite(); failure != nil {
+			failure = errors.Join(failure, member.restore(previous, state.incarnation.Load()))
+			return
+		}
+		state.fenced = max(state.fenced, ask.Epoch)
+		member.yieldTo(ask.Epoch)
+		tell.Stored = true
+		member.heardPrimary()
+		member.env.Place.Report(bulletin.CopyInstalled, map[string]any{"group": member.env.Group, "epoch": ask.Epoch, "bytes": len(view.Content)})
+	})
+	return tell, failure
+}
+
+// yieldTo ends a lead that another primary's epoch has overtaken.
+func (member *Member) yieldTo(epoch uint64) {
+	if own := member.Epoch(); own != 0 && own < epoch {
+		member.stepDown("another primary's copy arrived")
+	}
+}
+
+func (member *Member) knownEpoch() uint64 {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	if member.value == nil {
+		return 0
+	}
+	return member.value.Epoch
+}
+
+func (member *Member) heardPrimary() {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	member.lastHeard = member.env.Place.Now()
+}
--- /dev/null
+++ b/internal/countersign/countersign.go
@@ -0,0 +1,352 @@
+// Package countersign keeps one group's state in two synced copies and decides which machine leads.
+//
+// All voters of a group keep a tiny epoch register, changed by single-decree ballots over a majority. The register
+// names the primary and the backup. A write is answered once both have synced it; the rest of the voters are
+// witnesses that keep only the register. There is no log that a majority replicates.
+package countersign
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/strongbox"
+)
+
+// Machine is the state that a group keeps. Its functions are called one at a time and never block.
+type Machine interface {
+	// Apply carries out one command at a moment of the holder's time and gives its result.
+	Apply(epoch uint64, now postmark.Micros, command []byte) []byte
+	// View gives the whole state; Restore replaces it.
+	View() []byte
+	Restore(content []byte) error
+	// Waiting tells whether some wait runs in the state, so that holder time must be kept from standing still.
+	Waiting() bool
+}
+
+// Env is what a member is made of.
+type Env struct {
+	Place   office.Office
+	Book    *gazetteer.Book
+	Group   string
+	Name    string
+	Voters  []string
+	Machine Machine
+	// Tenure is how long a majority lets a primary lead; Beat how often it's renewed; Patience how long one call waits.
+	Tenure, Beat, Patience postmark.Micros
+	// SlowSync is how long a sync may take before the disk counts as slow; three in a row make the primary hand over.
+	SlowSync postmark.Micros
+	// CompactFrom is the length from which the journal is rewritten.
+	CompactFrom int64
+	// Settled is called whenever this member starts answering as primary.
+	Settled func(epoch uint64, now postmark.Micros)
+}
+
+// Defaults fills in the figures of the design.
+func (env *Env) Defaults() {
+	fill := func(field *postmark.Micros, value postmark.Micros) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	fill(&env.Tenure, postmark.Second)
+	fill(&env.Beat, 150*postmark.Millisecond)
+	fill(&env.Patience, 400*postmark.Millisecond)
+	fill(&env.SlowSync, 300*postmark.Millisecond)
+	if env.CompactFrom == 0 {
+		env.CompactFrom = 4 << 20
+	}
+}
+
+// Errors that a proposal may end with.
+var (
+	// ErrNotPrimary: the command was not taken; it has not been and will not be applied.
+	ErrNotPrimary = errors.New("countersign: not the primary")
+	// ErrUnknown: the command may be applied, now or later.
+	ErrUnknown = errors.New("countersign: outcome unknown")
+)
+
+// Member is one process's part in a group: its seat as a voter, its copy of the state, and its lead if it has one.
+type Member struct {
+	env      Env
+	seat     *office.Owner // owns voter
+	keeper   *office.Owner // owns copy's journal
+	proposer *office.Owner // runs ballots one at a time
+	inbox    *office.Inbox[*proposal]
+	voter    voter
+	copy     copy
+
+	lock          sync.Mutex
+	highestBallot uint64
+	value         *wire.RegisterValue // the newest heard of, accepted under valueBallot
+	valueBallot   uint64
+	lead          lead
+	lastHeard     postmark.Micros
+	stopped       bool
+
+	// machineLock guards env.Machine and the fields of copy that say how far it is applied.
+	machineLock sync.Mutex
+}
+
+// lead is what a primary knows of its epoch. The zero value is no lead.
+// Invariants: epoch is one this life of the process won itself; answering implies that the register's value of that
+// epoch is settled and names the present backup; nothing is answered at or after until.
+type lead struct {
+	epoch, ballot uint64
+	until         postmark.Micros
+	answering     bool
+	backup        *wire.Holder
+	outbid        bool
+	failures      int
+	slowSyncs     int
+	base          postmark.Micros // holder time at
+	baseAt        postmark.Micros // this reading of the own clock
+}
+
+type proposal struct {
+	command []byte
+	result  []byte
+	err     error
+	done    office.Signal
+}
+
+// Open reads what the disk holds. Start must follow.
+func Open(env Env) (*Member, error) {
+	env.Defaults()
+	member := &Member{env: env}
+	member.seat, member.keeper, member.proposer = office.NewOwner(env.Place), office.NewOwner(env.Place), office.NewOwner(env.Place)
+	member.inbox = office.NewInbox[*proposal](env.Place)
+	if member.rank() == 0 {
+		return nil, fmt.Errorf("%s is not among the voters of %s", env.Name, env.Group)
+	}
+	member.lastHeard = env.Place.Now()
+	if err := strongbox.Reserve(env.Place.Disk(), 1<<20); err != nil && !isFull(err) {
+		return nil, err
+	}
+	var err error
+	member.seat.Do(func() { err = member.openVoter() })
+	if err != nil {
+		return nil, err
+	}
+	member.keeper.Do(func() { err = member.openCopy() })
+	if err != nil {
+		return nil, err
+	}
+	return member, nil
+}
+
+// Start begins to take part.
+func (member *Member) Start() {
+	member.env.Place.Go(member.attend)
+	member.env.Place.Go(member.work)
+}
+
+// Register adds the group's handlers.
+func (member *Member) Register(table office.Table) {
+	office.Handle(table, wire.Kind_register_read, func(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerRegisterRead(ask)
+	})
+	office.Handle(table, wire.Kind_register_promise, func(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerPromise(ask)
+	})
+	office.Handle(table, wire.Kind_register_accept, func(ask *wire.AcceptAsk) (*wire.AcceptTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerAccept(ask)
+	})
+	office.Handle(table, wire.Kind_tenure_ask, func(ask *wire.TenureAsk) (*wire.TenureTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerTenure(ask)
+	})
+	office.Handle(table, wire.Kind_replicate, func(ask *wire.ReplicateAsk) (*wire.ReplicateTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerReplicate(ask)
+	})
+	office.Handle(table, wire.Kind_install, func(ask *wire.InstallAsk) (*wire.InstallTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerInstall(ask)
+	})
+	office.Handle(table, wire.Kind_handover, func(ask *wire.HandoverAsk) (*wire.HandoverTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		member.lock.Lock()
+		member.lastHeard = -postmark.Minute
+		member.lock.Unlock()
+		return &wire.HandoverTell{Taken: true}, nil
+	})
+}
+
+func (member *Member) rank() int {
+	for index, name := range member.env.Voters {
+		if name == member.env.Name {
+			return index + 1
+		}
+	}
+	return 0
+}
+
+func (member *Member) majority() int { return len(member.env.Voters)/2 + 1 }
+
+func (member *Member) others() []string {
+	var names []string
+	for _, name := range member.env.Voters {
+		if name != member.env.Name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// self names this member's copy: a copy that was lost and begun anew is another holder.
+func (member *Member) self() *wire.Holder {
+	return &wire.Holder{Name: member.env.Name, Incarnation: member.copy.incarnation.Load()}
+}
+
+func sameHolder(one, other *wire.Holder) bool {
+	return one != nil && other != nil && one.Name == other.Name && one.Incarnation == other.Incarnation
+}
+
+func (member *Member) file(name string) string { return member.env.Group + "." + name }
+
+// learn takes news of the register. It's a hint: the value may have been accepted by a minority only.
+func (member *Member) learn(ballot uint64, value *wire.RegisterValue) {
+	if value == nil {
+		return
+	}
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	if member.value == nil || member.valueBallot < ballot {
+		member.value, member.valueBallot = value, ballot
+		member.env.Book.Hint([]*wire.Primary{{Group: member.env.Group, Epoch: value.Epoch, Name: value.Primary.Name}})
+	}
+}
+
+func (member *Member) releaseReserve() bool {
+	member.env.Place.Report(bulletin.DiskFull, map[string]any{"group": member.env.Group})
+	return strongbox.ReleaseReserve(member.env.Place.Disk()) == nil
+}
+
+func (member *Member) stop(why string) {
+	member.lock.Lock()
+	already := member.stopped
+	member.stopped = true
+	member.lock.Unlock()
+	if !already {
+		member.env.Place.Report(bulletin.DiskSyncFailed, map[string]any{"group": member.env.Group, "error": why})
+		member.env.Place.Stop(why)
+	}
+}
+
+func isDamaged(err error) bool  { return errors.Is(err, strongbox.ErrDamaged) }
+func isPoisoned(err error) bool { return errors.Is(err, strongbox.ErrPoisoned) }
+func isFull(err error) bool     { return errors.Is(err, strongbox.ErrFull) }
+
+// Propose has a command applied by the primary, here, and gives its result once both copies have synced it.
+func (member *Member) Propose(command []byte) ([]byte, error) {
+	if !member.Answering() {
+		return nil, ErrNotPrimary
+	}
+	request := &proposal{command: command, done: member.env.Place.NewSignal()}
+	member.inbox.Put(request)
+	for !request.done.Wait(postmark.Minute) {
+	}
+	return request.result, request.err
+}
+
+// Answering tells whether this member may answer now.
+func (member *Member) Answering() bool {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	return member.lead.answering && member.env.Place.Now() < member.lead.until
+}
+
+// Epoch is the epoch this member leads, or zero.
+func (member *Member) Epoch() uint64 {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	return member.lead.epoch
+}
+
+// HolderTime is the group's time as its primary counts it; it goes on across failovers.
+func (member *Member) HolderTime() postmark.Micros {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	return member.lead.base + member.env.Place.Now() - member.lead.baseAt
+}
+
+// Read looks at the machine under a live tenure. It tells whether it did.
+func (member *Member) Read(look func(epoch uint64, now postmark.Micros)) bool {
+	if !member.Answering() {
+		return false
+	}
+	epoch, now := member.Epoch(), member.HolderTime()
+	member.machineLock.Lock()
+	look(epoch, now)
+	member.machineLock.Unlock()
+	return member.Answering() && member.Epoch() == epoch
+}
+
+// Status is what operators are shown of a member.
+type Status struct {
+	Group     string   `json:"group"`
+	Name      string   `json:"name"`
+	Joined    bool     `json:"joined"`
+	Answering bool     `json:"answering"`
+	Epoch     uint64   `json:"epoch"`
+	Primary   string   `json:"primary"`
+	Backup    string   `json:"backup"`
+	Settled   bool     `json:"settled"`
+	Sequence  uint64   `json:"sequence"`
+	Journal   int64    `json:"journal_bytes"`
+	Voters    []string `json:"voters"`
+	SyncTime  int64    `json:"sync_micros"`
+	FreeBytes uint64   `json:"free_bytes"`
+}
+
+// Status tells how this member stands.
+func (member *Member) Status() Status {
+	status := Status{Group: member.env.Group, Name: member.env.Name, Voters: member.env.Voters, Answering: member.Answering()}
+	member.seat.Do(func() { status.Joined = member.voter.record.Joined })
+	member.keeper.Do(func() {
+		status.Sequence, status.Journal, status.SyncTime = member.copy.sequence, member.copy.box.Size(), int64(member.copy.lastSync)
+	})
+	member.lock.Lock()
+	if value := member.value; value != nil {
+		status.Epoch, status.Primary, status.Settled = value.Epoch, value.Primary.Name, value.Settled
+		if value.Backup != nil {
+			status.Backup = value.Backup.Name
+		}
+	}
+	member.lock.Unlock()
+	status.FreeBytes, _ = member.env.Place.Disk().Free()
+	return status
+}
+
+func marshal(message proto.Message) []byte {
+	content, err := proto.Marshal(message)
+	if err != nil {
+		panic(err) // only messages built here come by; one that can't be encoded is a fault of the program
+	}
+	return content
+}
--- /dev/null
+++ b/internal/countersign/lead.go
@@ -0,0 +1,398 @@
+package countersign
+
+import (
+	"errors"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// attend keeps this member's place: it joins, renews the tenure it has, and takes over when the primary is silent.
+func (member *Member) attend() {
+	place := member.env.Place
+	for {
+		place.Sleep(member.env.Beat)
+		joined := false
+		member.seat.Do(func() { joined = member.voter.record.Joined })
+		if !joined {
+			member.join()
+			continue
+		}
+		member.lock.Lock()
+		leading := member.lead.epoch != 0
+		silent := place.Now() - member.lastHeard
+		member.lock.Unlock()
+		if leading {
+			member.renew()
+			continue
+		}
+		if silent <= member.env.Tenure || member.tenureStands() {
+			continue
+		}
+		member.refresh()
+		member.lock.Lock()
+		value := member.value
+		member.lock.Unlock()
+		// The backup is first in line; a primary that restarted waits a little longer, and so does each next voter at genesis.
+		patience := member.env.Tenure + member.env.Beat
+		if value == nil {
+			patience = postmark.Micros(member.rank()) * member.env.Tenure
+		} else if !sameHolder(value.Backup, member.self()) {
+			patience += 2 * member.env.Beat
+		}
+		if silent > patience+postmark.Micros(place.Random()%uint64(member.env.Beat)) {
+			member.takeOver(value)
+		}
+	}
+}
+
+// tenureStands tells whether this seat still grants somebody else's tenure, a sign of life of the primary.
+func (member *Member) tenureStands() (stands bool) {
+	self := member.self()
+	member.seat.Do(func() { stands = member.rivalHeld(self) })
+	return stands
+}
+
+// refresh reads the other voters' registers: this seat may have missed the ballot that names it as a holder.
+func (member *Member) refresh() {
+	for _, reply := range gather(member, member.others(), func(name string) (*wire.RegisterReadTell, error) {
+		tell := &wire.RegisterReadTell{}
+		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, tell)
+	}, nil) {
+		member.learn(reply.Accepted, reply.Value)
+		member.sawBallot(reply.Promised)
+	}
+}
+
+// takeOver opens the next epoch with this member as primary, if the register names it as a holder of every
+// acknowledged write. Nothing is answered in that epoch until a backup is in step.
+func (member *Member) takeOver(known *wire.RegisterValue) {
+	self := member.self()
+	if known != nil && !sameHolder(known.Primary, self) && !sameHolder(known.Backup, self) {
+		return
+	}
+	value, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
+		if value == nil {
+			if known != nil {
+				return nil, errUnchanged
+			}
+			return &wire.RegisterValue{Epoch: 1, Primary: self, Roster: []*wire.Holder{self}}, nil
+		}
+		other := value.Backup
+		if !sameHolder(value.Primary, self) {
+			if !sameHolder(value.Backup, self) {
+				return nil, errUnchanged
+			}
+			other = value.Primary
+		}
+		member.keeper.Do(func() { member.copy.fenced = max(member.copy.fenced, value.Epoch+1) })
+		return &wire.RegisterValue{Epoch: value.Epoch + 1, Primary: self, Backup: other, Roster: value.Roster}, nil
+	})
+	if err != nil {
+		if errors.Is(err, errUnchanged) {
+			member.learn(ballot, value)
+		}
+		member.lock.Lock()
+		member.lastHeard = member.env.Place.Now() - member.env.Tenure + postmark.Micros(member.env.Place.Random()%uint64(2*member.env.Beat))
+		member.lock.Unlock()
+		return
+	}
+	member.learn(ballot, value)
+	member.keeper.Do(func() {
+		for _, entry := range member.copy.pending {
+			member.apply(entry)
+		}
+		member.copy.pending = nil
+		member.copy.fenced = max(member.copy.fenced, value.Epoch)
+		member.lock.Lock()
+		defer member.lock.Unlock()
+		member.lead = lead{epoch: value.Epoch, ballot: ballot, base: member.copy.holderTime, baseAt: member.env.Place.Now()}
+	})
+	number := bulletin.TookOver
+	if value.Epoch == 1 {
+		number = bulletin.Genesis
+	}
+	member.env.Place.Report(number, map[string]any{"group": member.env.Group, "epoch": value.Epoch})
+	member.renew()
+}
+
+// stepDown ends this member's lead.
+func (member *Member) stepDown(why string) {
+	member.lock.Lock()
+	epoch := member.lead.epoch
+	member.lead = lead{}
+	member.lastHeard = member.env.Place.Now()
+	member.lock.Unlock()
+	if epoch != 0 {
+		member.env.Place.Report(bulletin.SteppedDown, map[string]any{"group": member.env.Group, "epoch": epoch, "why": why})
+	}
+}
+
+// work is the primary's one task for writes: it commits batches, keeps the backup in touch and replaces a lost one.
+func (member *Member) work() {
+	lastTick := postmark.Micros(0)
+	for {
+		batch := member.inbox.Take(member.env.Beat)
+		member.lock.Lock()
+		state := member.lead
+		live := member.env.Place.Now() < state.until
+		member.lock.Unlock()
+		if state.epoch == 0 || !live {
+			finish(batch, ErrNotPrimary)
+			continue
+		}
+		if !state.answering {
+			finish(batch, ErrNotPrimary)
+			member.settle(nil)
+			continue
+		}
+		if len(batch) == 0 && member.env.Place.Now()-lastTick >= postmark.Second && member.waiting() {
+			lastTick = member.env.Place.Now()
+			batch = []*proposal{{done: member.env.Place.NewSignal()}}
+		}
+		member.commit(batch)
+	}
+}
+
+func (member *Member) waiting() bool {
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	return member.env.Machine.Waiting()
+}
+
+func finish(batch []*proposal, err error) {
+	for _, request := range batch {
+		request.err = err
+		request.done.Fire()
+	}
+}
+
+// commit writes a batch to both copies and applies it; an empty batch only keeps the backup in touch.
+func (member *Member) commit(batch []*proposal) {
+	place := member.env.Place
+	now := member.HolderTime()
+	member.lock.Lock()
+	epoch, backup := member.lead.epoch, member.lead.backup
+	member.lock.Unlock()
+	ask := &wire.ReplicateAsk{To: backup.Name, From: member.self(), ToIncarnation: backup.Incarnation, Epoch: epoch, HolderTime: int64(now)}
+	member.keeper.Do(func() {
+		ask.PreviousEpoch, ask.PreviousSequence = member.copy.epoch, member.copy.sequence
+		now = max(now, member.copy.holderTime)
+	})
+	for index, request := range batch {
+		ask.Entries = append(ask.Entries, &wire.Entry{Epoch: epoch, Sequence: ask.PreviousSequence + uint64(index) + 1,
+			HolderTime: int64(now), Command: request.command})
+	}
+	var remote error
+	answered := place.NewSignal()
+	place.Go(func() {
+		tell := &wire.ReplicateTell{}
+		remote = member.call(backup.Name, wire.Kind_replicate, ask, tell)
+		if remote == nil && !tell.Stored {
+			remote = errors.New(tell.Why)
+		}
+		answered.Fire()
+	})
+	var local error
+	if len(batch) > 0 {
+		member.keeper.Do(func() {
+			if member.copy.fenced > epoch || member.copy.sequence != ask.PreviousSequence {
+				local = errors.New("another primary wrote this copy")
+			} else if local = member.store(ask.Entries); local == nil {
+				member.copy.pending = ask.Entries
+			}
+		})
+	}
+	for !answered.Wait(postmark.Minute) {
+	}
+	if local != nil {
+		// The backup may hold what this copy does not, so this member can't go on in this epoch.
+		finish(batch, ErrUnknown)
+		member.handOver("own disk: " + local.Error())
+		return
+	}
+	if remote != nil {
+		member.lock.Lock()
+		member.lead.failures++
+		failures := member.lead.failures
+		member.lock.Unlock()
+		if len(batch) == 0 && failures < 3 {
+			return
+		}
+		place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": remote.Error()})
+		member.lock.Lock()
+		member.lead.answering, member.lead.backup = false, nil
+		member.lock.Unlock()
+		// The batch is part of what the next backup is given; it's answered once that one is in step.
+		results := member.applyPending()
+		if member.settle(backup) {
+			member.reply(batch, results, epoch)
+		} else {
+			finish(batch, ErrUnknown)
+		}
+		return
+	}
+	member.lock.Lock()
+	member.lead.failures = 0
+	member.lock.Unlock()
+	member.reply(batch, member.applyPending(), epoch)
+	member.minding()
+}
+
+// reply answers a batch, unless the tenure ended meanwhile.
+func (member *Member) reply(batch []*proposal, results [][]byte, epoch uint64) {
+	if !member.Answering() || member.Epoch() < epoch || len(results) != len(batch) {
+		finish(batch, ErrUnknown)
+		return
+	}
+	for index, request := range batch {
+		request.result = results[index]
+	}
+	finish(batch, nil)
+}
+
+func (member *Member) applyPending() (results [][]byte) {
+	member.keeper.Do(func() {
+		for _, entry := range member.copy.pending {
+			results = append(results, member.apply(entry))
+		}
+		member.copy.pending = nil
+	})
+	return results
+}
+
+// minding hands over after three slow syncs in a row.
+func (member *Member) minding() {
+	slow := false
+	member.keeper.Do(func() { slow = member.copy.lastSync > member.env.SlowSync })
+	member.lock.Lock()
+	if slow {
+		member.lead.slowSyncs++
+	} else {
+		member.lead.slowSyncs = 0
+	}
+	count := member.lead.slowSyncs
+	member.lock.Unlock()
+	if count >= 3 {
+		member.env.Place.Report(bulletin.DiskSlow, map[string]any{"group": member.env.Group})
+		member.handOver("own disk is slow")
+	}
+}
+
+// settle brings a backup into step and names it in the register; only then does the primary answer.
+func (member *Member) settle(failed *wire.Holder) bool {
+	member.lock.Lock()
+	epoch, value := member.lead.epoch, member.value
+	member.lock.Unlock()
+	if epoch == 0 {
+		return false
+	}
+	for _, name := range member.candidates(value, failed) {
+		view := member.viewNow()
+		tell := &wire.InstallTell{}
+		err := member.call(name, wire.Kind_install, &wire.InstallAsk{To: name, From: member.self(), Epoch: epoch, View: view}, tell)
+		if err != nil || !tell.Stored {
+			continue
+		}
+		backup := &wire.Holder{Name: name, Incarnation: tell.Incarnation}
+		fresh, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
+			if value == nil || value.Epoch != epoch || !sameHolder(value.Primary, member.self()) {
+				return nil, errUnchanged
+			}
+			return &wire.RegisterValue{Epoch: epoch + 1, Primary: member.self(), Backup: backup, Settled: true,
+				Roster: withHolder(value.Roster, member.self(), backup)}, nil
+		})
+		if errors.Is(err, errUnchanged) {
+			member.learn(ballot, fresh)
+			member.stepDown("another epoch began")
+			return false
+		}
+		if err != nil {
+			// Whether the ballot took effect is not known, so the epoch is read anew by taking over from scratch.
+			member.stepDown("no majority for a new backup")
+			return false
+		}
+		member.learn(ballot, fresh)
+		// The copy's pair of epoch and sequence must match what the backup noted on installing.
+		member.keeper.Do(func() { member.copy.epoch = max(member.copy.epoch, epoch) })
+		member.lock.Lock()
+		if member.lead.epoch != epoch {
+			member.lock.Unlock()
+			return false
+		}
+		member.lead.epoch, member.lead.ballot, member.lead.backup = fresh.Epoch, ballot, backup
+		member.lead.failures, member.lead.slowSyncs = 0, 0
+		member.lock.Unlock()
+		member.renew()
+		if member.env.Settled != nil {
+			member.env.Settled(fresh.Epoch, member.HolderTime())
+		}
+		member.lock.Lock()
+		settled := member.lead.epoch == fresh.Epoch && member.env.Place.Now() < member.lead.until
+		member.lead.answering = settled
+		member.lock.Unlock()
+		if settled {
+			member.env.Place.Report(bulletin.Settled, map[string]any{"group": member.env.Group, "epoch": fresh.Epoch, "backup": name})
+		}
+		return settled
+	}
+	return false
+}
+
+func (member *Member) viewNow() (view *wire.View) {
+	member.keeper.Do(func() { view = member.view() })
+	return view
+}
+
+// candidates orders the other voters: the present copy first, unless it just failed.
+func (member *Member) candidates(value *wire.RegisterValue, failed *wire.Holder) []string {
+	var first, rest, last []string
+	for _, name := range member.others() {
+		switch {
+		case failed != nil && failed.Name == name:
+			last = append(last, name)
+		case value != nil && value.Backup != nil && value.Backup.Name == name:
+			first = append(first, name)
+		default:
+			rest = append(rest, name)
+		}
+	}
+	return append(append(first, rest...), last...)
+}
+
+func withHolder(roster []*wire.Holder, holders ...*wire.Holder) []*wire.Holder {
+	var next []*wire.Holder
+	replaced := map[string]bool{}
+	for _, holder := range holders {
+		replaced[holder.Name] = true
+	}
+	for _, present := range roster {
+		if !replaced[present.Name] {
+			next = append(next, present)
+		}
+	}
+	return append(next, holders...)
+}
+
+// handOver gives the lead to the backup: the tenure is released first, so it need not be waited out.
+func (member *Member) handOver(why string) {
+	member.lock.Lock()
+	state := member.lead
+	member.lock.Unlock()
+	if state.epoch == 0 {
+		return
+	}
+	member.stepDown(why)
+	member.askTenure(state.epoch, state.ballot, true)
+	if state.backup != nil {
+		member.env.Place.Report(bulletin.HandedOver, map[string]any{"group": member.env.Group, "to": state.backup.Name, "why": why})
+		_ = member.call(state.backup.Name, wire.Kind_handover, &wire.HandoverAsk{To: state.backup.Name, Epoch: state.epoch}, &wire.HandoverTell{})
+	}
+	member.lock.Lock()
+	member.lastHeard = member.env.Place.Now() + 4*member.env.Tenure
+	member.lock.Unlock()
+}
+
+// HandOver is for a planned stop.
+func (member *Member) HandOver(why string) { member.handOver(why) }
--- /dev/null
+++ b/internal/countersign/proposer.go
@@ -0,0 +1,210 @@
+package countersign
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/seal"
+)
+
+// errNoMajority: the register could not be read or changed now; whether a change took place may be unknown.
+var errNoMajority = errors.New("countersign: no majority")
+
+// errUnchanged: the change function turned the present value down.
+var errUnchanged = errors.New("countersign: the register holds another value")
+
+func gather[Reply any](member *Member, names []string, ask func(name string) (Reply, error), enough func(map[string]Reply, int) bool) map[string]Reply {
+	if enough == nil {
+		enough = func(map[string]Reply, int) bool { return false }
+	}
+	return office.Gather(member.env.Place, names, member.env.Patience, ask, enough)
+}
+
+func (member *Member) call(name string, kind wire.Kind, ask, tell proto.Message) error {
+	return member.env.Book.Call(name, kind, ask, tell, member.env.Patience)
+}
+
+// change runs one ballot and gives the value with its ballot; with errUnchanged it gives what was read instead: it reads the register from a majority and writes what alter makes of it to the same voters.
+// alter must not keep or change its argument. The own seat is always part of the majority.
+func (member *Member) change(alter func(value *wire.RegisterValue) (*wire.RegisterValue, error)) (result *wire.RegisterValue, ballot uint64, err error) {
+	member.proposer.Do(func() { result, ballot, err = member.runBallot(alter) })
+	return result, ballot, err
+}
+
+func (member *Member) runBallot(alter func(value *wire.RegisterValue) (*wire.RegisterValue, error)) (*wire.RegisterValue, uint64, error) {
+	place := member.env.Place
+	started := place.Now()
+	ballot := member.nextBallot()
+	self := member.self()
+	promises := gather(member, member.env.Voters, func(name string) (*wire.PromiseTell, error) {
+		ask := &wire.PromiseAsk{To: name, Ballot: ballot, Proposer: self}
+		if name == member.env.Name {
+			return member.answerPromise(ask)
+		}
+		tell := &wire.PromiseTell{}
+		return tell, member.call(name, wire.Kind_register_promise, ask, tell)
+	}, func(replies map[string]*wire.PromiseTell, _ int) bool {
+		granted := 0
+		for _, reply := range replies {
+			if reply.Granted {
+				granted++
+			}
+		}
+		return granted >= member.majority() && replies[member.env.Name] != nil
+	})
+	var granters []string
+	var value *wire.RegisterValue
+	var highest uint64
+	for _, name := range member.env.Voters {
+		reply := promises[name]
+		if reply == nil {
+			continue
+		}
+		member.sawBallot(reply.Promised)
+		if !reply.Granted {
+			continue
+		}
+		granters = append(granters, name)
+		if reply.Accepted > highest {
+			highest, value = reply.Accepted, reply.Value
+		}
+	}
+	if len(granters) < member.majority() || promises[member.env.Name] == nil || !promises[member.env.Name].Granted {
+		return nil, 0, errNoMajority
+	}
+	altered, err := alter(value)
+	if err != nil {
+		// What was read may be accepted by a minority only, so it's no more than a hint.
+		return value, highest, err
+	}
+	if place.Now()-started >= member.env.Tenure {
+		return nil, 0, errNoMajority
+	}
+	accepts := gather(member, granters, func(name string) (*wire.AcceptTell, error) {
+		ask := &wire.AcceptAsk{To: name, Ballot: ballot, Value: altered, Proposer: self}
+		if name == member.env.Name {
+			return member.answerAccept(ask)
+		}
+		tell := &wire.AcceptTell{}
+		return tell, member.call(name, wire.Kind_register_accept, ask, tell)
+	}, func(replies map[string]*wire.AcceptTell, _ int) bool {
+		return countAccepts(replies) >= member.majority() && replies[member.env.Name] != nil
+	})
+	for _, reply := range accepts {
+		member.sawBallot(reply.Promised)
+	}
+	if own := accepts[member.env.Name]; own == nil || !own.Granted || countAccepts(accepts) < member.majority() {
+		return nil, 0, errNoMajority
+	}
+	return altered, ballot, nil
+}
+
+func countAccepts(replies map[string]*wire.AcceptTell) int {
+	granted := 0
+	for _, reply := range replies {
+		if reply.Granted {
+			granted++
+		}
+	}
+	return granted
+}
+
+// nextBallot is higher than any seen; its low byte is this voter's place, so no two voters share one.
+func (member *Member) nextBallot() uint64 {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	member.highestBallot = (member.highestBallot>>8+1)<<8 | uint64(member.rank())
+	return member.highestBallot
+}
+
+func (member *Member) sawBallot(ballot uint64) {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	member.highestBallot = max(member.highestBallot, ballot)
+}
+
+// renew asks every voter for the primary's tenure, counted from before the ask.
+func (member *Member) renew() {
+	place := member.env.Place
+	member.lock.Lock()
+	epoch, ballot := member.lead.epoch, member.lead.ballot
+	member.lock.Unlock()
+	asked := place.Now()
+	replies := member.askTenure(epoch, ballot, false)
+	granted := 0
+	overtaken := false
+	for _, reply := range replies {
+		if reply.Granted {
+			granted++
+		}
+		member.sawBallot(reply.Promised)
+		if reply.Value != nil && reply.Value.Epoch > epoch {
+			overtaken = true
+		}
+		if reply.Promised > ballot {
+			member.lock.Lock()
+			member.lead.outbid = true
+			member.lock.Unlock()
+		}
+	}
+	member.lock.Lock()
+	if granted >= member.majority() && member.lead.epoch == epoch {
+		member.lead.until = asked + member.env.Tenure
+	}
+	expired := member.lead.epoch == epoch && place.Now() >= member.lead.until
+	outbid := member.lead.outbid
+	member.lock.Unlock()
+	if expired && overtaken {
+		member.stepDown("another epoch began")
+		return
+	}
+	if granted < member.majority() && outbid {
+		// A rival's ballot that came to nothing stands in the way: write the same value under a higher one.
+		value, fresh, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
+			if value == nil || value.Epoch != epoch || !sameHolder(value.Primary, member.self()) {
+				return nil, errUnchanged
+			}
+			return value, nil
+		})
+		if err == nil {
+			member.lock.Lock()
+			if member.lead.epoch == epoch {
+				member.lead.ballot, member.lead.outbid = fresh, false
+			}
+			member.lock.Unlock()
+		} else if errors.Is(err, errUnchanged) {
+			member.learn(fresh, value)
+			member.stepDown("another epoch began")
+		}
+	}
+}
+
+func (member *Member) askTenure(epoch, ballot uint64, release bool) map[string]*wire.TenureTell {
+	self := member.self()
+	return gather(member, member.env.Voters, func(name string) (*wire.TenureTell, error) {
+		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release}
+		if name == member.env.Name {
+			return member.answerTenure(ask)
+		}
+		tell := &wire.TenureTell{}
+		return tell, member.call(name, wire.Kind_tenure_ask, ask, tell)
+	}, func(replies map[string]*wire.TenureTell, _ int) bool {
+		granted := 0
+		for _, reply := range replies {
+			if reply.Granted {
+				granted++
+			}
+		}
+		return granted >= member.majority()
+	})
+}
+
+func addressed(member *Member, to string) error {
+	if to != member.env.Name {
+		return seal.Refused.New("addressed to %s, this is %s", to, member.env.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/countersign/voter.go
@@ -0,0 +1,242 @@
+package countersign
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+	"snowflow/internal/strongbox"
+)
+
+// voter is this process's seat in its group's epoch register. Its owner is Member.seat; only the seat's task touches it.
+//
+// Invariants:
+//   - record is on disk, synced, before any answer that depends on it is sent;
+//   - record.Promised >= record.Accepted;
+//   - a ballot is accepted only if it is exactly the one promised, in this life, within the last tenure: a voter that
+//     lost its disk thus can't complete a ballot that its older self promised;
+//   - grant is never shortened but by its holder, and no rival of its holder is promised anything before grant.until;
+//   - nothing is promised, accepted or granted before votesFrom, because an earlier life may have granted a tenure.
+type voter struct {
+	box        *strongbox.Box
+	record     *wire.RegisterRecord
+	promisedAt postmark.Micros
+	promisedIn bool
+	votesFrom  postmark.Micros
+	grant      grant
+}
+
+type grant struct {
+	holder *wire.Holder
+	until  postmark.Micros
+}
+
+const registerFile = "register"
+
+func (member *Member) openVoter() error {
+	place := member.env.Place
+	member.voter.record = &wire.RegisterRecord{}
+	box, err := strongbox.Open(place.Disk(), member.file(registerFile), func(content []byte) error {
+		record := &wire.RegisterRecord{}
+		if err := proto.Unmarshal(content, record); err != nil {
+			return err
+		}
+		member.voter.record = record
+		return nil
+	})
+	if isDamaged(err) {
+		place.Report(bulletin.DiskDamaged, map[string]any{"file": member.file(registerFile), "error": err.Error()})
+		member.voter.record = &wire.RegisterRecord{}
+		box, err = strongbox.Discard(place.Disk(), member.file(registerFile))
+	}
+	if err != nil {
+		return err
+	}
+	if box.Cut > 0 {
+		place.Report(bulletin.DiskTornTail, map[string]any{"file": member.file(registerFile), "bytes": box.Cut})
+	}
+	member.voter.box = box
+	record := member.voter.record
+	if record.Name != "" && record.Name != member.env.Name {
+		return seal.Invalid.New("data folder belongs to %s, not to %s", record.Name, member.env.Name)
+	}
+	member.voter.votesFrom = place.Now() + member.env.Tenure
+	if record.Incarnation == 0 {
+		record.Name, record.Incarnation = member.env.Name, place.Random()|1
+		return member.keepRecord(record)
+	}
+	return nil
+}
+
+// keepRecord syncs a new register record. On failure the process stops: what the disk holds is unknown.
+func (member *Member) keepRecord(record *wire.RegisterRecord) error {
+	content, err := proto.Marshal(record)
+	if err != nil {
+		return err
+	}
+	box := member.voter.box
+	if box.Size() > 64<<10 {
+		err = box.Rewrite(content)
+	} else if err = box.Append(content); err == nil {
+		err = box.Sync()
+	}
+	if isFull(err) && member.releaseReserve() {
+		err = box.Rewrite(content)
+	}
+	if err != nil {
+		if isPoisoned(err) {
+			member.stop("register: " + err.Error())
+		}
+		return err
+	}
+	member.voter.record = record
+	member.learn(record.Accepted, record.Value)
+	return nil
+}
+
+func (member *Member) changeRecord(change func(record *wire.RegisterRecord)) error {
+	record := proto.Clone(member.voter.record).(*wire.RegisterRecord)
+	change(record)
+	return member.keepRecord(record)
+}
+
+func (member *Member) votes() bool {
+	return member.voter.record.Joined && member.env.Place.Now() >= member.voter.votesFrom
+}
+
+func (member *Member) rivalHeld(proposer *wire.Holder) bool {
+	standing := member.voter.grant
+	return standing.holder != nil && member.env.Place.Now() < standing.until && !sameHolder(standing.holder, proposer)
+}
+
+func (member *Member) answerRegisterRead(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
+	tell := &wire.RegisterReadTell{}
+	member.seat.Do(func() {
+		record := member.voter.record
+		tell.Intact, tell.Blank = record.Joined, !record.Joined
+		tell.Incarnation, tell.Promised, tell.Accepted, tell.Value = record.Incarnation, record.Promised, record.Accepted, record.Value
+	})
+	return tell, nil
+}
+
+func (member *Member) answerPromise(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
+	tell := &wire.PromiseTell{}
+	var err error
+	member.seat.Do(func() {
+		record := member.voter.record
+		tell.Promised, tell.Incarnation = record.Promised, record.Incarnation
+		if tell.Why = member.objection(ask.Proposer, ask.Ballot <= record.Promised); tell.Why != "" {
+			return
+		}
+		if err = member.changeRecord(func(record *wire.RegisterRecord) { record.Promised = ask.Ballot }); err != nil {
+			return
+		}
+		member.voter.promisedAt, member.voter.promisedIn = member.env.Place.Now(), true
+		record = member.voter.record
+		tell.Granted, tell.Promised, tell.Accepted, tell.Value = true, record.Promised, record.Accepted, record.Value
+	})
+	return tell, err
+}
+
+// objection names why a proposer isn't heard, or nothing.
+func (member *Member) objection(proposer *wire.Holder, stale bool) string {
+	switch {
+	case !member.votes():
+		return "not voting yet"
+	case member.rivalHeld(proposer):
+		return "a tenure stands"
+	case stale:
+		return "a higher ballot was promised"
+	}
+	return ""
+}
+
+func (member *Member) answerAccept(ask *wire.AcceptAsk) (*wire.AcceptTell, error) {
+	tell := &wire.AcceptTell{}
+	var err error
+	member.seat.Do(func() {
+		voter := &member.voter
+		tell.Promised = voter.record.Promised
+		fresh := voter.promisedIn && member.env.Place.Now()-voter.promisedAt <= member.env.Tenure
+		if tell.Why = member.objection(ask.Proposer, ask.Ballot != voter.record.Promised || !fresh); tell.Why != "" {
+			return
+		}
+		err = member.changeRecord(func(record *wire.RegisterRecord) {
+			record.Accepted, record.Value = ask.Ballot, ask.Value
+		})
+		tell.Granted = err == nil
+	})
+	return tell, err
+}
+
+func (member *Member) answerTenure(ask *wire.TenureAsk) (*wire.TenureTell, error) {
+	tell := &wire.TenureTell{}
+	member.seat.Do(func() {
+		voter := &member.voter
+		tell.Promised, tell.Value = voter.record.Promised, voter.record.Value
+		if ask.Release {
+			if sameHolder(voter.grant.holder, ask.Holder) {
+				voter.grant = grant{}
+			}
+			return
+		}
+		newer := voter.record.Value != nil && voter.record.Value.Epoch > ask.Epoch
+		if tell.Why = member.objection(ask.Holder, voter.record.Promised > ask.Ballot || newer); tell.Why != "" {
+			return
+		}
+		voter.grant = grant{holder: ask.Holder, until: member.env.Place.Now() + member.env.Tenure}
+		tell.Granted = true
+	})
+	return tell, nil
+}
+
+// join brings a voter with a blank folder in: at genesis, when every voter of the group is blank and in contact, or
+// later, from the register of enough intact others that any majority of the past is among them.
+func (member *Member) join() {
+	others := member.others()
+	replies := gather(member, others, func(name string) (*wire.RegisterReadTell, error) {
+		tell := &wire.RegisterReadTell{}
+		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, tell)
+	}, nil)
+	virgin, intact := 0, 0
+	var highestPromise, highestAccepted uint64
+	var value *wire.RegisterValue
+	for _, name := range others {
+		reply := replies[name]
+		if reply == nil {
+			continue
+		}
+		if reply.Promised == 0 && reply.Accepted == 0 {
+			virgin++
+			continue
+		}
+		if !reply.Intact {
+			continue
+		}
+		intact++
+		highestPromise = max(highestPromise, reply.Promised)
+		if reply.Accepted > highestAccepted {
+			highestAccepted, value = reply.Accepted, reply.Value
+		}
+	}
+	genesis := virgin == len(others)
+	needed := len(member.env.Voters) - member.majority() + 1
+	if !genesis && intact < needed {
+		return
+	}
+	member.seat.Do(func() {
+		if !genesis {
+			member.voter.votesFrom = member.env.Place.Now() + member.env.Tenure
+		} else {
+			member.voter.votesFrom = member.env.Place.Now()
+		}
+		err := member.changeRecord(func(record *wire.RegisterRecord) {
+			record.Joined, record.Promised, record.Accepted, record.Value = true, highestPromise, highestAccepted, value
+		})
+		if err == nil {
+			member.env.Place.Report(bulletin.VoterJoined, map[string]any{"group": member.env.Group, "genesis": genesis, "promised": highestPromise})
+		}
+	})
+}
--- /dev/null
+++ b/internal/depot/fleet/fleet.go
@@ -0,0 +1,346 @@
+// Package fleet starts, stops, kills and freezes the real processes of a rehearsal, each on a loopback number of its own.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"snowflow/internal/depot/layout"
+	"snowflow/internal/depot/relay"
+)
+
+// Process is one daemon and its place.
+type Process struct {
+	Program string
+	Name    string
+	Zone    string
+	Host    string // its own loopback number
+	Listen  string
+	Peer    string // where others reach it, through its relay if there is one
+	Desk    string
+	Callers string
+	Folder  string
+
+	lock    sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// Stopping is set while a planned stop is under way or over.
+	Stopping bool
+	Started  time.Time
+}
+
+// Fleet is all of them.
+type Fleet struct {
+	Layout      layout.Layout
+	Folder      string
+	Binaries    string
+	Sorters     []*Process
+	Postmasters []*Process
+	Carriers    []*Process
+	Relays      *relay.Hub
+	Level       string
+	base        int
+}
+
+// New lays out a fleet. base is the second part of its loopback numbers, so that fleets don't meet.
+func New(chosen layout.Layout, folder, binaries string, base int, relays bool) (*Fleet, error) {
+	fleet := &Fleet{Layout: chosen, Folder: folder, Binaries: binaries, Level: "info", base: base}
+	if relays {
+		fleet.Relays = relay.NewHub()
+	}
+	for index := range chosen.Cores {
+		fleet.Sorters = append(fleet.Sorters, fleet.process("sorter", index, 100+index, 7100))
+		fleet.Postmasters = append(fleet.Postmasters, fleet.process("postmaster", index, 100+index, 7200))
+	}
+	for index := range chosen.Carriers {
+		fleet.Carriers = append(fleet.Carriers, fleet.process("carrier", index, 1+index, 7300))
+	}
+	for _, process := range fleet.All() {
+		if err := fleet.link(process); err != nil {
+			return nil, err
+		}
+	}
+	for _, process := range fleet.All() {
+		if err := fleet.settings(process); err != nil {
+			return nil, err
+		}
+	}
+	return fleet, nil
+}
+
+// Host is the loopback number of a machine.
+func (fleet *Fleet) Host(machine int) string { return fmt.Sprintf("127.%d.0.%d", fleet.base, machine) }
+
+func (fleet *Fleet) process(program string, index, machine, port int) *Process {
+	host := fleet.Host(machine)
+	name := fmt.Sprintf("%s-%d", program, index+1)
+	process := &Process{Program: program, Name: name, Zone: fleet.Layout.Zone(index), Host: host,
+		Listen: fmt.Sprintf("%s:%d", host, port), Desk: fmt.Sprintf("%s:%d", host, port+1), Folder: filepath.Join(fleet.Folder, name)}
+	process.Peer = process.Listen
+	if program == "carrier" {
+		process.Callers = fmt.Sprintf("%s:%d", host, port+2)
+	}
+	return process
+}
+
+func (fleet *Fleet) link(process *Process) error {
+	if fleet.Relays == nil {
+		return nil
+	}
+	_, port, _ := net.SplitHostPort(process.Listen)
+	process.Peer = fmt.Sprintf("%s:1%s", process.Host, port)
+	return fleet.Relays.Add(process.Host, process.Peer, process.Listen)
+}
+
+// All lists every process, the core first.
+func (fleet *Fleet) All() []*Process {
+	return append(append(append([]*Process(nil), fleet.Postmasters...), fleet.Sorters...), fleet.Carriers...)
+}
+
+// Find gives a process by name.
+func (fleet *Fleet) Find(name string) *Process {
+	for _, process := range fleet.All() {
+		if process.Name == name {
+			return process
+		}
+	}
+	return nil
+}
+
+func (fleet *Fleet) settings(process *Process) error {
+	seeds := []string{}
+	for index := 0; index < 3 && index < len(fleet.Sorters); index++ {
+		if index%2 == 0 {
+			seeds = append(seeds, fleet.Sorters[index].Peer)
+		} else {
+			seeds = append(seeds, fleet.Postmasters[index].Peer)
+		}
+	}
+	settings := map[string]any{"name": process.Name, "domain": process.Zone, "listen": process.Listen, "advertise": process.Peer,
+		"seeds": seeds, "desk": process.Desk, "log": fleet.Level}
+	if process.Program == "carrier" {
+		settings["callers"] = process.Callers
+	} else {
+		group := fleet.Sorters
+		if process.Program == "postmaster" {
+			group = fleet.Postmasters
+		}
+		voters := []string{}
+		for _, member := range group {
+			voters = append(voters, member.Name)
+		}
+		settings["voters"], settings["data"] = voters, filepath.Join(process.Folder, "data")
+	}
+	if err := os.MkdirAll(process.Folder, 0o755); err != nil {
+		return err
+	}
+	content, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(process.Folder, "env.json"), content, 0o644)
+}
+
+// Start starts a process from a folder of binaries, the fleet's own when it's empty.
+func (fleet *Fleet) Start(process *Process, binaries string) error {
+	if binaries == "" {
+		binaries = fleet.Binaries
+	}
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	log, err := os.OpenFile(filepath.Join(process.Folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(filepath.Join(binaries, process.Program), "--env", filepath.Join(process.Folder, "env.json"))
+	command.Stderr, command.Stdout = log, log
+	command.Env = append(os.Environ(), "GOMAXPROCS=2")
+	// A fleet must not outlive its depot.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	process.command, process.ended, process.Stopping, process.Started = command, ended, false, time.Now()
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// StartAll starts everything.
+func (fleet *Fleet) StartAll() error {
+	for _, process := range fleet.All() {
+		if err := fleet.Start(process, ""); err != nil {
+			return fmt.Errorf("%s: %w", process.Name, err)
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal, to this process alone.
+func (process *Process) Signal(signal syscall.Signal) {
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	if process.command != nil && process.command.Process != nil {
+		_ = process.command.Process.Signal(signal)
+	}
+}
+
+// Kill ends it at once and waits.
+func (process *Process) Kill() {
+	process.Signal(syscall.SIGCONT)
+	process.Signal(syscall.SIGKILL)
+	process.Wait(10 * time.Second)
+}
+
+// Stop begins a planned stop and waits for its end, at most patience.
+func (process *Process) Stop(patience time.Duration) bool {
+	process.lock.Lock()
+	process.Stopping = true
+	process.lock.Unlock()
+	process.Signal(syscall.SIGTERM)
+	if process.Wait(patience) {
+		return true
+	}
+	process.Kill()
+	return false
+}
+
+// IsStopping tells whether a planned stop began.
+func (process *Process) IsStopping() bool {
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	return process.Stopping
+}
+
+// Wait waits for the process's end.
+func (process *Process) Wait(patience time.Duration) bool {
+	process.lock.Lock()
+	ended := process.ended
+	process.lock.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(patience):
+		return false
+	}
+}
+
+// Running tells whether it runs.
+func (process *Process) Running() bool {
+	process.lock.Lock()
+	ended := process.ended
+	process.lock.Unlock()
+	if ended == nil {
+		return false
+	}
+	select {
+	case <-ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Processor gives the processor time used so far, in microseconds.
+func (process *Process) Processor() int64 {
+	process.lock.Lock()
+	command := process.command
+	process.lock.Unlock()
+	if command == nil || command.Process == nil {
+		return 0
+	}
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var user, system int64
+	fields := splitStat(string(content))
+	if len(fields) > 12 {
+		_, _ = fmt.Sscan(fields[11], &user)
+		_, _ = fmt.Sscan(fields[12], &system)
+	}
+	return (user + system) * 10000 // ticks of a hundredth of a second
+}
+
+// splitStat gives the fields behind the program's name, which may hold spaces.
+func splitStat(content string) []string {
+	for index := len(content) - 1; index >= 0; index-- {
+		if content[index] == ')' {
+			var fields []string
+			start := index + 2
+			for position := start; position <= len(content); position++ {
+				if position == len(content) || content[position] == ' ' {
+					fields = append(fields, content[start:position])
+					start = position + 1
+				}
+			}
+			return fields
+		}
+	}
+	return nil
+}
+
+// End kills everything that was started.
+func (fleet *Fleet) End() {
+	var waiting sync.WaitGroup
+	for _, process := range fleet.All() {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			process.Kill()
+		}()
+	}
+	waiting.Wait()
+	if fleet.Relays != nil {
+		fleet.Relays.Close()
+	}
+}
+
+var prober = &http.Client{Timeout: time.Second}
+
+// Ready asks a process whether it's ready.
+func (process *Process) Ready() bool {
+	path := "/ready"
+	if process.Program == "sorter" {
+		path = "/live"
+	}
+	response, err := prober.Get("http://" + process.Desk + path)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Await waits until every given process is ready, at most patience.
+func Await(processes []*Process, patience time.Duration) error {
+	cutoff := time.Now().Add(patience)
+	for _, process := range processes {
+		for !process.Ready() {
+			if !process.Running() {
+				return fmt.Errorf("%s ended; see %s", process.Name, filepath.Join(process.Folder, "log"))
+			}
+			if time.Now().After(cutoff) {
+				return fmt.Errorf("%s is not ready after %v; see %s", process.Name, patience, filepath.Join(process.Folder, "log"))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/depot/scenario/stage.go
@@ -0,0 +1,374 @@
+// Package scenario runs rehearsals: it brings up a fleet with its stand-ins, brings failures about, and reports.
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"snowflow/examples"
+	"snowflow/internal/depot/fleet"
+	"snowflow/internal/depot/layout"
+	"snowflow/internal/depot/standin"
+	"snowflow/internal/inspector"
+	"snowflow/internal/postmark"
+	"snowflow/internal/sorter"
+)
+
+// Stage is a running rehearsal.
+type Stage struct {
+	Fleet    *fleet.Fleet
+	Clock    *postmark.Machine
+	History  *inspector.History
+	Callers  *standin.Callers
+	Operator *standin.Operator
+	Say      func(format string, arguments ...any)
+	Options  Options
+
+	lock      sync.Mutex
+	Backends  []*standin.Backend
+	ports     map[string]int
+	processor map[string]int64
+	cleanups  []func()
+	watching  chan struct{}
+}
+
+// Options are what a rehearsal is run with.
+type Options struct {
+	Layout   string
+	Scenario string
+	Length   time.Duration
+	Factor   float64
+	Folder   string
+	Binaries string
+	Older    string // binaries of an earlier build, for rolling versions
+	Base     int
+	Relays   bool
+	Level    string
+}
+
+// Open starts the fleet, its backends and its first desired state.
+func Open(options Options, say func(format string, arguments ...any)) (*Stage, error) {
+	chosen, err := layout.Find(options.Layout)
+	if err != nil {
+		return nil, err
+	}
+	stage := &Stage{Clock: postmark.NewMachine(), History: &inspector.History{}, Say: say, Options: options, ports: map[string]int{},
+		processor: map[string]int64{}, watching: make(chan struct{})}
+	if stage.Fleet, err = fleet.New(chosen, options.Folder, options.Binaries, options.Base, options.Relays); err != nil {
+		return nil, err
+	}
+	stage.cleanups = append(stage.cleanups, stage.Fleet.End)
+	if options.Level != "" {
+		stage.Fleet.Level = options.Level
+	}
+	if err := stage.Fleet.StartAll(); err != nil {
+		return stage, err
+	}
+	stage.Operator = standin.NewOperator(stage.Fleet, stage.Clock, stage.History)
+	stage.Callers = standin.NewCallers(stage.Fleet, stage.Clock, stage.History)
+	if err := fleet.Await(append(append([]*fleet.Process(nil), stage.Fleet.Postmasters...), stage.Fleet.Sorters...), 20*time.Second); err != nil {
+		return stage, err
+	}
+	for _, service := range chosen.Services {
+		for index := range service.Backends {
+			// Spread over the machines; a prime step keeps services from piling up on the same ones.
+			if _, err := stage.AddBackend(service, (index*5+len(service.Name))%chosen.Carriers); err != nil {
+				return stage, err
+			}
+		}
+	}
+	content, err := examples.Desired(chosen.Desired)
+	if err != nil {
+		return stage, err
+	}
+	applied, err := stage.Operator.Apply(content, "0", 30*time.Second)
+	if err != nil || applied.Outcome != "accepted" {
+		return stage, fmt.Errorf("the first desired state was not accepted: %v %w", applied, err)
+	}
+	stage.History.Allowance = 20 // the examples' allowance for each service
+	if err := fleet.Await(stage.Fleet.Carriers, 20*time.Second); err != nil {
+		return stage, err
+	}
+	time.Sleep(2 * time.Second) // backends' registrations reach every directory with the next polls
+	return stage, nil
+}
+
+// AddBackend starts an instance of a service beside a carrier.
+func (stage *Stage) AddBackend(service layout.Service, carrier int) (*standin.Backend, error) {
+	beside := stage.Fleet.Carriers[carrier]
+	stage.lock.Lock()
+	stage.ports[beside.Host]++
+	address := fmt.Sprintf("%s:%d", beside.Host, 8000+stage.ports[beside.Host])
+	stage.lock.Unlock()
+	return stage.AddBackendAt(service, beside, address)
+}
+
+// AddBackendAt starts an instance at an address.
+func (stage *Stage) AddBackendAt(service layout.Service, beside *fleet.Process, address string) (*standin.Backend, error) {
+	backend, err := standin.NewBackend(service, address, beside, stage.Clock, stage.History)
+	if err != nil {
+		return nil, err
+	}
+	stage.lock.Lock()
+	defer stage.lock.Unlock()
+	stage.Backends = append(stage.Backends, backend)
+	return backend, nil
+}
+
+// Beside gives the carrier's index that a backend stands beside.
+func (stage *Stage) Beside(backend *standin.Backend) int {
+	for index, carrier := range stage.Fleet.Carriers {
+		if strings.HasPrefix(backend.Address, carrier.Host+":") {
+			return index
+		}
+	}
+	return 0
+}
+
+// Remove takes a backend off the list.
+func (stage *Stage) Remove(backend *standin.Backend) {
+	stage.lock.Lock()
+	defer stage.lock.Unlock()
+	for index, present := range stage.Backends {
+		if present == backend {
+			stage.Backends = append(stage.Backends[:index], stage.Backends[index+1:]...)
+			return
+		}
+	}
+}
+
+// Of lists a service's backends.
+func (stage *Stage) Of(service string) (backends []*standin.Backend) {
+	stage.lock.Lock()
+	defer stage.lock.Unlock()
+	for _, backend := range stage.Backends {
+		if backend.Service.Name == service {
+			backends = append(backends, backend)
+		}
+	}
+	return backends
+}
+
+// Primary finds the process that answers for a group, by its own word.
+func (stage *Stage) Primary(group []*fleet.Process) *fleet.Process {
+	for turn := 0; turn < 100; turn++ {
+		for _, process := range group {
+			var status struct {
+				Core struct {
+					Answering bool `json:"answering"`
+				} `json:"core"`
+			}
+			if process.Running() && stage.Operator.Get(process, "/local", &status) == nil && status.Core.Answering {
+				return process
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return group[0]
+}
+
+// Watch keeps reading the shared records from the sorters that answer, for rule 10.
+func (stage *Stage) Watch() {
+	permitted := map[string]int{}
+	go func() {
+		for {
+			select {
+			case <-stage.watching:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			for _, process := range stage.Fleet.Sorters {
+				var status sorter.Status
+				if !process.Running() || stage.Operator.Get(process, "/local", &status) != nil || !status.Core.Answering {
+					continue
+				}
+				for _, record := range status.Guards {
+					if record.Terms != nil {
+						permitted[record.Service] = int(record.Terms.Permitted)
+					}
+					stage.History.See(inspector.GuardSeen{Service: record.Service, State: record.State, Serial: record.Serial, Budget: int(record.Budget),
+						Probes: len(record.Probes), Tallies: len(record.Tallies), Permitted: permitted[record.Service], At: stage.Clock.Now(), Source: process.Name})
+				}
+			}
+		}
+	}()
+}
+
+// Wait lets the traffic go on for a while.
+func (stage *Stage) Wait(span time.Duration) { time.Sleep(span) }
+
+// Measure notes every process's processor time, for the report's difference.
+func (stage *Stage) Measure() {
+	for _, process := range stage.Fleet.All() {
+		stage.processor[process.Name] = process.Processor()
+	}
+}
+
+// Close ends everything that was started.
+func (stage *Stage) Close() {
+	stage.lock.Lock()
+	backends := append([]*standin.Backend(nil), stage.Backends...)
+	stage.lock.Unlock()
+	select {
+	case <-stage.watching:
+	default:
+		close(stage.watching)
+	}
+	for _, backend := range backends {
+		backend.End()
+	}
+	for index := len(stage.cleanups) - 1; index >= 0; index-- {
+		stage.cleanups[index]()
+	}
+}
+
+// Report is how a rehearsal ended.
+type Report struct {
+	Layout    string                    `json:"layout"`
+	Scenario  string                    `json:"scenario"`
+	Seconds   float64                   `json:"seconds"`
+	Kinds     map[string]map[string]int `json:"kinds"`
+	Latency   map[string][3]int64       `json:"latency_micros_p50_p99_max"`
+	Seen      map[int]int               `json:"seen_by_rule"`
+	Findings  []string                  `json:"findings"`
+	Tries     map[string]string         `json:"worst_further_per_first_in_10s"`
+	Processor map[string]int64          `json:"processor_micros_by_program"`
+	PerAsk    int64                     `json:"processor_micros_per_request"`
+	Bytes     map[string]uint64         `json:"bytes_between,omitempty"`
+	Unnamed   int                       `json:"refusals_without_retry_after"`
+}
+
+// Conclude makes the report.
+func (stage *Stage) Conclude(began time.Time) Report {
+	findings, seen := inspector.Inspect(stage.History)
+	report := Report{Layout: stage.Fleet.Layout.Name, Scenario: stage.Options.Scenario, Seconds: time.Since(began).Seconds(),
+		Kinds: map[string]map[string]int{}, Latency: map[string][3]int64{}, Seen: seen, Findings: []string{}, Tries: inspector.WorstTries(stage.History),
+		Processor: map[string]int64{}, Bytes: map[string]uint64{}}
+	for _, finding := range findings {
+		report.Findings = append(report.Findings, finding.String())
+	}
+	spans := map[string][]int64{}
+	total := 0
+	for _, attempt := range stage.History.Attempts {
+		if report.Kinds[attempt.Kind] == nil {
+			report.Kinds[attempt.Kind] = map[string]int{}
+		}
+		total++
+		report.Kinds[attempt.Kind][outcome(attempt)]++
+		if attempt.Mesh && attempt.Status >= 500 && !attempt.RetryTold {
+			report.Unnamed++
+		}
+		if attempt.Ended > 0 {
+			spans[attempt.Kind] = append(spans[attempt.Kind], int64(attempt.Ended-attempt.Sent))
+		}
+	}
+	for kind, taken := range spans {
+		sort.Slice(taken, func(one, other int) bool { return taken[one] < taken[other] })
+		report.Latency[kind] = [3]int64{taken[len(taken)/2], taken[len(taken)*99/100], taken[len(taken)-1]}
+	}
+	used := int64(0)
+	for _, process := range stage.Fleet.All() {
+		spent := process.Processor() - stage.processor[process.Name]
+		report.Processor[process.Program] += spent
+		if process.Program == "carrier" {
+			used += spent
+		}
+	}
+	report.PerAsk = used / int64(max(1, total))
+	stage.between(report.Bytes)
+	return report
+}
+
+// between sums the relays' bytes by whether they crossed a zone's border.
+func (stage *Stage) between(totals map[string]uint64) {
+	if stage.Fleet.Relays == nil {
+		return
+	}
+	zones := map[string]string{}
+	for _, process := range stage.Fleet.All() {
+		zones[process.Host] = process.Zone
+	}
+	for pair, count := range stage.Fleet.Relays.Bytes() {
+		if zones[pair[0]] == zones[pair[1]] {
+			totals["within zones"] += count
+		} else {
+			totals["between zones"] += count
+		}
+	}
+}
+
+func outcome(attempt *inspector.Attempt) string {
+	switch {
+	case attempt.Transport != "":
+		return "transport " + attempt.Transport
+	case attempt.Ended == 0:
+		return "open"
+	case attempt.Mesh && attempt.NotRun:
+		return "refused " + strconv.Itoa(attempt.Cause) + " not_run"
+	case attempt.Mesh:
+		return "refused " + strconv.Itoa(attempt.Cause) + " may_have_run"
+	case attempt.Status >= 200 && attempt.Status < 300:
+		return "served"
+	}
+	return "status " + strconv.Itoa(attempt.Status)
+}
+
+// Served counts successes.
+func (report Report) Served() (served int) {
+	for _, outcomes := range report.Kinds {
+		served += outcomes["served"]
+	}
+	return served
+}
+
+// Text prints the report for people.
+func (report Report) Text() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s, scenario %s, %.0f s\n", report.Layout, report.Scenario, report.Seconds)
+	for _, kind := range sorted(report.Kinds) {
+		fmt.Fprintf(&text, "  %-24s", kind)
+		for _, name := range sorted(report.Kinds[kind]) {
+			fmt.Fprintf(&text, "  %s: %d", name, report.Kinds[kind][name])
+		}
+		latency := report.Latency[kind]
+		fmt.Fprintf(&text, "  (p50 %.1f ms, p99 %.1f ms, most %.1f ms)\n", float64(latency[0])/1000, float64(latency[1])/1000, float64(latency[2])/1000)
+	}
+	fmt.Fprintf(&text, "  processor per request at the carriers: %d microseconds; by program: %v\n", report.PerAsk, report.Processor)
+	if len(report.Bytes) > 0 {
+		fmt.Fprintf(&text, "  bytes: %v\n", report.Bytes)
+	}
+	fmt.Fprintf(&text, "  worst further per first tries in any 10 s: %v\n", report.Tries)
+	fmt.Fprintf(&text, "  seen by rule: %v\n", report.Seen)
+	fmt.Fprintf(&text, "  findings: %d\n", len(report.Findings))
+	for index, finding := range report.Findings {
+		if index == 20 {
+			fmt.Fprintf(&text, "    and %d more\n", len(report.Findings)-index)
+			break
+		}
+		fmt.Fprintf(&text, "    %s\n", finding)
+	}
+	return text.String()
+}
+
+func sorted[Value any](table map[string]Value) []string {
+	names := make([]string, 0, len(table))
+	for name := range table {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// JSON prints the report for programs.
+func (report Report) JSON() string {
+	content, _ := json.MarshalIndent(report, "", "  ")
+	return string(content)
+}
+
+func random[Item any](items []Item) Item { return items[rand.IntN(len(items))] }
--- /dev/null
+++ b/internal/depot/standin/caller.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/atomic"
+
+	"snowflow/internal/carrier/counter"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/depot/fleet"
+	"snowflow/internal/depot/layout"
+	"snowflow/internal/inspector"
+	"snowflow/internal/postmark"
+)
+
+// Callers play the field workers: they send each kind of traffic at its rate to carriers that the platform believes
+// ready, and ask again with the same key when they are told to come back.
+type Callers struct {
+	fleet   *fleet.Fleet
+	clock   postmark.Clock
+	history *inspector.History
+	client  *http.Client
+	lock    sync.Mutex
+	ready   []*fleet.Process
+	stop    chan struct{}
+	waiting sync.WaitGroup
+	number  atomic.Int64
+	// Again is how often a keyed request is repeated.
+	Again int
+}
+
+// NewCallers makes them.
+func NewCallers(running *fleet.Fleet, clock postmark.Clock, history *inspector.History) *Callers {
+	return &Callers{fleet: running, clock: clock, history: history, stop: make(chan struct{}), Again: 3,
+		client: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 2048}}}
+}
+
+// Start begins sending. factor multiplies the rates.
+func (callers *Callers) Start(factor float64) {
+	callers.look()
+	callers.waiting.Add(1)
+	go func() {
+		defer callers.waiting.Done()
+		for callers.pause(300 * time.Millisecond) {
+			callers.look()
+		}
+	}()
+	for _, kind := range callers.fleet.Layout.Kinds {
+		callers.waiting.Add(1)
+		go func() {
+			defer callers.waiting.Done()
+			callers.pace(kind, kind.Rate*factor)
+		}()
+	}
+}
+
+// pace starts requests at a rate, each in a task of its own, so that slow answers don't slow the callers.
+func (callers *Callers) pace(kind layout.Kind, rate float64) {
+	began, sent := time.Now(), 0.0
+	for callers.pause(10 * time.Millisecond) {
+		for due := time.Since(began).Seconds() * rate; sent < due; sent++ {
+			callers.waiting.Add(1)
+			go func() {
+				defer callers.waiting.Done()
+				callers.call(kind)
+			}()
+		}
+	}
+}
+
+func (callers *Callers) pause(span time.Duration) bool {
+	select {
+	case <-callers.stop:
+		return false
+	case <-time.After(span):
+		return true
+	}
+}
+
+// look asks every carrier whether it's ready, as the platform does.
+func (callers *Callers) look() {
+	var lock sync.Mutex
+	var ready []*fleet.Process
+	var asking sync.WaitGroup
+	for _, carrier := range callers.fleet.Carriers {
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			if carrier.Ready() {
+				lock.Lock()
+				ready = append(ready, carrier)
+				lock.Unlock()
+			}
+		}()
+	}
+	asking.Wait()
+	callers.lock.Lock()
+	callers.ready = ready
+	callers.lock.Unlock()
+}
+
+func (callers *Callers) pick() *fleet.Process {
+	callers.lock.Lock()
+	defer callers.lock.Unlock()
+	if len(callers.ready) == 0 {
+		return callers.fleet.Carriers[rand.IntN(len(callers.fleet.Carriers))]
+	}
+	return callers.ready[rand.IntN(len(callers.ready))]
+}
+
+// call sends one request and, if it's keyed and had no success, repeats it.
+func (callers *Callers) call(kind layout.Kind) {
+	number := callers.number.Inc()
+	key, body := "", []byte(nil)
+	if kind.Keyed {
+		key = fmt.Sprintf("%s-%d-%d", kind.Name, number, rand.Uint32())
+	}
+	if kind.Body > 0 {
+		body = bytes.Repeat([]byte("x"), kind.Body)
+	}
+	for again := 0; ; again++ {
+		path := fmt.Sprintf("%s%d", kind.Path, number)
+		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", kind.Name, number, again), Key: key, Kind: kind.Name, Method: kind.Method, Path: path, Sent: callers.clock.Now()}
+		carrier := callers.pick()
+		attempt.Caller = carrier.Name
+		send(callers.client, callers.history, callers.clock, carrier, attempt, body)
+		if !kind.Keyed || attempt.Status >= 200 && attempt.Status < 300 && !attempt.Mesh || again >= callers.Again {
+			return
+		}
+		if !callers.pause(time.Duration(1000+rand.IntN(1000)) * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// Stop ends the sending and waits for what is under way.
+func (callers *Callers) Stop() {
+	close(callers.stop)
+	callers.waiting.Wait()
+}
+
+// send makes one attempt and notes how it ended.
+func send(client *http.Client, history *inspector.History, clock postmark.Clock, carrier *fleet.Process, attempt *inspector.Attempt, body []byte) {
+	history.Send(attempt)
+	request, err := http.NewRequest(attempt.Method, "http://"+carrier.Callers+attempt.Path, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set(letter.RequestHeader, attempt.ID)
+	if attempt.Key != "" {
+		request.Header.Set(letter.KeyHeader, attempt.Key)
+	}
+	var wrote, reused atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
+	}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	response, err := client.Do(request)
+	var content []byte
+	if err == nil {
+		content, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+	}
+	ended := clock.Now()
+	stopping := carrier.IsStopping()
+	history.End(func() {
+		attempt.Ended, attempt.Planned = ended, stopping
+		if err != nil {
+			attempt.Transport = "lost"
+			if wrote.Load() && !reused.Load() && stopping && carrier.Running() {
+				attempt.Transport = "dropped"
+			}
+			return
+		}
+		attempt.Status = response.StatusCode
+		attempt.RetryTold = response.Header.Get("Retry-After") != ""
+		attempt.Serial, _ = strconv.ParseUint(response.Header.Get(letter.SerialHeader), 10, 64)
+		attempt.Instance = response.Header.Get(MarkHeader)
+		attempt.Echo = response.Header.Get(EchoHeader)
+		attempt.Whole = response.Header.Get(SumHeader) == Sum(content)
+		if attempt.Echo == "" {
+			var refusal counter.Refusal
+			if json.Unmarshal(content, &refusal) == nil && refusal.Cause > 0 {
+				attempt.Mesh, attempt.Cause, attempt.NotRun = true, int(refusal.Cause), refusal.Verdict == "not_run"
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/depot/standin/operator.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"snowflow/internal/depot/fleet"
+	"snowflow/internal/franking"
+	"snowflow/internal/inspector"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster/door"
+)
+
+// Operator plays the operators: it applies desired states, asking again while an outcome isn't known.
+type Operator struct {
+	Fleet   *fleet.Fleet
+	Clock   postmark.Clock
+	History *inspector.History
+	Client  *http.Client
+}
+
+// NewOperator makes one.
+func NewOperator(running *fleet.Fleet, clock postmark.Clock, history *inspector.History) *Operator {
+	return &Operator{Fleet: running, Clock: clock, History: history, Client: &http.Client{Timeout: 25 * time.Second}}
+}
+
+// Apply applies a content and notes the outcome.
+func (operator *Operator) Apply(content []byte, expected string, patience time.Duration) (door.Applied, error) {
+	state, faults := franking.Parse(content)
+	if state != nil && len(faults) == 0 {
+		operator.allow(content)
+	}
+	request := fmt.Sprintf("apply-%d", rand.Uint64())
+	cutoff := time.Now().Add(patience)
+	for turn := rand.IntN(len(operator.Fleet.Postmasters)); ; turn++ {
+		master := operator.Fleet.Postmasters[turn%len(operator.Fleet.Postmasters)]
+		applied, err := operator.once(master, content, expected, request)
+		if err == nil && applied.Outcome != "unknown" {
+			operator.History.Apply(inspector.Applied{Serial: applied.Serial, Digest: applied.Digest, Valid: len(faults) == 0, Outcome: applied.Outcome, At: operator.Clock.Now()})
+			return applied, nil
+		}
+		if time.Now().After(cutoff) {
+			return applied, fmt.Errorf("no certain outcome: %v %v", applied, err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// allow notes which services the content sends which kinds of traffic to.
+func (operator *Operator) allow(content []byte) {
+	state, _ := franking.Parse(content)
+	view := franking.Compile(state, 0, "")
+	kinds := append(operator.Fleet.Layout.Kinds, operator.Fleet.Layout.LookupKinds()...)
+	for _, kind := range kinds {
+		if path, found := view.Resolve(kind.Method, strings.TrimSuffix(kind.Path, "/")+"/1"); found {
+			operator.History.Allow(kind.Name, path.Service.Name)
+		}
+	}
+}
+
+func (operator *Operator) once(master *fleet.Process, content []byte, expected, request string) (door.Applied, error) {
+	var applied door.Applied
+	address := fmt.Sprintf("http://%s/desired-state?expected=%s&request=%s", master.Desk, expected, request)
+	ask, err := http.NewRequest(http.MethodPut, address, bytes.NewReader(content))
+	if err != nil {
+		return applied, err
+	}
+	response, err := operator.Client.Do(ask)
+	if err != nil {
+		return applied, err
+	}
+	defer response.Body.Close()
+	return applied, json.NewDecoder(response.Body).Decode(&applied)
+}
+
+// ReadBack reads the whole history and notes it.
+func (operator *Operator) ReadBack() error {
+	var last error
+	for turn := range 40 {
+		master := operator.Fleet.Postmasters[turn%len(operator.Fleet.Postmasters)]
+		var kept []door.Kept
+		if last = operator.Get(master, "/history", &kept); last == nil {
+			operator.History.End(func() {
+				operator.History.Read = true
+				for _, state := range kept {
+					operator.History.ReadBack = append(operator.History.ReadBack, inspector.ReadBack{Serial: state.Serial, Digest: state.Digest})
+				}
+			})
+			return nil
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return last
+}
+
+// Get reads a page of a process as JSON.
+func (operator *Operator) Get(process *fleet.Process, path string, into any) error {
+	response, err := operator.Client.Get("http://" + process.Desk + path)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d: %s", path, response.StatusCode, content)
+	}
+	return json.Unmarshal(content, into)
+}
--- /dev/null
+++ b/internal/franking/franking.go
@@ -0,0 +1,290 @@
+// Package franking reads and checks desired states, and works out what each service gets from its group.
+package franking
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// Fault is one thing wrong with a desired state, at its place in the tree.
+type Fault struct {
+	Place string `json:"place"`
+	Text  string `json:"text"`
+}
+
+func (fault Fault) String() string { return fault.Place + ": " + fault.Text }
+
+// Longest is the longest desired state that is read.
+const Longest = 4 << 20
+
+// Parse reads a desired state from JSON and checks it. Unknown fields are faults. All faults are told at once.
+func Parse(content []byte) (*wire.DesiredState, []Fault) {
+	if len(content) > Longest {
+		return nil, []Fault{{"", fmt.Sprintf("%d bytes, at most %d", len(content), Longest)}}
+	}
+	state := &wire.DesiredState{}
+	if err := (protojson.UnmarshalOptions{}).Unmarshal(content, state); err != nil {
+		return nil, []Fault{{"", strings.ReplaceAll(err.Error(), "\u00a0", " ")}}
+	}
+	return state, Check(state)
+}
+
+var wellNamed = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+var methods = map[string]bool{"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "*": true}
+
+// checker collects faults.
+type checker struct{ faults []Fault }
+
+func (checker *checker) fault(place, format string, arguments ...any) {
+	checker.faults = append(checker.faults, Fault{Place: place, Text: fmt.Sprintf(format, arguments...)})
+}
+
+// span checks a span of time in whole microseconds.
+func (checker *checker) span(place string, value *int64, least, most postmark.Micros) {
+	if value != nil && (postmark.Micros(*value) < least || postmark.Micros(*value) > most) {
+		checker.fault(place, "%d is not between %d and %d microseconds", *value, least, most)
+	}
+}
+
+func (checker *checker) count(place string, value *uint32, least, most uint32) {
+	if value != nil && (*value < least || *value > most) {
+		checker.fault(place, "%d is not between %d and %d", *value, least, most)
+	}
+}
+
+func (checker *checker) bytes(place string, value *uint64, least, most uint64) {
+	if value != nil && (*value < least || *value > most) {
+		checker.fault(place, "%d is not between %d and %d bytes", *value, least, most)
+	}
+}
+
+func (checker *checker) ratio(place string, value *float64, least, most float64) {
+	if value != nil && !(*value >= least && *value <= most) {
+		checker.fault(place, "%v is not between %v and %v", *value, least, most)
+	}
+}
+
+// Check lists everything wrong with a desired state.
+func Check(state *wire.DesiredState) []Fault {
+	checker := &checker{}
+	if len(state.Groups) == 0 {
+		checker.fault("groups", "at least one group is needed")
+	}
+	if len(state.Note) > 1000 {
+		checker.fault("note", "longer than 1000 characters")
+	}
+	groups, services, paths := map[string]string{}, map[string]string{}, map[string]string{}
+	for groupIndex, group := range state.Groups {
+		place := fmt.Sprintf("groups[%d]", groupIndex)
+		checker.name(place, group.Name, groups)
+		checker.terms(place, group.Guard, group.Retry, group.Limits)
+		if len(group.Services) == 0 {
+			checker.fault(place+".services", "at least one service is needed")
+		}
+		for serviceIndex, service := range group.Services {
+			place := fmt.Sprintf("%s.services[%d]", place, serviceIndex)
+			checker.name(place, service.Name, services)
+			checker.terms(place, service.Guard, service.Retry, service.Limits)
+			checker.merged(place, group, service)
+			if len(service.Paths) == 0 {
+				checker.fault(place+".paths", "at least one path is needed")
+			}
+			for pathIndex, path := range service.Paths {
+				checker.path(fmt.Sprintf("%s.paths[%d]", place, pathIndex), path, paths)
+			}
+		}
+	}
+	return checker.faults
+}
+
+func (checker *checker) name(place, name string, seen map[string]string) {
+	if !wellNamed.MatchString(name) {
+		checker.fault(place+".name", "%q must be a lower-case letter, then up to 62 letters, digits or hyphens", name)
+	}
+	if other, twice := seen[name]; twice {
+		checker.fault(place+".name", "%q is already used at %s", name, other)
+	}
+	seen[name] = place
+}
+
+func (checker *checker) path(place string, path *wire.Path, seen map[string]string) {
+	if !methods[path.Method] {
+		checker.fault(place+".method", "%q is not a method or *", path.Method)
+	}
+	if !strings.HasPrefix(path.Prefix, "/") || strings.ContainsAny(path.Prefix, "?# ") || len(path.Prefix) > 500 {
+		checker.fault(place+".prefix", "%q must start with / and hold no ?, # or space", path.Prefix)
+	}
+	if strings.HasPrefix(path.Prefix, "/.snowflow") {
+		checker.fault(place+".prefix", "/.snowflow is the mesh's own")
+	}
+	if path.Class == wire.Path_unset {
+		checker.fault(place+".class", "must be read or once")
+	}
+	key := path.Method + " " + path.Prefix
+	if other, twice := seen[key]; twice {
+		checker.fault(place, "%s is already at %s", key, other)
+	}
+	seen[key] = place
+}
+
+func (checker *checker) terms(place string, guard *wire.Guard, retry *wire.Retry, limits *wire.Limits) {
+	if guard != nil {
+		place := place + ".guard"
+		checker.count(place+".windowCalls", guard.WindowCalls, 5, 10000)
+		checker.count(place+".minimumCalls", guard.MinimumCalls, 1, 10000)
+		checker.ratio(place+".failureRate", guard.FailureRate, 0.01, 1)
+		checker.ratio(place+".slowRate", guard.SlowRate, 0.01, 1)
+		checker.span(place+".slowMicros", guard.SlowMicros, postmark.Millisecond, 10*postmark.Minute)
+		checker.span(place+".waitOpenMicros", guard.WaitOpenMicros, 100*postmark.Millisecond, 2*postmark.Minute)
+		checker.count(place+".permittedHalfOpen", guard.PermittedHalfOpen, 1, 1000)
+		checker.span(place+".probeTenureMicros", guard.ProbeTenureMicros, 100*postmark.Millisecond, 2*postmark.Minute)
+	}
+	if retry != nil {
+		place := place + ".retry"
+		checker.count(place+".mostTries", retry.MostTries, 1, 10)
+		checker.ratio(place+".budgetRatio", retry.BudgetRatio, 0, 0.2)
+		checker.count(place+".allowance", retry.Allowance, 0, 1000)
+		checker.span(place+".backoffMicros", retry.BackoffMicros, 0, 10*postmark.Second)
+	}
+	if limits != nil {
+		place := place + ".limits"
+		checker.span(place+".cutoffMicros", limits.CutoffMicros, 10*postmark.Millisecond, 30*postmark.Second)
+		checker.count(place+".inFlightPerBackend", limits.InFlightPerBackend, 1, 100000)
+		checker.bytes(place+".bodyBytes", limits.BodyBytes, 1, 32<<20)
+		checker.bytes(place+".answerBytes", limits.AnswerBytes, 1, 32<<20)
+	}
+}
+
+// merged checks what only shows once a service has taken what it left out from its group.
+func (checker *checker) merged(place string, group *wire.Group, service *wire.Service) {
+	guard := mergeGuard(group, service)
+	if guard.GetMinimumCalls() > guard.GetWindowCalls() {
+		checker.fault(place+".guard.minimumCalls", "%d is more than the window of %d calls (group and defaults counted in)",
+			guard.GetMinimumCalls(), guard.GetWindowCalls())
+	}
+}
+
+func defaultGuard() *wire.Guard {
+	return &wire.Guard{WindowCalls: proto.Uint32(100), MinimumCalls: proto.Uint32(20), FailureRate: proto.Float64(0.5),
+		SlowRate: proto.Float64(1), SlowMicros: proto.Int64(int64(10 * postmark.Second)),
+		WaitOpenMicros: proto.Int64(int64(5 * postmark.Second)), PermittedHalfOpen: proto.Uint32(10),
+		ProbeTenureMicros: proto.Int64(int64(5 * postmark.Second)), Disabled: proto.Bool(false)}
+}
+
+func defaultRetry() *wire.Retry {
+	return &wire.Retry{MostTries: proto.Uint32(3), BudgetRatio: proto.Float64(0.2), Allowance: proto.Uint32(20),
+		BackoffMicros: proto.Int64(int64(20 * postmark.Millisecond))}
+}
+
+func defaultLimits() *wire.Limits {
+	return &wire.Limits{CutoffMicros: proto.Int64(int64(5 * postmark.Second)), InFlightPerBackend: proto.Uint32(64),
+		BodyBytes: proto.Uint64(1 << 20), AnswerBytes: proto.Uint64(8 << 20)}
+}
+
+// mergeGuard and its kin lay field over field: defaults, then the group, then the service.
+func mergeGuard(group *wire.Group, service *wire.Service) *wire.Guard {
+	merged := defaultGuard()
+	proto.Merge(merged, orEmpty(group.Guard))
+	proto.Merge(merged, orEmpty(service.Guard))
+	return merged
+}
+
+func orEmpty[Message any, Pointer interface {
+	*Message
+	proto.Message
+}](message Pointer) Pointer {
+	if message == nil {
+		return Pointer(new(Message))
+	}
+	return message
+}
+
+// Service is one service as it is in force, with nothing left to inherit.
+type Service struct {
+	Name   string
+	Group  string
+	Guard  *wire.Guard
+	Retry  *wire.Retry
+	Limits *wire.Limits
+}
+
+// Terms are the guard's figures as the shared record keeps them.
+func (service *Service) Terms() *wire.GuardTerms {
+	return &wire.GuardTerms{WaitOpen: service.Guard.GetWaitOpenMicros(), Permitted: service.Guard.GetPermittedHalfOpen(),
+		FailureRate: service.Guard.GetFailureRate(), ProbeTenure: service.Guard.GetProbeTenureMicros(), StateTtl: int64(300 * postmark.Second)}
+}
+
+// Path is one entry of the table that requests are resolved by.
+type Path struct {
+	Method  string
+	Prefix  string
+	Once    bool
+	Service *Service
+}
+
+// View is one adopted desired state. Invariant: it never changes once made; paths are sorted longest prefix first,
+// and at equal length a named method stands before *.
+type View struct {
+	Serial   uint64
+	Digest   string
+	Services map[string]*Service
+	paths    []Path
+}
+
+// Compile makes the view of a checked desired state.
+func Compile(state *wire.DesiredState, serial uint64, digest string) *View {
+	view := &View{Serial: serial, Digest: digest, Services: map[string]*Service{}}
+	for _, group := range state.Groups {
+		for _, service := range group.Services {
+			retry, limits := defaultRetry(), defaultLimits()
+			proto.Merge(retry, orEmpty(group.Retry))
+			proto.Merge(retry, orEmpty(service.Retry))
+			proto.Merge(limits, orEmpty(group.Limits))
+			proto.Merge(limits, orEmpty(service.Limits))
+			inForce := &Service{Name: service.Name, Group: group.Name, Guard: mergeGuard(group, service), Retry: retry, Limits: limits}
+			view.Services[service.Name] = inForce
+			for _, path := range service.Paths {
+				view.paths = append(view.paths, Path{Method: path.Method, Prefix: path.Prefix, Once: path.Class == wire.Path_once, Service: inForce})
+			}
+		}
+	}
+	sort.SliceStable(view.paths, func(one, other int) bool {
+		left, right := view.paths[one], view.paths[other]
+		if len(left.Prefix) != len(right.Prefix) {
+			return len(left.Prefix) > len(right.Prefix)
+		}
+		return left.Method != "*" && right.Method == "*"
+	})
+	return view
+}
+
+// Resolve finds the path for a request: the longest prefix that ends at a whole segment.
+func (view *View) Resolve(method, path string) (Path, bool) {
+	for _, entry := range view.paths {
+		if (entry.Method == method || entry.Method == "*") && under(path, entry.Prefix) {
+			return entry, true
+		}
+	}
+	return Path{}, false
+}
+
+func under(path, prefix string) bool {
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/')
+}
+
+// Digest names a content.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/gazetteer/gazetteer.go
@@ -0,0 +1,202 @@
+// Package gazetteer keeps where the core is: addresses by name, and which name leads each group.
+// Identity is a name; an address is only where that name last answered, so seeds may be stale.
+package gazetteer
+
+import (
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+const mostAddresses = 4
+
+// Book is one process's knowledge of the core.
+// Invariants: each name has at most mostAddresses addresses, the one that last answered first;
+// a group's primary only changes for one of a higher epoch.
+type Book struct {
+	place     office.Office
+	lock      sync.Mutex
+	own       *wire.PeerAddress
+	known     map[string][]string
+	groups    map[string]string
+	primaries map[string]*wire.Primary
+	seeds     []string
+	turn      int
+}
+
+// New makes a book. own is nil for a process that is not of the core.
+func New(place office.Office, own *wire.PeerAddress, seeds []string) *Book {
+	book := &Book{place: place, own: own, known: map[string][]string{}, groups: map[string]string{},
+		primaries: map[string]*wire.Primary{}, seeds: seeds}
+	if own != nil {
+		book.Learn([]*wire.PeerAddress{own})
+	}
+	return book
+}
+
+// Learn adds addresses heard of. Addresses already known keep their rank.
+func (book *Book) Learn(peers []*wire.PeerAddress) {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	for _, peer := range peers {
+		if peer.Name == "" || peer.Address == "" {
+			continue
+		}
+		book.groups[peer.Name] = peer.Group
+		addresses := book.known[peer.Name]
+		if contains(addresses, peer.Address) {
+			continue
+		}
+		if len(addresses) == mostAddresses {
+			addresses = addresses[:mostAddresses-1]
+		}
+		// A new address is tried right after the one that works now.
+		position := min(1, len(addresses))
+		book.known[peer.Name] = append(append(append([]string(nil), addresses[:position]...), peer.Address), addresses[position:]...)
+	}
+}
+
+func contains(addresses []string, wanted string) bool {
+	for _, address := range addresses {
+		if address == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// Hint takes news of who leads a group.
+func (book *Book) Hint(primaries []*wire.Primary) {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	for _, primary := range primaries {
+		if present := book.primaries[primary.Group]; present == nil || present.Epoch < primary.Epoch {
+			book.primaries[primary.Group] = &wire.Primary{Group: primary.Group, Epoch: primary.Epoch, Name: primary.Name}
+		}
+	}
+}
+
+// Primaries tells who leads, as far as is known.
+func (book *Book) Primaries() []*wire.Primary {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	var primaries []*wire.Primary
+	for _, primary := range book.primaries {
+		primaries = append(primaries, primary)
+	}
+	sort.Slice(primaries, func(one, other int) bool { return primaries[one].Group < primaries[other].Group })
+	return primaries
+}
+
+// Leader is the name that leads a group, or nothing.
+func (book *Book) Leader(group string) string {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	if primary := book.primaries[group]; primary != nil {
+		return primary.Name
+	}
+	return ""
+}
+
+// Known lists every address, best first within a name.
+func (book *Book) Known() []*wire.PeerAddress {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	var peers []*wire.PeerAddress
+	for name, addresses := range book.known {
+		for _, address := range addresses {
+			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name]})
+		}
+	}
+	sort.SliceStable(peers, func(one, other int) bool { return peers[one].Name < peers[other].Name })
+	return peers
+}
+
+// Members lists the names of a group.
+func (book *Book) Members(group string) []string {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	var names []string
+	for name := range book.known {
+		if book.groups[name] == group {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Address is where a name is tried next.
+func (book *Book) Address(name string) string {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	if addresses := book.known[name]; len(addresses) > 0 {
+		return addresses[0]
+	}
+	return ""
+}
+
+// Call sends to a name. When its address turns out not to be it, the next address is taken for the next call.
+func (book *Book) Call(name string, kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	address := book.Address(name)
+	if address == "" {
+		return seal.Unreachable.New("no address known for %s", name)
+	}
+	err := book.place.Call(address, kind, ask, tell, patience)
+	if err != nil {
+		book.lock.Lock()
+		if addresses := book.known[name]; len(addresses) > 1 && addresses[0] == address {
+			book.known[name] = append(append([]string(nil), addresses[1:]...), address)
+		}
+		book.lock.Unlock()
+	}
+	return err
+}
+
+// Register adds the answer to "who is the core now".
+func (book *Book) Register(table office.Table) {
+	office.Handle(table, wire.Kind_whois, func(ask *wire.WhoisAsk) (*wire.WhoisTell, error) {
+		book.Learn(ask.Known)
+		return &wire.WhoisTell{Known: book.Known(), Primaries: book.Primaries()}, nil
+	})
+}
+
+// Roam keeps asking seeds and known processes who the core is. It never returns.
+func (book *Book) Roam(pause postmark.Micros) {
+	for {
+		book.Ask()
+		book.place.Sleep(pause + postmark.Micros(book.place.Random()%uint64(pause/4+1)))
+	}
+}
+
+// Ask asks the next seed or known address once.
+func (book *Book) Ask() {
+	targets := append([]string(nil), book.seeds...)
+	for _, peer := range book.Known() {
+		if (book.own == nil || peer.Name != book.own.Name) && !contains(targets, peer.Address) {
+			targets = append(targets, peer.Address)
+		}
+	}
+	if len(targets) == 0 {
+		return
+	}
+	book.lock.Lock()
+	target := targets[book.turn%len(targets)]
+	book.turn++
+	book.lock.Unlock()
+	var own []*wire.PeerAddress
+	if book.own != nil {
+		own = []*wire.PeerAddress{book.own}
+	}
+	tell := &wire.WhoisTell{}
+	if book.place.Call(target, wire.Kind_whois, &wire.WhoisAsk{Known: own}, tell, 500*postmark.Millisecond) == nil {
+		book.Learn(tell.Known)
+		book.Hint(tell.Primaries)
+	}
+}
