--- /dev/null
+++ b/internal/house/house.go
@@ -0,0 +1,240 @@
+// Package house puts a daemon together: settings, events, office, listeners under a supervisor, and a planned stop.
+package house
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/spf13/cobra"
+	"github.com/thejerf/suture/v4"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/env"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/office/machine"
+	"snowflow/internal/parcel/frame"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/strongbox"
+	"snowflow/internal/strongbox/folder"
+)
+
+// Release is this build's version.
+const Release = "0.1.0"
+
+// House is a daemon being put together. Invariant: cleanups unwind last first, once.
+type House struct {
+	Program  string
+	Values   env.Values
+	Board    *bulletin.Board
+	Place    *machine.Machine
+	Book     *gazetteer.Book
+	Table    office.Table
+	Registry *prometheus.Registry
+	// Drain is called at a planned stop, before the listeners close.
+	Drain func()
+
+	supervisor *suture.Supervisor
+	cleanups   []func()
+	faults     chan string
+	stops      chan os.Signal
+}
+
+// Defer adds a clean-up.
+func (house *House) Defer(cleanup func()) { house.cleanups = append(house.cleanups, cleanup) }
+
+func (house *House) unwind() {
+	for len(house.cleanups) > 0 {
+		last := house.cleanups[len(house.cleanups)-1]
+		house.cleanups = house.cleanups[:len(house.cleanups)-1]
+		last()
+	}
+}
+
+// Command makes a daemon's command line. Bad settings end with exit code 2, a failed start with 1.
+func Command(program, short string, fields []env.Field, group string, build func(house *House) error) *cobra.Command {
+	command := &cobra.Command{
+		Use: program, Short: short, Args: cobra.NoArgs, Version: fmt.Sprintf("%s (wire version %d)", Release, frame.Version),
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	env.Flags(command.Flags(), fields)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		values, err := env.Load(command.Flags(), fields)
+		if err != nil {
+			return &BadUse{err}
+		}
+		return run(program, group, values, build)
+	}
+	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &BadUse{err} })
+	return command
+}
+
+// BadUse marks errors of whoever started the program: exit code 2.
+type BadUse struct{ error }
+
+// Unwrap gives the error itself.
+func (use *BadUse) Unwrap() error { return use.error }
+
+// Main runs a command and ends the process with its exit code.
+func Main(command *cobra.Command) {
+	err := command.Execute()
+	if err == nil {
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if use := new(BadUse); errors.As(err, &use) {
+		os.Exit(2)
+	}
+	os.Exit(1)
+}
+
+func run(program, group string, values env.Values, build func(house *House) error) error {
+	board, err := bulletin.NewBoard(program, values["name"], values["log"])
+	if err != nil {
+		return err
+	}
+	house := &House{Program: program, Values: values, Board: board, Table: office.Table{}, Registry: prometheus.NewRegistry(),
+		faults: make(chan string, 4), stops: make(chan os.Signal, 4), supervisor: suture.New(program, suture.Spec{})}
+	defer house.unwind()
+	house.Defer(board.Close)
+	var disk strongbox.Disk
+	if path := values["data"]; path != "" {
+		held, err := folder.Open(path)
+		if err != nil {
+			return err
+		}
+		house.Defer(func() { _ = held.Close() })
+		disk = held
+	}
+	house.Place = machine.New(disk, board, house.fail)
+	house.Place.From(values["listen"])
+	advertised := values["advertise"]
+	if advertised == "" {
+		advertised = values["listen"]
+	}
+	house.Values["advertise"] = advertised
+	var own *wire.PeerAddress
+	if group != "" {
+		own = &wire.PeerAddress{Name: values["name"], Address: advertised, Group: group}
+	}
+	house.Book = gazetteer.New(house.Place, own, values.List("seeds"))
+	house.Book.Register(house.Table)
+	house.countEvents()
+	if err := build(house); err != nil {
+		return err
+	}
+	return house.serve()
+}
+
+// fail ends the process after trouble that it must not go on with. Nothing is drained: the caller's state is in doubt.
+func (house *House) fail(why string) {
+	select {
+	case house.faults <- why:
+	default:
+	}
+	// A stuck main task must not keep a process alive that has to stop.
+	time.AfterFunc(2*time.Second, func() { os.Exit(3) })
+}
+
+func (house *House) countEvents() {
+	house.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(processOptions))
+	house.Registry.MustRegister(&eventCounter{board: house.Board}, &peerCounter{place: house.Place})
+}
+
+// HTTP adds an HTTP listener.
+func (house *House) HTTP(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	house.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return suture.ErrDoNotRestart
+	})
+	house.Defer(func() {
+		limit, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.Shutdown(limit)
+		_ = server.Close()
+	})
+	return nil
+}
+
+type service func() error
+
+func (service service) Serve(context.Context) error { return service() }
+
+// Add puts a task under the supervisor.
+func (house *House) Add(task func() error) { house.supervisor.Add(service(task)) }
+
+func (house *House) serve() error {
+	listener, err := net.Listen("tcp", house.Values["listen"])
+	if err != nil {
+		return err
+	}
+	house.Defer(func() { _ = listener.Close() })
+	house.Add(func() error {
+		if err := house.Place.Serve(listener, house.Table); err != nil {
+			return err
+		}
+		return suture.ErrDoNotRestart
+	})
+	house.Add(func() error { house.Book.Roam(postmark.Second); return nil })
+	house.Add(func() error { house.watchFreezes(); return nil })
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	house.supervisor.ServeBackground(running)
+	house.Place.Report(bulletin.ProcessStarted, map[string]any{"release": Release, "wire": frame.Version, "listen": house.Values["listen"], "process": os.Getpid()})
+	signal.Notify(house.stops, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-house.stops:
+		if house.Drain != nil {
+			house.Drain()
+		}
+		return nil
+	case why := <-house.faults:
+		return errors.New(why)
+	}
+}
+
+// Stop begins a planned stop, as SIGTERM does.
+func (house *House) Stop() {
+	select {
+	case house.stops <- syscall.SIGTERM:
+	default:
+	}
+}
+
+// watchFreezes reports when this process stood still. Decisions need no help: every one compares with the clock anew.
+func (house *House) watchFreezes() {
+	last := house.Place.Now()
+	for {
+		house.Place.Sleep(200 * postmark.Millisecond)
+		now := house.Place.Now()
+		if now-last > 1200*postmark.Millisecond {
+			house.Place.Report(bulletin.Frozen, map[string]any{"micros": int64(now - last)})
+		}
+		last = now
+	}
+}
+
+// Metrics serves the registry in the Prometheus text format.
+func (house *House) Metrics() http.Handler {
+	return promhttp.HandlerFor(house.Registry, promhttp.HandlerOpts{})
+}
+
+// Misused marks an error as its starter's, exit code 2.
+func Misused(err error) error { return &BadUse{err} }
--- /dev/null
+++ b/internal/house/metrics.go
@@ -0,0 +1,61 @@
+package house
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/office/machine"
+)
+
+var processOptions = collectors.ProcessCollectorOpts{}
+
+// eventCounter shows how often each numbered event happened.
+type eventCounter struct{ board *bulletin.Board }
+
+var eventsDescription = prometheus.NewDesc("snowflow_events_total", "Events by their number in the catalogue.", []string{"event"}, nil)
+
+func (counter *eventCounter) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- eventsDescription
+}
+
+func (counter *eventCounter) Collect(metrics chan<- prometheus.Metric) {
+	for number, count := range counter.board.Counts() {
+		metrics <- prometheus.MustNewConstMetric(eventsDescription, prometheus.CounterValue, float64(count), strconv.Itoa(number))
+	}
+}
+
+// peerCounter shows the bytes exchanged with each process called.
+type peerCounter struct{ place *machine.Machine }
+
+var (
+	sentDescription     = prometheus.NewDesc("snowflow_peer_sent_bytes_total", "Bytes of calls sent, by address.", []string{"address"}, nil)
+	receivedDescription = prometheus.NewDesc("snowflow_peer_received_bytes_total", "Bytes of replies received, by address.", []string{"address"}, nil)
+)
+
+func (counter *peerCounter) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- sentDescription
+	descriptions <- receivedDescription
+}
+
+func (counter *peerCounter) Collect(metrics chan<- prometheus.Metric) {
+	for address, totals := range counter.place.Traffic() {
+		metrics <- prometheus.MustNewConstMetric(sentDescription, prometheus.CounterValue, float64(totals[0]), address)
+		metrics <- prometheus.MustNewConstMetric(receivedDescription, prometheus.CounterValue, float64(totals[1]), address)
+	}
+}
+
+// Gauge is one figure read when it's asked for.
+type Gauge struct {
+	Name, Help string
+	Read       func() float64
+}
+
+// Gauges registers figures.
+func (house *House) Gauges(gauges []Gauge) {
+	for _, gauge := range gauges {
+		house.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.Name, Help: gauge.Help}, gauge.Read))
+	}
+}
--- /dev/null
+++ b/internal/office/machine/machine.go
@@ -0,0 +1,87 @@
+// Package machine is the office on a real machine: goroutines, the monotonic clock, framed TCP and a locked folder.
+package machine
+
+import (
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/office"
+	"snowflow/internal/postmark"
+	"snowflow/internal/strongbox"
+)
+
+// Machine is the real office of one process.
+type Machine struct {
+	*postmark.Machine
+	*Peers
+	disk     strongbox.Disk
+	bulletin *bulletin.Board
+	stop     func(why string)
+}
+
+// New makes an office. disk may be nil where a process keeps nothing.
+func New(disk strongbox.Disk, board *bulletin.Board, stop func(why string)) *Machine {
+	machine := &Machine{Machine: postmark.NewMachine(), disk: disk, bulletin: board, stop: stop}
+	machine.Peers = newPeers(machine)
+	return machine
+}
+
+// Sleep waits.
+func (machine *Machine) Sleep(span postmark.Micros) { time.Sleep(span.Duration()) }
+
+// Go starts a task.
+func (machine *Machine) Go(task func()) { go task() }
+
+// Random gives 64 random bits.
+func (machine *Machine) Random() uint64 { return rand.Uint64() }
+
+// Disk is the data folder.
+func (machine *Machine) Disk() strongbox.Disk { return machine.disk }
+
+// Report publishes a numbered event.
+func (machine *Machine) Report(number int, fields map[string]any) {
+	machine.bulletin.Post(number, fields)
+}
+
+// Stop ends the process.
+func (machine *Machine) Stop(why string) {
+	machine.Report(bulletin.ProcessStopped, map[string]any{"why": why})
+	if machine.stop != nil {
+		machine.stop(why)
+		return
+	}
+	os.Exit(3)
+}
+
+type signal struct{ channel chan struct{} }
+
+// NewSignal makes a signal.
+func (machine *Machine) NewSignal() office.Signal { return &signal{channel: make(chan struct{}, 1)} }
+
+func (signal *signal) Fire() {
+	select {
+	case signal.channel <- struct{}{}:
+	default:
+	}
+}
+
+func (signal *signal) Wait(patience postmark.Micros) bool {
+	select {
+	case <-signal.channel:
+		return true
+	default:
+	}
+	if patience <= 0 {
+		return false
+	}
+	timer := time.NewTimer(patience.Duration())
+	defer timer.Stop()
+	select {
+	case <-signal.channel:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/office/machine/peers.go
@@ -0,0 +1,268 @@
+package machine
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/atomic"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/frame"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// frameLimit bounds one message between processes.
+const frameLimit = 64 << 20
+
+// Peers holds this process's connections to others, one per address.
+// Invariant: a link in links is either being dialled or was open when it was last looked at.
+type Peers struct {
+	machine *Machine
+	lock    sync.Mutex
+	links   map[string]*link
+	counts  map[string]*traffic
+	from    net.Addr // the own number that connections go out from; nil leaves it to the system
+}
+
+type traffic struct{ sent, received atomic.Uint64 }
+
+// link is one outgoing connection. Its dial happens once; waiting callers share it.
+type link struct {
+	address    string
+	dialled    chan struct{}
+	dialError  error
+	connection net.Conn
+	writing    sync.Mutex
+	lock       sync.Mutex
+	pending    map[uint64]chan frame.Frame
+	next       uint64
+	closed     bool
+	heard      atomic.Int64
+	counts     *traffic
+}
+
+func newPeers(machine *Machine) *Peers {
+	return &Peers{machine: machine, links: map[string]*link{}, counts: map[string]*traffic{}}
+}
+
+// From makes connections go out from the host of an own address.
+func (peers *Peers) From(address string) {
+	host, _, _ := net.SplitHostPort(address)
+	if number := net.ParseIP(host); number != nil && !number.IsUnspecified() {
+		peers.from = &net.TCPAddr{IP: number}
+	}
+}
+
+// Traffic tells the bytes exchanged with each address this process called.
+func (peers *Peers) Traffic() map[string][2]uint64 {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	totals := map[string][2]uint64{}
+	for address, counts := range peers.counts {
+		totals[address] = [2]uint64{counts.sent.Load(), counts.received.Load()}
+	}
+	return totals
+}
+
+func (peers *Peers) link(address string, patience time.Duration) *link {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	if present := peers.links[address]; present != nil {
+		return present
+	}
+	counts := peers.counts[address]
+	if counts == nil {
+		counts = &traffic{}
+		peers.counts[address] = counts
+	}
+	fresh := &link{address: address, dialled: make(chan struct{}), pending: map[uint64]chan frame.Frame{}, counts: counts}
+	peers.links[address] = fresh
+	go peers.dial(fresh, min(patience, 2*time.Second))
+	return fresh
+}
+
+func (peers *Peers) dial(link *link, patience time.Duration) {
+	dialer := net.Dialer{Timeout: max(patience, 50*time.Millisecond), LocalAddr: peers.from}
+	connection, err := dialer.Dial("tcp", link.address)
+	if err != nil {
+		link.dialError = err
+		peers.drop(link)
+		close(link.dialled)
+		return
+	}
+	link.connection = connection
+	link.heard.Store(int64(peers.machine.Now()))
+	close(link.dialled)
+	reader := bufio.NewReaderSize(connection, 64<<10)
+	for {
+		incoming, err := frame.Read(reader, frameLimit)
+		if err != nil {
+			if errors.Is(err, frame.ErrMalformed) {
+				peers.machine.Report(bulletin.MalformedFrame, map[string]any{"address": link.address, "error": err.Error()})
+			}
+			peers.drop(link)
+			return
+		}
+		link.counts.received.Add(uint64(len(incoming.Content) + 28))
+		link.heard.Store(int64(peers.machine.Now()))
+		link.lock.Lock()
+		waiter := link.pending[incoming.Number]
+		delete(link.pending, incoming.Number)
+		link.lock.Unlock()
+		if waiter != nil {
+			waiter <- incoming
+		}
+	}
+}
+
+// drop forgets a link and wakes all who wait on it.
+func (peers *Peers) drop(link *link) {
+	peers.lock.Lock()
+	if peers.links[link.address] == link {
+		delete(peers.links, link.address)
+	}
+	peers.lock.Unlock()
+	link.lock.Lock()
+	defer link.lock.Unlock()
+	if link.closed {
+		return
+	}
+	link.closed = true
+	if link.connection != nil {
+		_ = link.connection.Close()
+	}
+	for _, waiter := range link.pending {
+		close(waiter)
+	}
+	link.pending = nil
+}
+
+// Call sends a request and waits for its reply.
+func (peers *Peers) Call(address string, kind wire.Kind, request, reply proto.Message, patience postmark.Micros) error {
+	if address == "" {
+		return seal.Unreachable.New("no address")
+	}
+	started := peers.machine.Now()
+	timer := time.NewTimer(patience.Duration())
+	defer timer.Stop()
+	link := peers.link(address, patience.Duration())
+	select {
+	case <-link.dialled:
+	case <-timer.C:
+		return seal.Unreachable.New("dialling %s took too long", address)
+	}
+	if link.dialError != nil {
+		return seal.Unreachable.Wrap(link.dialError, "dialling %s", address)
+	}
+	content, err := proto.Marshal(request)
+	if err != nil {
+		return seal.Invalid.Wrap(err, "encoding %s", kind)
+	}
+	waiter := make(chan frame.Frame, 1)
+	link.lock.Lock()
+	if link.closed {
+		link.lock.Unlock()
+		return seal.Unreachable.New("connection to %s had ended", address)
+	}
+	link.next++
+	number := link.next
+	link.pending[number] = waiter
+	link.lock.Unlock()
+	encoded := frame.Append(make([]byte, 0, len(content)+32), frame.Frame{Kind: kind, Number: number, Content: content})
+	link.writing.Lock()
+	_ = link.connection.SetWriteDeadline(time.Now().Add(patience.Duration()))
+	_, err = link.connection.Write(encoded)
+	link.writing.Unlock()
+	link.counts.sent.Add(uint64(len(encoded)))
+	if err != nil {
+		peers.drop(link)
+		return seal.Lost.Wrap(err, "writing to %s", address)
+	}
+	select {
+	case incoming, open := <-waiter:
+		if !open {
+			return seal.Lost.New("connection to %s ended", address)
+		}
+		if incoming.Flags&frame.Fault != 0 {
+			return seal.Refused.New("%s: %s", address, incoming.Content)
+		}
+		if incoming.Kind != kind {
+			peers.drop(link)
+			return seal.Lost.New("%s answered %s with %s", address, kind, incoming.Kind)
+		}
+		if err := proto.Unmarshal(incoming.Content, reply); err != nil {
+			return seal.Lost.Wrap(err, "decoding %s", kind)
+		}
+		return nil
+	case <-timer.C:
+		link.lock.Lock()
+		delete(link.pending, number)
+		link.lock.Unlock()
+		// Nothing at all was heard since the request went out: the connection may be dead, so the next call dials anew.
+		if link.heard.Load() < int64(started) {
+			peers.drop(link)
+		}
+		return seal.Lost.New("no answer from %s within %v", address, patience.Duration())
+	}
+}
+
+// Serve answers requests on a listener until it's closed.
+func (peers *Peers) Serve(listener net.Listener, table office.Table) error {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		go peers.answer(connection, table)
+	}
+}
+
+func (peers *Peers) answer(connection net.Conn, table office.Table) {
+	defer connection.Close()
+	reader := bufio.NewReaderSize(connection, 64<<10)
+	var writing sync.Mutex
+	for {
+		incoming, err := frame.Read(reader, frameLimit)
+		if err == nil && (table[incoming.Kind] == nil || incoming.Flags&frame.Reply != 0) {
+			err = frame.ErrMalformed
+		}
+		if err != nil {
+			if errors.Is(err, frame.ErrMalformed) {
+				peers.machine.Report(bulletin.MalformedFrame, map[string]any{"address": connection.RemoteAddr().String(), "error": err.Error(), "kind": int(incoming.Kind)})
+			} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				peers.machine.Report(bulletin.ConnectionLost, map[string]any{"address": connection.RemoteAddr().String(), "error": err.Error()})
+			}
+			return
+		}
+		go func() {
+			outgoing := frame.Frame{Kind: incoming.Kind, Flags: frame.Reply, Number: incoming.Number}
+			reply, err := table[incoming.Kind](incoming.Content)
+			if err == nil {
+				outgoing.Content, err = proto.Marshal(reply)
+			}
+			if err != nil {
+				outgoing.Flags |= frame.Fault
+				outgoing.Content = []byte(err.Error())
+			}
+			encoded := frame.Append(make([]byte, 0, len(outgoing.Content)+32), outgoing)
+			writing.Lock()
+			defer writing.Unlock()
+			_ = connection.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			if _, err := connection.Write(encoded); err != nil {
+				_ = connection.Close()
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/postmaster/door/door.go
@@ -0,0 +1,224 @@
+// Package door is the operators' HTTP door. Any postmaster has it; what needs the primary is passed on to it.
+package door
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/franking"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster"
+	"snowflow/internal/postmaster/ledger"
+	"snowflow/internal/seal"
+)
+
+// Names of the headers and query words that operators use.
+const (
+	ExpectedQuery = "expected"
+	RequestQuery  = "request"
+)
+
+type door struct {
+	place office.Office
+	book  *gazetteer.Book
+}
+
+// Applied is the answer to an apply.
+type Applied struct {
+	Outcome string   `json:"outcome"`
+	Serial  uint64   `json:"serial"`
+	Digest  string   `json:"digest,omitempty"`
+	Request string   `json:"request,omitempty"`
+	Faults  []string `json:"faults,omitempty"`
+}
+
+// Kept is one accepted state.
+type Kept struct {
+	Serial  uint64          `json:"serial"`
+	Digest  string          `json:"digest"`
+	Request string          `json:"request,omitempty"`
+	Content json.RawMessage `json:"content,omitempty"`
+}
+
+func write(writer http.ResponseWriter, status int, content any) {
+	writer.Header().Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable {
+		writer.Header().Set("Retry-After", "2")
+	}
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(content)
+}
+
+// New makes the handler.
+func New(place office.Office, book *gazetteer.Book, metrics http.Handler, status func() any) http.Handler {
+	door := &door{place: place, book: book}
+	router := chi.NewRouter()
+	router.Put("/desired-state", door.apply)
+	router.Post("/desired-state/check", door.check)
+	router.Get("/desired-state", func(writer http.ResponseWriter, _ *http.Request) { door.read(writer, 0) })
+	router.Get("/desired-state/{serial}", func(writer http.ResponseWriter, incoming *http.Request) {
+		serial, err := strconv.ParseUint(chi.URLParam(incoming, "serial"), 10, 64)
+		if err != nil || serial == 0 {
+			write(writer, http.StatusBadRequest, map[string]string{"error": "the serial must be a number from 1"})
+			return
+		}
+		door.read(writer, serial)
+	})
+	router.Get("/history", door.history)
+	router.Get("/status", func(writer http.ResponseWriter, _ *http.Request) { write(writer, http.StatusOK, door.status()) })
+	router.Get("/local", func(writer http.ResponseWriter, _ *http.Request) { write(writer, http.StatusOK, status()) })
+	router.Get("/live", func(writer http.ResponseWriter, _ *http.Request) {
+		write(writer, http.StatusOK, map[string]bool{"live": true})
+	})
+	router.Get("/ready", func(writer http.ResponseWriter, _ *http.Request) {
+		if leader := book.Leader(postmaster.Group); leader == "" {
+			write(writer, http.StatusServiceUnavailable, map[string]any{"ready": false, "why": "no primary is known"})
+			return
+		}
+		write(writer, http.StatusOK, map[string]bool{"ready": true})
+	})
+	router.Handle("/metrics", metrics)
+	return router
+}
+
+// primary asks the primary postmaster, again after a failover. Only asks that may be repeated go this way.
+func (door *door) primary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	cutoff := door.place.Now() + patience
+	var err error = seal.Unreachable.New("no primary postmaster is known")
+	for door.place.Now() < cutoff {
+		if leader := door.book.Leader(postmaster.Group); leader != "" {
+			if err = door.book.Call(leader, kind, ask, tell, cutoff-door.place.Now()); err == nil {
+				return nil
+			}
+		}
+		door.book.Ask()
+		door.place.Sleep(100 * postmark.Millisecond)
+	}
+	return err
+}
+
+var statuses = map[string]int{ledger.Accepted: http.StatusOK, ledger.Conflict: http.StatusPreconditionFailed, ledger.Invalid: http.StatusBadRequest}
+
+func (door *door) apply(writer http.ResponseWriter, incoming *http.Request) {
+	content, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, franking.Longest))
+	if err != nil {
+		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: ledger.Invalid, Faults: []string{err.Error()}})
+		return
+	}
+	query := incoming.URL.Query()
+	ask := &wire.DesiredApplyAsk{Content: content, Request: query.Get(RequestQuery)}
+	if ask.Request == "" {
+		ask.Request = uuid.NewString()
+	}
+	switch expected := query.Get(ExpectedQuery); expected {
+	case "":
+		write(writer, http.StatusBadRequest, Applied{Outcome: ledger.Invalid, Faults: []string{"expected: the serial that this state follows must be named, or any"}})
+		return
+	case "any":
+		ask.AnySerial = true
+	default:
+		if ask.ExpectedSerial, err = strconv.ParseUint(expected, 10, 64); err != nil {
+			write(writer, http.StatusBadRequest, Applied{Outcome: ledger.Invalid, Faults: []string{"expected: " + err.Error()}})
+			return
+		}
+	}
+	tell := &wire.DesiredApplyTell{}
+	if err := door.primary(wire.Kind_desired_apply, ask, tell, 20*postmark.Second); err != nil {
+		write(writer, http.StatusServiceUnavailable, Applied{Outcome: "unknown", Request: ask.Request,
+			Faults: []string{"whether it was accepted is not known; apply it again with the same request id: " + err.Error()}})
+		return
+	}
+	write(writer, statuses[tell.Outcome], Applied{Outcome: tell.Outcome, Serial: tell.Serial, Digest: tell.Digest, Request: ask.Request, Faults: tell.Faults})
+}
+
+func (door *door) check(writer http.ResponseWriter, incoming *http.Request) {
+	content, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, franking.Longest))
+	if err != nil {
+		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: ledger.Invalid, Faults: []string{err.Error()}})
+		return
+	}
+	if _, faults := franking.Parse(content); len(faults) > 0 {
+		applied := Applied{Outcome: ledger.Invalid}
+		for _, fault := range faults {
+			applied.Faults = append(applied.Faults, fault.String())
+		}
+		write(writer, http.StatusBadRequest, applied)
+		return
+	}
+	write(writer, http.StatusOK, Applied{Outcome: "valid", Digest: franking.Digest(content)})
+}
+
+func (door *door) read(writer http.ResponseWriter, serial uint64) {
+	tell := &wire.DesiredReadTell{}
+	if err := door.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: serial}, tell, 5*postmark.Second); err != nil {
+		write(writer, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
+		return
+	}
+	if !tell.Found {
+		write(writer, http.StatusNotFound, map[string]string{"error": "no such serial"})
+		return
+	}
+	kept := tell.States[0]
+	write(writer, http.StatusOK, Kept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request, Content: kept.Content})
+}
+
+func (door *door) history(writer http.ResponseWriter, _ *http.Request) {
+	tell := &wire.DesiredReadTell{}
+	if err := door.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 5*postmark.Second); err != nil {
+		write(writer, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
+		return
+	}
+	history := []Kept{}
+	for _, kept := range tell.States {
+		history = append(history, Kept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request})
+	}
+	write(writer, http.StatusOK, history)
+}
+
+// Overview is the whole core as one postmaster sees it.
+type Overview struct {
+	Postmasters map[string]json.RawMessage `json:"postmasters"`
+	Sorters     map[string]json.RawMessage `json:"sorters"`
+	Missing     map[string]string          `json:"missing"`
+	Addresses   []*wire.PeerAddress        `json:"addresses"`
+}
+
+// status asks every core process how it stands.
+func (door *door) status() Overview {
+	overview := Overview{Postmasters: map[string]json.RawMessage{}, Sorters: map[string]json.RawMessage{}, Missing: map[string]string{}, Addresses: door.book.Known()}
+	kinds := []struct {
+		group string
+		kind  wire.Kind
+		into  map[string]json.RawMessage
+	}{{"postmaster", wire.Kind_postmaster_status, overview.Postmasters}, {"sorter", wire.Kind_sorter_status, overview.Sorters}}
+	for _, asked := range kinds {
+		members := door.book.Members(asked.group)
+		replies := office.Gather(door.place, members, 2*postmark.Second, func(name string) (*wire.StatusTell, error) {
+			tell := &wire.StatusTell{}
+			return tell, door.book.Call(name, asked.kind, &wire.StatusAsk{}, tell, 1500*postmark.Millisecond)
+		}, func(map[string]*wire.StatusTell, int) bool { return false })
+		for _, name := range members {
+			if reply := replies[name]; reply != nil {
+				asked.into[name] = reply.Json
+			} else {
+				overview.Missing[asked.group+" "+name] = "no answer"
+			}
+		}
+	}
+	return overview
+}
+
+// Server makes the HTTP server for the door.
+func Server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: 60 * time.Second}
+}
--- /dev/null
+++ b/internal/postmaster/postmaster.go
@@ -0,0 +1,333 @@
+// Package postmaster is the store of desired states. It acknowledges one only when no carrier can still be serving by
+// an older one much longer.
+package postmaster
+
+import (
+	"encoding/json"
+	"errors"
+	"sort"
+	"strconv"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/countersign"
+	"snowflow/internal/franking"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster/ledger"
+	"snowflow/internal/seal"
+)
+
+// Group is the postmasters' name as a group.
+const Group = "postmaster"
+
+const (
+	// Tenure is how long a carrier may serve by what it last heard, counted from before its poll.
+	Tenure = 6 * postmark.Second
+	// Slack is what may be left of an unheard carrier's tenure when a desired state is acknowledged: less than the
+	// 2 s that are promised.
+	Slack = 1500 * postmark.Millisecond
+	// pollHold is how long a poll is held open for news.
+	pollHold = postmark.Second
+)
+
+// Env is what a postmaster is made of.
+type Env struct {
+	Place  office.Office
+	Book   *gazetteer.Book
+	Name   string
+	Voters []string
+	Adjust func(*countersign.Env)
+	// Kept is told every desired state this process comes to hold as primary; it must not block.
+	Kept func(*wire.DesiredKept)
+}
+
+// Postmaster is one store process.
+type Postmaster struct {
+	env    Env
+	Member *countersign.Member
+	ledger *ledger.Ledger
+
+	lock    sync.Mutex
+	holders map[string]*holder
+	waiters map[uint64]office.Signal
+	turn    uint64
+	// ackFrom is the moment from which no tenure that an earlier primary gave has more than Slack left.
+	ackFrom postmark.Micros
+	epoch   uint64
+}
+
+// holder is one carrier's tenure. Invariant: until is no earlier than the end the carrier itself counts with.
+type holder struct {
+	name    string
+	adopted uint64
+	until   postmark.Micros
+}
+
+// Open reads the disk.
+func Open(env Env) (*Postmaster, error) {
+	master := &Postmaster{env: env, ledger: ledger.New(), holders: map[string]*holder{}, waiters: map[uint64]office.Signal{}}
+	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
+		Machine: master.ledger, Settled: master.settled}
+	if env.Adjust != nil {
+		env.Adjust(&core)
+	}
+	member, err := countersign.Open(core)
+	master.Member = member
+	return master, err
+}
+
+// Start begins work.
+func (master *Postmaster) Start() { master.Member.Start() }
+
+// settled is called when this process starts answering. Only after a takeover may strangers hold tenures.
+func (master *Postmaster) settled(epoch uint64, _ postmark.Micros) {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	if master.epoch == 0 || epoch != master.epoch+1 {
+		master.ackFrom = master.env.Place.Now() + Tenure - Slack
+	}
+	master.epoch = epoch
+}
+
+// Register adds the postmaster's handlers.
+func (master *Postmaster) Register(table office.Table) {
+	master.Member.Register(table)
+	office.Handle(table, wire.Kind_desired_poll, master.Poll)
+	office.Handle(table, wire.Kind_desired_apply, master.Apply)
+	office.Handle(table, wire.Kind_desired_read, master.ReadBack)
+	office.Handle(table, wire.Kind_postmaster_status, func(*wire.StatusAsk) (*wire.StatusTell, error) {
+		content, err := json.Marshal(master.Status())
+		return &wire.StatusTell{Json: content}, err
+	})
+}
+
+// Poll renews a carrier's tenure, with the newest desired state if the carrier hasn't got it. It waits a while for news.
+func (master *Postmaster) Poll(ask *wire.DesiredPollAsk) (*wire.DesiredPollTell, error) {
+	place := master.env.Place
+	master.adopted(ask)
+	cutoff := place.Now() + pollHold
+	for {
+		tell := &wire.DesiredPollTell{Primaries: master.env.Book.Primaries(), Tenure: int64(Tenure)}
+		tell.Primary = master.Member.Read(func(epoch uint64, _ postmark.Micros) {
+			tell.Epoch, tell.Serial = epoch, master.ledger.Serial()
+			if newest := master.ledger.Newest(); newest != nil && newest.Serial != ask.Have {
+				tell.Content = newest.Content
+			}
+			// Noted under the same look that read the serial: an apply that comes later waits for this tenure.
+			master.grant(ask)
+		})
+		if !tell.Primary {
+			return &wire.DesiredPollTell{Primaries: tell.Primaries}, nil
+		}
+		remaining := cutoff - place.Now()
+		if tell.Serial != ask.Have || ask.First || remaining <= 0 {
+			return tell, nil
+		}
+		master.await(remaining)
+	}
+}
+
+func holderKey(ask *wire.DesiredPollAsk) string {
+	return ask.Carrier + "/" + strconv.FormatUint(ask.Incarnation, 16)
+}
+
+func (master *Postmaster) adopted(ask *wire.DesiredPollAsk) {
+	master.lock.Lock()
+	if present := master.holders[holderKey(ask)]; present != nil {
+		present.adopted = max(present.adopted, ask.Have)
+	}
+	master.lock.Unlock()
+	master.wake()
+}
+
+func (master *Postmaster) grant(ask *wire.DesiredPollAsk) {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	key := holderKey(ask)
+	if master.holders[key] == nil {
+		master.holders[key] = &holder{name: ask.Carrier}
+	}
+	present := master.holders[key]
+	present.adopted, present.until = max(present.adopted, ask.Have), master.env.Place.Now()+Tenure
+}
+
+// await waits until something about tenures or serials changed.
+func (master *Postmaster) await(patience postmark.Micros) {
+	signal := master.env.Place.NewSignal()
+	master.lock.Lock()
+	master.turn++
+	turn := master.turn
+	master.waiters[turn] = signal
+	master.lock.Unlock()
+	signal.Wait(patience)
+	master.lock.Lock()
+	delete(master.waiters, turn)
+	master.lock.Unlock()
+}
+
+func (master *Postmaster) wake() {
+	master.lock.Lock()
+	turns := make([]uint64, 0, len(master.waiters))
+	for turn := range master.waiters {
+		turns = append(turns, turn)
+	}
+	sort.Slice(turns, func(one, other int) bool { return turns[one] < turns[other] })
+	signals := make([]office.Signal, 0, len(turns))
+	for _, turn := range turns {
+		signals = append(signals, master.waiters[turn])
+	}
+	master.lock.Unlock()
+	for _, signal := range signals {
+		signal.Fire()
+	}
+}
+
+// behind names the carriers that may still serve by an older serial for longer than Slack.
+func (master *Postmaster) behind(serial uint64) (names []string, wait postmark.Micros) {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	now := master.env.Place.Now()
+	for key, present := range master.holders {
+		if now >= present.until {
+			delete(master.holders, key)
+			continue
+		}
+		if present.adopted < serial && present.until-now > Slack {
+			names = append(names, present.name)
+			wait = max(wait, present.until-now-Slack)
+		}
+	}
+	if master.ackFrom > now {
+		names = append(names, "(tenures of an earlier primary)")
+		wait = max(wait, master.ackFrom-now)
+	}
+	sort.Strings(names)
+	return names, wait
+}
+
+// ErrUnacknowledged: the desired state may have been accepted. Asking again with the same request id is harmless.
+var ErrUnacknowledged = errors.New("postmaster: outcome unknown, ask again with the same request id")
+
+// Apply checks a desired state, has it kept in two copies, and waits until it's in force everywhere.
+func (master *Postmaster) Apply(ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
+	if _, faults := franking.Parse(ask.Content); len(faults) > 0 {
+		tell := &wire.DesiredApplyTell{Outcome: ledger.Invalid}
+		for _, fault := range faults {
+			tell.Faults = append(tell.Faults, fault.String())
+		}
+		master.env.Place.Report(bulletin.DesiredRefused, map[string]any{"faults": tell.Faults})
+		return tell, nil
+	}
+	content, err := proto.Marshal(&wire.DesiredCommand{Apply: ask})
+	if err != nil {
+		return nil, err
+	}
+	answer, err := master.Member.Propose(content)
+	if errors.Is(err, countersign.ErrNotPrimary) {
+		return nil, seal.Refused.New("not the primary")
+	}
+	if err != nil {
+		return nil, ErrUnacknowledged
+	}
+	tell := &wire.DesiredApplyTell{}
+	if err := proto.Unmarshal(answer, tell); err != nil {
+		return nil, err
+	}
+	if tell.Outcome != ledger.Accepted {
+		return tell, nil
+	}
+	if master.env.Kept != nil {
+		master.Member.Read(func(uint64, postmark.Micros) { master.env.Kept(master.ledger.Find(tell.Serial)) })
+	}
+	master.env.Place.Report(bulletin.DesiredAccepted, map[string]any{"serial": tell.Serial, "digest": tell.Digest})
+	if !master.spread(tell.Serial) {
+		return nil, ErrUnacknowledged
+	}
+	tell.Spread = true
+	return tell, nil
+}
+
+// spreadPatience is how long an apply waits to be in force everywhere before it's left unacknowledged.
+const spreadPatience = 15 * postmark.Second
+
+// spread waits until a serial is in force at every carrier that may serve. While this process isn't answering it
+// can't tell; when it answers again, settled has put ackFrom behind any tenure that another primary gave meanwhile.
+func (master *Postmaster) spread(serial uint64) bool {
+	place := master.env.Place
+	started := place.Now()
+	master.wake()
+	for place.Now()-started < spreadPatience {
+		wait := 100 * postmark.Millisecond
+		if master.Member.Answering() {
+			names, behind := master.behind(serial)
+			if len(names) == 0 && master.Member.Answering() {
+				place.Report(bulletin.DesiredSpread, map[string]any{"serial": serial, "micros": int64(place.Now() - started)})
+				return true
+			}
+			wait = min(max(behind, postmark.Millisecond), 250*postmark.Millisecond)
+		}
+		master.await(wait)
+	}
+	return false
+}
+
+// ReadBack gives one accepted state, the newest for serial zero, or the list of all without their contents.
+func (master *Postmaster) ReadBack(ask *wire.DesiredReadAsk) (*wire.DesiredReadTell, error) {
+	tell := &wire.DesiredReadTell{}
+	done := master.Member.Read(func(uint64, postmark.Micros) {
+		if ask.List {
+			tell.Found = true
+			for serial := uint64(1); serial <= master.ledger.Serial(); serial++ {
+				kept := master.ledger.Find(serial)
+				tell.States = append(tell.States, &wire.DesiredKept{Serial: serial, Digest: kept.Digest, Request: kept.Request})
+			}
+			return
+		}
+		serial := ask.Serial
+		if serial == 0 {
+			serial = master.ledger.Serial()
+		}
+		if kept := master.ledger.Find(serial); kept != nil {
+			tell.Found, tell.States = true, []*wire.DesiredKept{kept}
+		}
+	})
+	if !done {
+		return nil, seal.Refused.New("not the primary")
+	}
+	return tell, nil
+}
+
+// Status is what operators are shown of a postmaster.
+type Status struct {
+	Core    countersign.Status `json:"core"`
+	Serial  uint64             `json:"serial"`
+	Holders []HolderStatus     `json:"tenure_holders,omitempty"`
+}
+
+// HolderStatus is one carrier's tenure.
+type HolderStatus struct {
+	Carrier string `json:"carrier"`
+	Adopted uint64 `json:"adopted"`
+	Left    int64  `json:"left_micros"`
+}
+
+// Status tells how this postmaster stands.
+func (master *Postmaster) Status() Status {
+	status := Status{Core: master.Member.Status()}
+	master.Member.Read(func(uint64, postmark.Micros) { status.Serial = master.ledger.Serial() })
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	now := master.env.Place.Now()
+	for _, present := range master.holders {
+		if present.until > now {
+			status.Holders = append(status.Holders, HolderStatus{Carrier: present.name, Adopted: present.adopted, Left: int64(present.until - now)})
+		}
+	}
+	sort.Slice(status.Holders, func(one, other int) bool { return status.Holders[one].Carrier < status.Holders[other].Carrier })
+	return status
+}
--- /dev/null
+++ b/internal/seal/seal.go
@@ -0,0 +1,75 @@
+// Package seal holds the errors of a request's way. Each says whether the request may have run.
+package seal
+
+import (
+	"fmt"
+
+	"github.com/joomcode/errorx"
+
+	"snowflow/internal/postmark"
+)
+
+// Verdict says what is known about a request that did not end with the backend's own answer.
+type Verdict string
+
+const (
+	// NotRun: no backend has run it, and none will under this name.
+	NotRun Verdict = "not_run"
+	// MayHaveRun: it may have run, or may still.
+	MayHaveRun Verdict = "may_have_run"
+)
+
+var (
+	space         = errorx.NewNamespace("snowflow")
+	requestFailed = space.NewType("request")
+	// Unreachable marks a call whose message certainly never reached the other process.
+	Unreachable = space.NewType("unreachable")
+	// Lost marks a call that may have reached the other process; no answer came back.
+	Lost = space.NewType("lost")
+	// Refused marks a call the other process received and turned down.
+	Refused = space.NewType("refused")
+	// Invalid marks bad input.
+	Invalid = space.NewType("invalid")
+)
+
+// Cause is the number of a refusal, stable across releases and listed in docs/interfaces.md.
+type Cause uint32
+
+// Fault is the error a caller is told about.
+// Invariant: Verdict is NotRun only when it is certain; when in doubt it's MayHaveRun.
+type Fault struct {
+	Cause      Cause
+	Verdict    Verdict
+	RetryAfter postmark.Micros
+	Detail     string
+	// Backend is true when the fault is the backend's, and so counts against its guard.
+	Backend bool
+	// Local is true when the fault lies with this node's own network and says nothing of the backend.
+	Local bool
+}
+
+func (fault *Fault) Error() string {
+	return fmt.Sprintf("cause %d %s (%s): %s", fault.Cause, fault.Cause.Name(), fault.Verdict, fault.Detail)
+}
+
+// Wrapped gives the fault as an errorx error, for logs that want its stack.
+func (fault *Fault) Wrapped() *errorx.Error { return requestFailed.New("%s", fault.Error()) }
+
+// New makes a fault from the catalogue's defaults.
+func New(cause Cause, verdict Verdict, format string, arguments ...any) *Fault {
+	entry := catalogue[cause]
+	return &Fault{Cause: cause, Verdict: verdict, RetryAfter: entry.retryAfter, Detail: fmt.Sprintf(format, arguments...),
+		Backend: entry.backend}
+}
+
+// NotRun reports the verdict as a boolean.
+func (fault *Fault) NotRun() bool { return fault.Verdict == NotRun }
+
+// Status is the HTTP status a caller sees.
+func (fault *Fault) Status() int { return catalogue[fault.Cause].status }
+
+// IsUnreachable tells whether a call's message certainly never reached the other process.
+func IsUnreachable(err error) bool { return errorx.IsOfType(err, Unreachable) }
+
+// IsRefused tells whether the other process turned the call down.
+func IsRefused(err error) bool { return errorx.IsOfType(err, Refused) }
--- /dev/null
+++ b/internal/sorter/directory/directory.go
@@ -0,0 +1,211 @@
+// Package directory keeps who is there: one session per carrier, with its backends. It isn't replicated through the
+// register: carriers tell it every second, sorters tell one another, and what is lost is told again.
+package directory
+
+import (
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// SessionLife is how long a carrier stays a member without being heard.
+const SessionLife = 3 * postmark.Second
+
+// keepEnded is how long an ended session is remembered, so that old hearsay doesn't bring it back.
+const keepEnded = 30 * postmark.Second
+
+// Directory is one sorter's table of sessions.
+// Invariants: of two tellings of one incarnation the one with the higher beat stands; of two incarnations the one
+// heard last; serial rises whenever what carriers are shown changes.
+type Directory struct {
+	clock    postmark.Clock
+	source   uint64
+	lock     sync.Mutex
+	sessions map[string]*entry
+	activity map[string]map[string]postmark.Micros
+	serial   uint64
+}
+
+type entry struct {
+	session *wire.Session
+	heard   postmark.Micros
+	direct  bool
+	ended   bool
+}
+
+// New makes a directory; source tells its serials from those of another life.
+func New(clock postmark.Clock, source uint64) *Directory {
+	return &Directory{clock: clock, source: source, sessions: map[string]*entry{}, activity: map[string]map[string]postmark.Micros{}, serial: 1}
+}
+
+// Tell takes a session as heard age ago. It tells whether the session is new here.
+func (directory *Directory) Tell(session *wire.Session, direct bool) bool {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	heard := directory.clock.Now() - postmark.Micros(session.Age)
+	present := directory.sessions[session.Carrier]
+	if present != nil {
+		same := present.session.Incarnation == session.Incarnation
+		if same && session.Beat < present.session.Beat || same && session.Beat == present.session.Beat && heard <= present.heard {
+			return false
+		}
+		if !same && heard <= present.heard {
+			return false
+		}
+	}
+	fresh := present == nil || present.ended || present.session.Incarnation != session.Incarnation
+	kept := proto.Clone(session).(*wire.Session)
+	kept.Age = 0
+	updated := &entry{session: kept, heard: heard, direct: direct}
+	if directory.clock.Now()-heard >= SessionLife {
+		updated.ended = true
+	}
+	if present == nil || !sameShown(present, updated) {
+		directory.serial++
+	}
+	directory.sessions[session.Carrier] = updated
+	return fresh && !updated.ended
+}
+
+func sameShown(one, other *entry) bool {
+	return one.ended == other.ended && proto.Equal(shown(one.session), shown(other.session))
+}
+
+// shown is the part of a session that carriers see.
+func shown(session *wire.Session) *wire.Session {
+	visible := &wire.Session{Carrier: session.Carrier, Incarnation: session.Incarnation, Address: session.Address,
+		Domain: session.Domain, Leaving: session.Leaving}
+	for _, backend := range session.Backends {
+		visible.Backends = append(visible.Backends, &wire.Backend{Service: backend.Service, Instance: backend.Instance,
+			Address: backend.Address, Condition: backend.Condition})
+	}
+	return visible
+}
+
+// Expire ends sessions that were not heard, and lists them.
+func (directory *Directory) Expire() (ended []*wire.Holder) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	now := directory.clock.Now()
+	for _, name := range directory.names() {
+		present := directory.sessions[name]
+		if now-present.heard >= keepEnded {
+			delete(directory.sessions, name)
+			continue
+		}
+		if !present.ended && now-present.heard >= SessionLife {
+			present.ended = true
+			directory.serial++
+			ended = append(ended, &wire.Holder{Name: name, Incarnation: present.session.Incarnation})
+		}
+	}
+	return ended
+}
+
+func (directory *Directory) names() []string {
+	names := make([]string, 0, len(directory.sessions))
+	for name := range directory.sessions {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Heard lists the sessions that carriers told this sorter themselves, for telling the other sorters.
+func (directory *Directory) Heard() (sessions []*wire.Session) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	now := directory.clock.Now()
+	for _, name := range directory.names() {
+		present := directory.sessions[name]
+		if !present.direct || present.ended {
+			continue
+		}
+		told := proto.Clone(present.session).(*wire.Session)
+		told.Age = int64(now - present.heard)
+		sessions = append(sessions, told)
+	}
+	return sessions
+}
+
+// View gives the directory as carriers see it, unless they have it already.
+func (directory *Directory) View(source, serial uint64) (viewSource, viewSerial uint64, same bool, sessions []*wire.Session) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	if source == directory.source && serial == directory.serial {
+		return directory.source, directory.serial, true, nil
+	}
+	for _, name := range directory.names() {
+		if present := directory.sessions[name]; !present.ended {
+			sessions = append(sessions, shown(present.session))
+		}
+	}
+	return directory.source, directory.serial, false, sessions
+}
+
+// Live counts the members.
+func (directory *Directory) Live() int {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	count := 0
+	for _, present := range directory.sessions {
+		if !present.ended && !present.session.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// activeLife is how long a call keeps its carrier counted as active on a service.
+const activeLife = 10 * postmark.Second
+
+// Called notes that a carrier called a service.
+func (directory *Directory) Called(carrier string, services []*wire.Activity) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	for _, activity := range services {
+		if activity.Calls == 0 {
+			continue
+		}
+		if directory.activity[activity.Service] == nil {
+			directory.activity[activity.Service] = map[string]postmark.Micros{}
+		}
+		directory.activity[activity.Service][carrier] = directory.clock.Now()
+	}
+}
+
+// Active lists the carriers that called a service lately.
+func (directory *Directory) Active(service string) (carriers []string) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	now := directory.clock.Now()
+	for carrier, called := range directory.activity[service] {
+		if now-called >= activeLife {
+			delete(directory.activity[service], carrier)
+			continue
+		}
+		carriers = append(carriers, carrier)
+	}
+	sort.Strings(carriers)
+	return carriers
+}
+
+// Sessions lists everything, for status.
+func (directory *Directory) Sessions() (sessions []*wire.Session) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	for _, name := range directory.names() {
+		present := directory.sessions[name]
+		if present.ended {
+			continue
+		}
+		told := proto.Clone(present.session).(*wire.Session)
+		told.Age = int64(directory.clock.Now() - present.heard)
+		sessions = append(sessions, told)
+	}
+	return sessions
+}
--- /dev/null
+++ b/internal/sorter/sorter.go
@@ -0,0 +1,201 @@
+// Package sorter is the registry: sessions and backends in memory, guards, claims and duties replicated.
+package sorter
+
+import (
+	"encoding/json"
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/countersign"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+	"snowflow/internal/sorter/directory"
+	"snowflow/internal/sorter/rack"
+)
+
+// Group is the sorters' name as a group.
+const Group = "sorter"
+
+// Env is what a sorter is made of.
+type Env struct {
+	Place  office.Office
+	Book   *gazetteer.Book
+	Name   string
+	Voters []string
+	// Adjust lets tests and the simulator change the core's figures.
+	Adjust func(*countersign.Env)
+}
+
+// Sorter is one registry process.
+type Sorter struct {
+	env       Env
+	Member    *countersign.Member
+	rack      *rack.Rack
+	directory *directory.Directory
+}
+
+// Open reads the disk.
+func Open(env Env) (*Sorter, error) {
+	sorter := &Sorter{env: env, rack: rack.New(), directory: directory.New(env.Place, env.Place.Random())}
+	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Machine: sorter.rack}
+	if env.Adjust != nil {
+		env.Adjust(&core)
+	}
+	member, err := countersign.Open(core)
+	sorter.Member = member
+	return sorter, err
+}
+
+// Start begins work.
+func (sorter *Sorter) Start() {
+	sorter.Member.Start()
+	sorter.env.Place.Go(sorter.gossip)
+	sorter.env.Place.Go(sorter.expire)
+}
+
+// Register adds the sorter's handlers.
+func (sorter *Sorter) Register(table office.Table) {
+	sorter.Member.Register(table)
+	office.Handle(table, wire.Kind_sorter_poll, sorter.poll)
+	office.Handle(table, wire.Kind_sessions_tell, sorter.told)
+	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+		result, err := sorter.propose(&wire.SorterCommand{Claim: ask})
+		return result.GetClaim(), err
+	})
+	office.Handle(table, wire.Kind_void, func(ask *wire.VoidAsk) (*wire.VoidTell, error) {
+		result, err := sorter.propose(&wire.SorterCommand{Void: ask})
+		return result.GetVoid(), err
+	})
+	office.Handle(table, wire.Kind_claim_settle, func(ask *wire.SettleAsk) (*wire.SettleTell, error) {
+		result, err := sorter.propose(&wire.SorterCommand{Settle: ask})
+		return result.GetSettle(), err
+	})
+	office.Handle(table, wire.Kind_probe_lease, func(ask *wire.ProbeLeaseAsk) (*wire.ProbeLeaseTell, error) {
+		result, err := sorter.propose(&wire.SorterCommand{Lease: ask})
+		return result.GetLease(), err
+	})
+	office.Handle(table, wire.Kind_guard_write, func(ask *wire.GuardWriteAsk) (*wire.GuardWriteTell, error) {
+		ask.Active = sorter.directory.Active(ask.Service)
+		result, err := sorter.propose(&wire.SorterCommand{Guard: ask})
+		return result.GetGuard(), err
+	})
+	office.Handle(table, wire.Kind_duty, func(ask *wire.DutyAsk) (*wire.DutyTell, error) {
+		result, err := sorter.propose(&wire.SorterCommand{Duty: ask})
+		return result.GetDuty(), err
+	})
+	office.Handle(table, wire.Kind_sorter_status, func(*wire.StatusAsk) (*wire.StatusTell, error) {
+		content, err := json.Marshal(sorter.Status())
+		return &wire.StatusTell{Json: content}, err
+	})
+}
+
+// propose has a command replicated. An error is told to the asker as a refusal, which leaves the outcome open unless
+// it was not taken at all.
+func (sorter *Sorter) propose(command *wire.SorterCommand) (*wire.SorterResult, error) {
+	content, err := proto.Marshal(command)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := sorter.Member.Propose(content)
+	if errors.Is(err, countersign.ErrNotPrimary) {
+		return nil, seal.Refused.New("not the primary")
+	}
+	if err != nil {
+		return nil, err
+	}
+	result := &wire.SorterResult{}
+	return result, proto.Unmarshal(answer, result)
+}
+
+// poll takes a carrier's session and gives what it may have missed.
+func (sorter *Sorter) poll(ask *wire.SorterPollAsk) (*wire.SorterPollTell, error) {
+	if ask.Session == nil || ask.Session.Carrier == "" {
+		return nil, seal.Invalid.New("a poll without a session")
+	}
+	ask.Session.Age = 0
+	if sorter.directory.Tell(ask.Session, true) {
+		sorter.env.Place.Report(bulletin.SessionOpened, map[string]any{"carrier": ask.Session.Carrier, "incarnation": ask.Session.Incarnation})
+	}
+	sorter.directory.Called(ask.Session.Carrier, ask.Activity)
+	tell := &wire.SorterPollTell{Carriers: uint32(sorter.directory.Live()), Primaries: sorter.env.Book.Primaries()}
+	tell.DirectorySource, tell.DirectorySerial, tell.DirectorySame, tell.Sessions = sorter.directory.View(ask.DirectorySource, ask.DirectorySerial)
+	tell.Primary = sorter.Member.Read(func(epoch uint64, now postmark.Micros) {
+		tell.Epoch, tell.HolderTime = epoch, int64(now)
+		tell.Guards = sorter.rack.Guards.Records()
+	})
+	if !tell.Primary {
+		tell.Guards = nil
+	}
+	return tell, nil
+}
+
+func (sorter *Sorter) told(ask *wire.SessionsAsk) (*wire.SessionsTell, error) {
+	for _, session := range ask.Sessions {
+		sorter.directory.Tell(session, false)
+	}
+	return &wire.SessionsTell{Sessions: sorter.directory.Heard()}, nil
+}
+
+// gossip tells the other sorters the sessions that were opened here.
+func (sorter *Sorter) gossip() {
+	for {
+		sorter.env.Place.Sleep(500 * postmark.Millisecond)
+		for _, name := range sorter.env.Voters {
+			if name == sorter.env.Name {
+				continue
+			}
+			sorter.env.Place.Go(func() {
+				tell := &wire.SessionsTell{}
+				ask := &wire.SessionsAsk{From: sorter.env.Name, Sessions: sorter.directory.Heard()}
+				if sorter.env.Book.Call(name, wire.Kind_sessions_tell, ask, tell, 500*postmark.Millisecond) != nil {
+					return
+				}
+				for _, session := range tell.Sessions {
+					sorter.directory.Tell(session, false)
+				}
+			})
+		}
+	}
+}
+
+// expire ends silent sessions; the primary gives their probes back.
+func (sorter *Sorter) expire() {
+	for {
+		sorter.env.Place.Sleep(250 * postmark.Millisecond)
+		ended := sorter.directory.Expire()
+		for _, holder := range ended {
+			sorter.env.Place.Report(bulletin.SessionEnded, map[string]any{"carrier": holder.Name, "incarnation": holder.Incarnation})
+		}
+		if len(ended) > 0 && sorter.Member.Answering() {
+			sorter.env.Place.Go(func() {
+				// Best effort: what isn't given back here goes back when its tenure ends.
+				_, _ = sorter.propose(&wire.SorterCommand{Tick: &wire.Tick{Ended: ended}})
+			})
+		}
+	}
+}
+
+// Status is what operators are shown of a sorter.
+type Status struct {
+	Core     countersign.Status  `json:"core"`
+	Carriers []*wire.Session     `json:"carriers"`
+	Guards   []*wire.GuardRecord `json:"guards,omitempty"`
+	Claims   int                 `json:"claims"`
+	Duties   []*wire.DutyRecord  `json:"duties,omitempty"`
+	Now      int64               `json:"holder_time"`
+}
+
+// Status tells how this sorter stands.
+func (sorter *Sorter) Status() Status {
+	status := Status{Core: sorter.Member.Status(), Carriers: sorter.directory.Sessions()}
+	sorter.Member.Read(func(_ uint64, now postmark.Micros) {
+		status.Guards, status.Claims, status.Duties = sorter.rack.Guards.Records(), sorter.rack.Claims.Length(), sorter.rack.Duties.Records()
+		status.Now = int64(now)
+	})
+	return status
+}
--- /dev/null
+++ b/internal/strongbox/disk.go
@@ -0,0 +1,31 @@
+package strongbox
+
+import "errors"
+
+// Disk is the one data folder of a process. Names are plain file names within it.
+type Disk interface {
+	Open(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncFolder() error
+	// Free tells the bytes left, for the doctor and for early handover.
+	Free() (uint64, error)
+}
+
+// File is one file. What was written lasts only once Sync has returned nil.
+type File interface {
+	ReadAll() ([]byte, error)
+	WriteAt(content []byte, offset int64) error
+	Truncate(size int64) error
+	Sync() error
+	Close() error
+}
+
+// ErrFull marks a disk without room.
+var ErrFull = errors.New("strongbox: disk full")
+
+// ErrPoisoned marks a box whose sync failed: what it holds on disk is unknown, so it's not used again in this life.
+var ErrPoisoned = errors.New("strongbox: a sync failed, the file is not to be trusted")
+
+// ErrDamaged marks a file with damage before its synced end. The copy is to be discarded.
+var ErrDamaged = errors.New("strongbox: damage before the end of the file")
--- /dev/null
+++ b/internal/strongbox/folder/folder.go
@@ -0,0 +1,128 @@
+// Package folder is the strongbox's disk on a real machine: one folder, locked against a second process.
+package folder
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"snowflow/internal/strongbox"
+)
+
+// Folder is a data folder held by this process alone.
+type Folder struct {
+	path     string
+	lock     *os.File
+	guard    sync.Mutex
+	slowest  time.Duration
+	lastSync time.Duration
+}
+
+// Open makes and locks the folder. A second process on it is turned away.
+func Open(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o750); err != nil {
+		return nil, err
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(fmt.Errorf("data folder %s is held by another process: %w", path, err), lock.Close())
+	}
+	return &Folder{path: path, lock: lock}, nil
+}
+
+// Close gives the lock back.
+func (folder *Folder) Close() error { return folder.lock.Close() }
+
+// Open opens or makes a file.
+func (folder *Folder) Open(name string) (strongbox.File, error) {
+	file, err := os.OpenFile(filepath.Join(folder.path, name), os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, full(err)
+	}
+	return &handle{file: file, folder: folder}, nil
+}
+
+// Rename moves a file over another.
+func (folder *Folder) Rename(from, to string) error {
+	return os.Rename(filepath.Join(folder.path, from), filepath.Join(folder.path, to))
+}
+
+// Remove removes a file; a missing one is fine.
+func (folder *Folder) Remove(name string) error {
+	if err := os.Remove(filepath.Join(folder.path, name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// SyncFolder makes renames and removals last.
+func (folder *Folder) SyncFolder() error {
+	directory, err := os.Open(folder.path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(directory.Sync(), directory.Close())
+}
+
+// Free tells the bytes left.
+func (folder *Folder) Free() (uint64, error) {
+	var status syscall.Statfs_t
+	if err := syscall.Statfs(folder.path, &status); err != nil {
+		return 0, err
+	}
+	return status.Bavail * uint64(status.Bsize), nil
+}
+
+// SyncTimes tells the latest and the slowest sync so far.
+func (folder *Folder) SyncTimes() (latest, slowest time.Duration) {
+	folder.guard.Lock()
+	defer folder.guard.Unlock()
+	return folder.lastSync, folder.slowest
+}
+
+type handle struct {
+	file   *os.File
+	folder *Folder
+}
+
+func (handle *handle) ReadAll() ([]byte, error) {
+	if _, err := handle.file.Seek(0, io.SeekStart); err != nil {
+		return nil, err
+	}
+	return io.ReadAll(handle.file)
+}
+
+func (handle *handle) WriteAt(content []byte, offset int64) error {
+	_, err := handle.file.WriteAt(content, offset)
+	return full(err)
+}
+
+func (handle *handle) Truncate(size int64) error { return handle.file.Truncate(size) }
+
+func (handle *handle) Sync() error {
+	started := time.Now()
+	err := handle.file.Sync()
+	took := time.Since(started)
+	handle.folder.guard.Lock()
+	defer handle.folder.guard.Unlock()
+	handle.folder.lastSync = took
+	handle.folder.slowest = max(handle.folder.slowest, took)
+	return err
+}
+
+func (handle *handle) Close() error { return handle.file.Close() }
+
+func full(err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return fmt.Errorf("%w: %w", strongbox.ErrFull, err)
+	}
+	return err
+}
