Simulator: the daemons' state machines on simulated clock, network and disk, faults by seed

Cause: failures had no way to be brought about on purpose and replayed.

What there is: a cooperative scheduler (one task at a time, chance from the seed), cuts, freezes, kills, power loss, lost, slow, full and failing disks, stand-in callers, backends and operators, and the inspector's rules over their history.

--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -29,8 +29,13 @@
 	adopted postmark.Micros
 	lapsed  bool
 	waiters []office.Signal
+	// untenured lets it serve without a live tenure; only rehearsals of the checkers set it.
+	untenured bool
 }
 
+// Untenured lets the desk serve without a live tenure, to show that a checker sees what comes of it. No program sets it.
+func (desk *Desk) Untenured(broken bool) { desk.untenured = broken }
+
 // New makes a desk.
 func New(place office.Office, book *gazetteer.Book, carrier string, incarnation uint64) *Desk {
 	return &Desk{place: place, book: book, carrier: carrier, incarnation: incarnation}
@@ -40,7 +45,7 @@
 func (desk *Desk) Current() (view *franking.View, live bool) {
 	desk.lock.Lock()
 	defer desk.lock.Unlock()
-	return desk.view, desk.view != nil && desk.place.Now() < desk.until
+	return desk.view, desk.view != nil && (desk.untenured || desk.place.Now() < desk.until)
 }
 
 // Serial is the adopted serial and how long ago it was adopted.
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -69,6 +69,8 @@
 	running atomic.Int64
 	closed  atomic.Bool
 	idle    office.Signal
+	// unclaimed leaves the claim out; only rehearsals of the checkers set it.
+	unclaimed bool
 }
 
 // New makes a gate.
@@ -87,6 +89,9 @@
 	})
 }
 
+// Unclaimed leaves the claim out, to show that a checker sees what comes of it. No program sets it.
+func (gate *Gate) Unclaimed(broken bool) { gate.unclaimed = broken }
+
 // Running is the number of passes under way.
 func (gate *Gate) Running() int64 { return gate.running.Load() }
 
@@ -156,7 +161,7 @@
 	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
 		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
 	startBy := cutoff
-	if ask.Once {
+	if ask.Once && !gate.unclaimed {
 		var earlier *letter.Answer
 		if startBy, earlier, fault = gate.claim(ask, cutoff); fault != nil {
 			if fault.Cause == seal.ClaimUnreachable {
--- /dev/null
+++ b/internal/mailround/round/course.go
@@ -0,0 +1,327 @@
+package round
+
+import (
+	"fmt"
+	"strings"
+
+	"snowflow/internal/inspector"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/postmark"
+)
+
+// Course is one kind of simulated run: which faults it brings about, and the rules that must have seen something.
+type Course struct {
+	Name   string
+	Short  string
+	Sizes  Sizes
+	Length postmark.Micros
+	Rate   int
+	Rules  []int
+	Faults []fault
+	// Every is the mean pause between faults.
+	Every postmark.Micros
+	// Prepare may set the mesh up further before traffic starts.
+	Prepare func(mesh *Mesh)
+}
+
+// fault brings one failure about. It may end it by itself later; heal ends all.
+type fault struct {
+	name  string
+	bring func(mesh *Mesh)
+}
+
+var small = Sizes{Cores: 3, Carriers: 4, Zones: 2, Backends: 3}
+var four = Sizes{Cores: 4, Carriers: 4, Zones: 4, Backends: 3}
+
+func pick[Item any](mesh *Mesh, items []Item) Item {
+	return items[mesh.World.Chance().IntN(len(items))]
+}
+
+func (mesh *Mesh) later(span postmark.Micros, happen func()) {
+	mesh.World.At(mesh.World.Now()+span, happen)
+}
+
+func (mesh *Mesh) span(least, most postmark.Micros) postmark.Micros {
+	return least + postmark.Micros(mesh.World.Chance().Uint64N(uint64(most-least)))
+}
+
+// coreNodes are a core machine's processes.
+func (mesh *Mesh) coreNodes(machine string) (nodes []*world.Node) {
+	for _, node := range mesh.World.Nodes() {
+		if node.Machine == machine {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+func (mesh *Mesh) down(nodes []*world.Node, after postmark.Micros, end func(*world.Node)) {
+	for _, node := range nodes {
+		if !node.Up() {
+			continue
+		}
+		end(node)
+		mesh.later(after, func() { mesh.World.Start(node) })
+	}
+}
+
+func (mesh *Mesh) allCore() (nodes []*world.Node) {
+	for _, machine := range mesh.cores {
+		nodes = append(nodes, mesh.coreNodes(machine)...)
+	}
+	return nodes
+}
+
+// leaders are the processes that answer now.
+func (mesh *Mesh) leader(group string) *world.Node {
+	for _, node := range mesh.World.Nodes() {
+		if !node.Up() {
+			continue
+		}
+		if one := mesh.sorters[node.Name]; group == "sorter" && one != nil && one.Member.Answering() {
+			return node
+		}
+		if one := mesh.masters[node.Name]; group == "postmaster" && one != nil && one.Member.Answering() {
+			return node
+		}
+	}
+	return nil
+}
+
+var (
+	killCarrier = fault{"kill a carrier", func(mesh *Mesh) {
+		node := mesh.World.Node(pick(mesh, mesh.carriers))
+		mesh.down([]*world.Node{node}, mesh.span(100*postmark.Millisecond, 5*postmark.Second), mesh.World.Kill)
+	}}
+	killCore = fault{"kill a core process", func(mesh *Mesh) {
+		mesh.down([]*world.Node{pick(mesh, mesh.allCore())}, mesh.span(100*postmark.Millisecond, 5*postmark.Second), mesh.World.Kill)
+	}}
+	killLeader = fault{"kill a primary", func(mesh *Mesh) {
+		if node := mesh.leader(pick(mesh, []string{"sorter", "postmaster"})); node != nil {
+			mesh.down([]*world.Node{node}, mesh.span(100*postmark.Millisecond, 5*postmark.Second), mesh.World.Kill)
+		}
+	}}
+	killAllCore = fault{"power off the whole core", func(mesh *Mesh) {
+		mesh.down(mesh.allCore(), mesh.span(500*postmark.Millisecond, 3*postmark.Second), mesh.World.PowerLoss)
+	}}
+	powerLoss = fault{"power off a core machine", func(mesh *Mesh) {
+		mesh.down(mesh.coreNodes(pick(mesh, mesh.cores)), mesh.span(200*postmark.Millisecond, 5*postmark.Second), mesh.World.PowerLoss)
+	}}
+	freezeCore = fault{"freeze a core process", func(mesh *Mesh) {
+		mesh.World.Freeze(pick(mesh, mesh.allCore()), mesh.span(300*postmark.Millisecond, 6*postmark.Second))
+	}}
+	freezeLeader = fault{"freeze a primary", func(mesh *Mesh) {
+		if node := mesh.leader(pick(mesh, []string{"sorter", "postmaster"})); node != nil {
+			mesh.World.Freeze(node, mesh.span(300*postmark.Millisecond, 6*postmark.Second))
+		}
+	}}
+	freezeCarrier = fault{"freeze a carrier", func(mesh *Mesh) {
+		mesh.World.Freeze(mesh.World.Node(pick(mesh, mesh.carriers)), mesh.span(300*postmark.Millisecond, 8*postmark.Second))
+	}}
+	cutCore = fault{"cut a core machine from another, one way or both", func(mesh *Mesh) {
+		one, other := pick(mesh, mesh.cores), pick(mesh, mesh.cores)
+		mesh.cutFor(one, other, mesh.World.Chance().IntN(2) == 0, mesh.span(500*postmark.Millisecond, 6*postmark.Second))
+	}}
+	isolate = fault{"isolate a machine", func(mesh *Mesh) {
+		machines := append(append([]string(nil), mesh.cores...), mesh.carriers...)
+		one := pick(mesh, machines)
+		span := mesh.span(500*postmark.Millisecond, 8*postmark.Second)
+		for _, other := range append(machines, "outside") {
+			if other != one {
+				mesh.cutFor(one, other, true, span)
+			}
+		}
+	}}
+	cutCarrier = fault{"cut a carrier from a core machine", func(mesh *Mesh) {
+		mesh.cutFor(pick(mesh, mesh.carriers), pick(mesh, mesh.cores), mesh.World.Chance().IntN(2) == 0, mesh.span(500*postmark.Millisecond, 8*postmark.Second))
+	}}
+	cutCarriers = fault{"cut a carrier from another", func(mesh *Mesh) {
+		mesh.cutFor(pick(mesh, mesh.carriers), pick(mesh, mesh.carriers), mesh.World.Chance().IntN(2) == 0, mesh.span(500*postmark.Millisecond, 8*postmark.Second))
+	}}
+	slowDisk = fault{"slow a core disk", func(mesh *Mesh) {
+		disk := pick(mesh, mesh.allCore()).Disk
+		disk.Delay = mesh.span(100*postmark.Millisecond, postmark.Second)
+		mesh.later(mesh.span(postmark.Second, 8*postmark.Second), func() { disk.Delay = 200 })
+	}}
+	fullDisk = fault{"fill a core disk", func(mesh *Mesh) {
+		disk := pick(mesh, mesh.allCore()).Disk
+		disk.Capacity = disk.Used() + mesh.World.Chance().IntN(4000)
+		mesh.later(mesh.span(postmark.Second, 8*postmark.Second), func() { disk.Capacity = 0 })
+	}}
+	failSync = fault{"fail a sync", func(mesh *Mesh) { pick(mesh, mesh.allCore()).Disk.FailSyncs = 1 }}
+	manners  = fault{"make a backend misbehave", func(mesh *Mesh) {
+		if found := mesh.live(""); len(found) > 0 {
+			one := pick(mesh, found)
+			one.manner = pick(mesh, []string{"failing", "losing", "short", "not_executed", "slow", "mixed"})
+			mesh.later(mesh.span(postmark.Second, 8*postmark.Second), func() { one.manner = "" })
+		}
+	}}
+	serviceFails = fault{"make a whole service fail", func(mesh *Mesh) {
+		service := pick(mesh, []string{"forms", "households"})
+		manner := pick(mesh, []string{"failing", "not_executed", "losing"})
+		found := mesh.live(service)
+		for _, one := range found {
+			one.manner = manner
+		}
+		mesh.later(mesh.span(2*postmark.Second, 8*postmark.Second), func() {
+			for _, one := range found {
+				one.manner = ""
+			}
+		})
+	}}
+	replaceBackend = fault{"replace a backend", func(mesh *Mesh) {
+		if found := mesh.live(""); len(found) > 0 {
+			one := pick(mesh, found)
+			mesh.startBackend(one.service, pick(mesh, mesh.carriers), fmt.Sprintf("%s:%d", one.carrier, 9000+mesh.number))
+			mesh.leave(one)
+		}
+	}}
+	reuseAddress = fault{"end a backend and reuse its address for another service", func(mesh *Mesh) {
+		found := mesh.live("")
+		if len(found) < 4 {
+			return
+		}
+		one := pick(mesh, found)
+		one.up = false
+		other := map[string]string{"forms": "households", "households": "forms"}[one.service]
+		mesh.later(2*postmark.Second, func() { mesh.startBackend(other, one.carrier, one.address) })
+		mesh.startBackend(one.service, pick(mesh, mesh.carriers), fmt.Sprintf("%s:%d", one.carrier, 9000+mesh.number))
+	}}
+	applyOne = fault{"apply a desired state", func(mesh *Mesh) {
+		variant := mesh.World.Chance().IntN(1 << 20)
+		mesh.Outside.Go(func() { mesh.apply(Desired(variant), true, 0, 30*postmark.Second) })
+	}}
+	applyRace = fault{"two operators race", func(mesh *Mesh) {
+		expected := mesh.latest
+		for range 2 {
+			variant := mesh.World.Chance().IntN(1 << 20)
+			mesh.Outside.Go(func() { mesh.apply(Desired(variant), false, expected, 30*postmark.Second) })
+		}
+	}}
+	applyStorm = fault{"a storm of desired states, some invalid", func(mesh *Mesh) {
+		for number := range 6 {
+			content := Desired(mesh.World.Chance().IntN(1 << 20))
+			if number%3 == 2 {
+				content = []byte(strings.Replace(string(content), `"class":"once"`, `"class":"twice"`, 1))
+			}
+			mesh.later(postmark.Micros(number)*150*postmark.Millisecond, func() {
+				mesh.Outside.Go(func() { mesh.apply(content, true, 0, 30*postmark.Second) })
+			})
+		}
+	}}
+)
+
+func (mesh *Mesh) cutFor(one, other string, both bool, span postmark.Micros) {
+	if one == other {
+		return
+	}
+	mesh.World.Cut(one, other)
+	if both {
+		mesh.World.Cut(other, one)
+	}
+	mesh.later(span, func() { mesh.World.Uncut(one, other) })
+}
+
+// Courses are the kinds of runs by name.
+var Courses = map[string]Course{}
+
+func add(course Course) { Courses[course.Name] = course }
+
+func init() {
+	add(Course{Name: "calm", Short: "no failure", Sizes: small, Length: 20 * postmark.Second, Rate: 30, Rules: []int{1, 3, 5, 6, 7, 8}, Every: postmark.Minute,
+		Faults: []fault{applyOne}})
+	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second,
+		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
+		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
+			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
+	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second,
+		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
+		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
+			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
+}
+
+// Result is how a run ended.
+type Result struct {
+	Seed     uint64
+	Course   string
+	Findings []inspector.Finding
+	Seen     map[int]int
+	Served   int
+	Sent     int
+	Faults   []string
+	Digest   uint64
+	Events   uint64
+	Log      []string
+	Panicked any
+}
+
+// Run plays a course with a seed.
+func Run(course Course, seed uint64, breakage Breakage) Result {
+	mesh := Build(seed, course.Sizes, breakage)
+	defer mesh.World.Close()
+	result := Result{Seed: seed, Course: course.Name}
+	for _, node := range mesh.allCore() {
+		node.Disk.Delay = 200
+	}
+	mesh.Outside.Go(func() { mesh.apply(Desired(0), false, 0, 20*postmark.Second) })
+	mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
+	if course.Prepare != nil {
+		course.Prepare(mesh)
+	}
+	mesh.serve(course.Rate)
+	mesh.watch()
+	end := mesh.World.Now() + course.Length
+	var next func()
+	next = func() {
+		if mesh.World.Now() >= end-5*postmark.Second {
+			return
+		}
+		chosen := pick(mesh, course.Faults)
+		result.Faults = append(result.Faults, fmt.Sprintf("%d %s", mesh.World.Now(), chosen.name))
+		mesh.log = append(mesh.log, fmt.Sprintf("%d FAULT %s", mesh.World.Now(), chosen.name))
+		chosen.bring(mesh)
+		mesh.later(mesh.span(course.Every/2, course.Every*3/2), next)
+	}
+	mesh.later(mesh.span(course.Every/2, course.Every*3/2), next)
+	mesh.World.Run(end)
+	mesh.heal()
+	mesh.World.Run(end + 18*postmark.Second)
+	mesh.serving = false
+	mesh.World.Run(mesh.World.Now() + 20*postmark.Second)
+	mesh.Outside.Go(mesh.readBack)
+	mesh.World.Run(mesh.World.Now() + 20*postmark.Second)
+	result.Findings, result.Seen = inspector.Inspect(mesh.History)
+	for _, rule := range course.Rules {
+		if result.Seen[rule] == 0 {
+			result.Findings = append(result.Findings, inspector.Finding{Rule: rule, Text: "its checker saw nothing"})
+		}
+	}
+	if !mesh.History.Read {
+		result.Findings = append(result.Findings, inspector.Finding{Rule: 7, Text: "the history could not be read back"})
+	}
+	for _, attempt := range mesh.History.Attempts {
+		result.Sent++
+		if !attempt.Mesh && attempt.Status == 200 {
+			result.Served++
+		}
+	}
+	result.Digest, result.Events, result.Log, result.Panicked = mesh.World.Digest(), mesh.World.Events, mesh.log, mesh.World.Panicked
+	if result.Panicked != nil {
+		result.Findings = append(result.Findings, inspector.Finding{Text: fmt.Sprint(result.Panicked)})
+	}
+	return result
+}
+
+// heal ends every failure; from this moment the machines count as returned.
+func (mesh *Mesh) heal() {
+	mesh.World.Mend()
+	for _, node := range mesh.World.Nodes() {
+		node.Disk.Capacity, node.Disk.FailSyncs, node.Disk.Delay = 0, 0, 200
+		mesh.World.Thaw(node)
+		mesh.World.Start(node)
+	}
+	for _, one := range mesh.backends {
+		one.manner = ""
+	}
+	mesh.History.Mark("returned", mesh.World.Now())
+}
--- /dev/null
+++ b/internal/mailround/round/mesh.go
@@ -0,0 +1,462 @@
+// Package round runs whole meshes in the simulated world: the same state machines that the daemons run, with stand-ins
+// outside and failures by seed, and hands the history to the inspector.
+package round
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"sort"
+	"strings"
+
+	"snowflow/internal/carrier"
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/countersign"
+	"snowflow/internal/franking"
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/inspector"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster"
+	"snowflow/internal/seal"
+	"snowflow/internal/sorter"
+)
+
+// Mesh is a simulated mesh with its outside.
+type Mesh struct {
+	World    *world.World
+	History  *inspector.History
+	Outside  *world.Place
+	sizes    Sizes
+	cores    []string // machines
+	carriers []string // nodes
+	lives    map[string]*carrier.Carrier
+	masters  map[string]*postmaster.Postmaster
+	sorters  map[string]*sorter.Sorter
+	backends []*backend
+	book     *gazetteer.Book
+	number   int
+	serving  bool
+	latest   uint64
+	adjust   func(*countersign.Env)
+	breakage Breakage
+	log      []string
+}
+
+// Sizes of a simulated mesh.
+type Sizes struct {
+	Cores, Carriers, Zones int
+	Backends               int // per service
+}
+
+// Breakage turns a part of the mesh off, to show that the checkers see it.
+type Breakage struct {
+	NoClaims     bool // run-once requests are not claimed
+	LeaveIgnored bool // backends' leaving isn't noted
+	NoIdentity   bool // backends aren't asked who they are
+	NoTenure     bool // carriers serve without a live tenure
+	NoSync       bool // syncs do nothing
+	TrustShort   bool // short answers pass for whole
+	LeakSlots    bool // probes of ended carriers are not given back
+}
+
+type backend struct {
+	service  string
+	instance string
+	address  string
+	carrier  string
+	up       bool
+	manner   string
+	leaving  bool
+	since    postmark.Micros
+}
+
+// Desired is the simulated mesh's configuration; variant makes contents differ.
+func Desired(variant int) []byte {
+	return []byte(fmt.Sprintf(`{"note":"variant %d","groups":[{"name":"field",
+"guard":{"windowCalls":30,"minimumCalls":8,"failureRate":0.5,"waitOpenMicros":2000000,"permittedHalfOpen":4,"probeTenureMicros":3000000},
+"retry":{"mostTries":3,"budgetRatio":0.2,"allowance":10},
+"limits":{"cutoffMicros":4000000},
+"services":[
+{"name":"forms","paths":[{"method":"GET","prefix":"/forms","class":"read"}]},
+{"name":"households","paths":[{"method":"POST","prefix":"/households","class":"once"}]}]}]}`, variant))
+}
+
+// Build makes a mesh and starts its nodes.
+func Build(seed uint64, sizes Sizes, breakage Breakage) *Mesh {
+	mesh := &Mesh{World: world.New(seed), History: &inspector.History{Allowance: 10 + 2}, sizes: sizes, lives: map[string]*carrier.Carrier{},
+		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, breakage: breakage}
+	mesh.World.Trace = func(at postmark.Micros, node string, number int, fields map[string]any) {
+		if number == 601 {
+			return
+		}
+		content, _ := json.Marshal(fields)
+		mesh.log = append(mesh.log, fmt.Sprintf("%d %s %d %s", at, node, number, content))
+	}
+	mesh.World.Stopped = func(node *world.Node, _ string) {
+		mesh.World.At(mesh.World.Now()+postmark.Second, func() { mesh.World.Start(node) })
+	}
+	seeds := []string{"core-1:sorter", "core-2:postmaster", "core-3:sorter"}
+	voters := func(group string) (names []string) {
+		for index := range sizes.Cores {
+			names = append(names, fmt.Sprintf("%s-%d", group, index+1))
+		}
+		return names
+	}
+	for index := range sizes.Cores {
+		machine := fmt.Sprintf("core-%d", index+1)
+		mesh.cores = append(mesh.cores, machine)
+		mesh.addCore(machine, "sorter", index, voters("sorter"), seeds)
+		mesh.addCore(machine, "postmaster", index, voters("postmaster"), seeds)
+	}
+	for index := range sizes.Carriers {
+		mesh.addCarrier(index, seeds)
+	}
+	outside := mesh.World.Add("outside", "outside", "outside", func(place *world.Place) (office.Table, error) {
+		mesh.Outside = place
+		mesh.book = gazetteer.New(place, nil, seeds)
+		place.Go(func() { mesh.book.Roam(300 * postmark.Millisecond) })
+		return office.Table{}, nil
+	})
+	mesh.World.Start(outside)
+	for _, node := range mesh.World.Nodes() {
+		if node.Name != "outside" {
+			mesh.World.Start(node)
+		}
+	}
+	mesh.World.Run(mesh.World.Now())
+	for index := range sizes.Backends {
+		for number, service := range []string{"forms", "households"} {
+			carrier := mesh.carriers[(index+number)%len(mesh.carriers)]
+			mesh.startBackend(service, carrier, fmt.Sprintf("%s:%d", carrier, 8000+10*index+number))
+		}
+	}
+	return mesh
+}
+
+func (mesh *Mesh) addCore(machine, group string, index int, voters, seeds []string) {
+	name := fmt.Sprintf("%s-%d", group, index+1)
+	address := machine + ":" + group
+	node := mesh.World.Add(name, address, machine, func(place *world.Place) (office.Table, error) {
+		book := gazetteer.New(place, &wire.PeerAddress{Name: name, Address: address, Group: group}, seeds)
+		table := office.Table{}
+		book.Register(table)
+		place.Go(func() { book.Roam(postmark.Second) })
+		adjust := func(env *countersign.Env) {
+			env.CompactFrom = 8 << 10
+			if mesh.adjust != nil {
+				mesh.adjust(env)
+			}
+		}
+		if group == "sorter" {
+			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust})
+			if err != nil {
+				return nil, err
+			}
+			mesh.sorters[name] = one
+			one.Register(table)
+			one.Start()
+			return table, nil
+		}
+		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust})
+		if err != nil {
+			return nil, err
+		}
+		mesh.masters[name] = one
+		one.Register(table)
+		one.Start()
+		return table, nil
+	})
+	node.Disk.IgnoreSyncs = mesh.breakage.NoSync
+}
+
+func (mesh *Mesh) addCarrier(index int, seeds []string) {
+	name := fmt.Sprintf("carrier-%d", index+1)
+	mesh.carriers = append(mesh.carriers, name)
+	mesh.World.Add(name, name+":carrier", name, func(place *world.Place) (office.Table, error) {
+		book := gazetteer.New(place, nil, seeds)
+		table := office.Table{}
+		book.Register(table)
+		place.Go(func() { book.Roam(postmark.Second) })
+		one := carrier.New(carrier.Env{Place: place, Book: book, Name: name, Domain: fmt.Sprintf("zone-%d", index%mesh.sizes.Zones+1),
+			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}})
+		one.Gate.Unclaimed(mesh.breakage.NoClaims)
+		one.Desk.Untenured(mesh.breakage.NoTenure)
+		one.Register(table)
+		one.Start()
+		mesh.lives[name] = one
+		return table, nil
+	})
+}
+
+// ---- backends ----
+
+func (mesh *Mesh) startBackend(service, carrier, address string) *backend {
+	mesh.number++
+	fresh := &backend{service: service, instance: fmt.Sprintf("%s-%d", service, mesh.number), address: address, carrier: carrier, up: true, since: mesh.World.Now()}
+	mesh.backends = append(mesh.backends, fresh)
+	mesh.Outside.Go(func() { mesh.beats(fresh) })
+	return fresh
+}
+
+func (mesh *Mesh) beats(one *backend) {
+	registered := false
+	for one.up {
+		node := mesh.World.Node(one.carrier)
+		_, err := mesh.Outside.Transact(node.Address, postmark.Second, func(*world.Node) ([]byte, error) {
+			keeper := mesh.lives[one.carrier].Hutch
+			if !registered {
+				return nil, keeper.Register(hutch.Backend{Service: one.service, Instance: one.instance, Address: one.address})
+			}
+			condition := hutch.Working
+			if one.leaving {
+				condition = hutch.Leaving
+			}
+			return nil, keeper.Beat(one.instance, condition)
+		})
+		registered = err == nil || registered && !seal.IsRefused(err)
+		pause := 2 * postmark.Second
+		if !registered {
+			pause = 200 * postmark.Millisecond
+		}
+		mesh.Outside.Sleep(pause)
+	}
+}
+
+// leave has a backend say that it's leaving; a while later it ends.
+func (mesh *Mesh) leave(one *backend) {
+	mesh.Outside.Go(func() {
+		one.leaving = true
+		node := mesh.World.Node(one.carrier)
+		_, err := mesh.Outside.Transact(node.Address, postmark.Second, func(*world.Node) ([]byte, error) {
+			if mesh.breakage.LeaveIgnored {
+				return nil, nil
+			}
+			return nil, mesh.lives[one.carrier].Hutch.Beat(one.instance, hutch.Leaving)
+		})
+		if err == nil {
+			mesh.History.Leave(one.instance, mesh.World.Now())
+		}
+		mesh.Outside.Sleep(5 * postmark.Second)
+		one.up = false
+	})
+}
+
+func (mesh *Mesh) live(service string) (found []*backend) {
+	for _, one := range mesh.backends {
+		if one.up && !one.leaving && (service == "" || one.service == service) {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+// courier is the simulated delivery. It keeps the promises that the real one keeps over HTTP.
+type courier struct {
+	mesh  *Mesh
+	place *world.Place
+}
+
+func (courier *courier) Deliver(order gate.Order) (*letter.Answer, *seal.Fault) {
+	mesh := courier.mesh
+	chance := mesh.World.Chance()
+	pause := func() { courier.place.Sleep(postmark.Micros(100 + chance.Uint64N(1500))) }
+	pause()
+	var found *backend
+	for _, one := range mesh.backends {
+		if one.up && one.address == order.Backend.Address {
+			found = one
+		}
+	}
+	if found == nil {
+		return nil, seal.New(seal.BackendDial, seal.NotRun, "refused")
+	}
+	if (found.instance != order.Backend.Instance || found.service != order.Backend.Service) && !mesh.breakage.NoIdentity {
+		return nil, seal.New(seal.BackendIdentity, seal.NotRun, "it's %s", found.instance)
+	}
+	if fault := order.Still(); fault != nil {
+		return nil, fault
+	}
+	// From here on the bytes are on their way.
+	pause()
+	if courier.place.Now() >= order.Cutoff {
+		return nil, seal.New(seal.AnswerLate, seal.MayHaveRun, "late")
+	}
+	if !found.up {
+		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "reset")
+	}
+	position := strings.LastIndexByte(order.ID, '.')
+	try := 1
+	_, _ = fmt.Sscanf(order.ID[position+1:], "%d", &try)
+	manner := found.manner
+	if manner == "mixed" {
+		manner = []string{"", "", "failing", "losing", "short", "not_executed"}[chance.IntN(6)]
+	}
+	mesh.History.Ran(inspector.Run{Attempt: order.ID[:position], Try: try, Key: letter.Header(order.Headers, letter.KeyHeader), Service: found.service,
+		Instance: found.instance, Method: order.Method, Path: order.Target, At: mesh.World.Now(), Executed: manner != "not_executed"})
+	if manner == "slow" {
+		courier.place.Sleep(6 * postmark.Second)
+	}
+	pause()
+	if courier.place.Now() >= order.Cutoff {
+		return nil, seal.New(seal.AnswerLate, seal.MayHaveRun, "late")
+	}
+	body := []byte(order.ID[:position] + " answered")
+	answer := &letter.Answer{Status: 200, Body: body, Headers: []*wire.Header{{Name: "Sum", Value: sum(body)}, {Name: "Echo", Value: order.ID[:position]}}}
+	switch {
+	case manner == "losing" || !found.up:
+		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "lost")
+	case manner == "short" && mesh.breakage.TrustShort:
+		answer.Body = body[:4]
+	case manner == "short":
+		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "short")
+	case manner == "failing":
+		answer.Status = 500
+	case manner == "not_executed":
+		answer.Status, answer.Headers = 503, append(answer.Headers, &wire.Header{Name: letter.NotExecutedHeader, Value: "1"})
+	}
+	return answer, nil
+}
+
+func sum(content []byte) string { return fmt.Sprint(crc32.ChecksumIEEE(content)) }
+
+// ---- callers ----
+
+// serve keeps callers sending at a rate until serving is turned off.
+func (mesh *Mesh) serve(perSecond int) {
+	mesh.serving = true
+	chance := mesh.World.Chance()
+	mesh.Outside.Go(func() {
+		for number := 0; mesh.serving; number++ {
+			mesh.Outside.Sleep(postmark.Micros(chance.Uint64N(uint64(2 * int(postmark.Second) / perSecond))))
+			mesh.Outside.Go(func() { mesh.call(number, number%2 == 0) })
+		}
+	})
+}
+
+func (mesh *Mesh) call(number int, keyed bool) {
+	chance := mesh.World.Chance()
+	for again := 0; again < 4; again++ {
+		kind, method, path, key := "form", "GET", fmt.Sprintf("/forms/%d", number), ""
+		if keyed {
+			kind, method, path, key = "submission", "POST", fmt.Sprintf("/households/%d", number), fmt.Sprintf("key-%d", number)
+		}
+		caller := mesh.carriers[chance.IntN(len(mesh.carriers))]
+		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", kind, number, again), Key: key, Kind: kind, Caller: caller, Method: method, Path: path, Sent: mesh.World.Now()}
+		mesh.History.Send(attempt)
+		mesh.send(attempt)
+		if !keyed || attempt.Status == 200 && !attempt.Mesh {
+			return
+		}
+		mesh.Outside.Sleep(postmark.Second + postmark.Micros(chance.Uint64N(uint64(postmark.Second))))
+	}
+}
+
+type told struct {
+	Status  uint32
+	Serial  uint64
+	Echo    string
+	Whole   bool
+	Mesh    bool
+	Cause   uint32
+	NotRun  bool
+	Retry   bool
+	Planned bool
+}
+
+func (mesh *Mesh) send(attempt *inspector.Attempt) {
+	node := mesh.World.Node(attempt.Caller)
+	life := mesh.lives[attempt.Caller]
+	content, err := mesh.Outside.Transact(node.Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
+		life = mesh.lives[attempt.Caller]
+		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Path: attempt.Path, Target: attempt.Path, Key: attempt.Key,
+			ReadAt: life.Moment(), Headers: []*wire.Header{{Name: letter.KeyHeader, Value: attempt.Key}}}
+		answer, fault := life.Passage.Carry(request)
+		if fault != nil {
+			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter > 0})
+		}
+		return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body)})
+	})
+	attempt.Ended = mesh.World.Now()
+	if err != nil {
+		attempt.Transport = "lost"
+		return
+	}
+	var reply told
+	_ = json.Unmarshal(content, &reply)
+	attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole = int(reply.Status), reply.Serial, reply.Echo, reply.Whole
+	attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry
+}
+
+// ---- operators ----
+
+// apply has an operator apply a content, asking again until the outcome is certain or patience ends.
+func (mesh *Mesh) apply(content []byte, any bool, expected uint64, patience postmark.Micros) *wire.DesiredApplyTell {
+	state, faults := franking.Parse(content)
+	if state != nil && len(faults) == 0 {
+		view := franking.Compile(state, 0, "")
+		for kind, sample := range map[string][2]string{"form": {"GET", "/forms/1"}, "submission": {"POST", "/households/1"}} {
+			if path, found := view.Resolve(sample[0], sample[1]); found {
+				mesh.History.Allow(kind, path.Service.Name)
+			}
+		}
+	}
+	ask := &wire.DesiredApplyAsk{Content: content, AnySerial: any, ExpectedSerial: expected, Request: fmt.Sprintf("apply-%x", mesh.Outside.Random())}
+	cutoff := mesh.World.Now() + patience
+	for mesh.World.Now() < cutoff {
+		leader := mesh.book.Leader(postmaster.Group)
+		tell := &wire.DesiredApplyTell{}
+		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_apply, ask, tell, 20*postmark.Second) == nil {
+			mesh.History.Apply(inspector.Applied{Serial: tell.Serial, Digest: tell.Digest, Valid: len(faults) == 0, Outcome: tell.Outcome, At: mesh.World.Now()})
+			mesh.latest = max(mesh.latest, tell.Serial)
+			return tell
+		}
+		mesh.book.Ask()
+		mesh.Outside.Sleep(200 * postmark.Millisecond)
+	}
+	return nil
+}
+
+// readBack reads the history of desired states at the end.
+func (mesh *Mesh) readBack() {
+	for range 100 {
+		tell := &wire.DesiredReadTell{}
+		leader := mesh.book.Leader(postmaster.Group)
+		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 2*postmark.Second) == nil {
+			for _, kept := range tell.States {
+				mesh.History.ReadBack = append(mesh.History.ReadBack, inspector.ReadBack{Serial: kept.Serial, Digest: kept.Digest})
+			}
+			mesh.History.Read = true
+			return
+		}
+		mesh.book.Ask()
+		mesh.Outside.Sleep(300 * postmark.Millisecond)
+	}
+}
+
+// watch notes the shared records as the sorters that answer hold them.
+func (mesh *Mesh) watch() {
+	mesh.Outside.Go(func() {
+		for {
+			mesh.Outside.Sleep(100 * postmark.Millisecond)
+			names := make([]string, 0, len(mesh.sorters))
+			for name := range mesh.sorters {
+				names = append(names, name)
+			}
+			sort.Strings(names)
+			for _, name := range names {
+				if !mesh.World.Node(name).Up() || !mesh.sorters[name].Member.Answering() {
+					continue
+				}
+				for _, record := range mesh.sorters[name].Guards() {
+					mesh.History.See(inspector.GuardSeen{Service: record.Service, State: record.State, Serial: record.Serial, Budget: int(record.Budget),
+						Probes: len(record.Probes), Tallies: len(record.Tallies), Permitted: int(record.Terms.GetPermitted()), At: mesh.World.Now(), Source: name})
+				}
+			}
+		}
+	})
+}
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -180,6 +180,14 @@
 	}
 }
 
+// Guards gives the shared records while this sorter answers, or nothing.
+func (sorter *Sorter) Guards() (records []*wire.GuardRecord) {
+	if !sorter.Member.Read(func(uint64, postmark.Micros) { records = sorter.rack.Guards.Records() }) {
+		return nil
+	}
+	return records
+}
+
 // Status is what operators are shown of a sorter.
 type Status struct {
 	Core     countersign.Status  `json:"core"`
--- a/internal/strongbox/memory/memory.go
+++ b/internal/strongbox/memory/memory.go
@@ -24,6 +24,8 @@
 	Wait  func(postmark.Micros)
 	// FailSyncs makes the next syncs fail.
 	FailSyncs int
+	// IgnoreSyncs makes syncs do nothing while saying that they did; it's there to show that checkers see it.
+	IgnoreSyncs bool
 	// Tear is called at a power loss with the unsynced tail's length, and gives how much of it lasts.
 	Tear func(length int) int
 }
@@ -166,8 +168,14 @@
 	if err := handle.disk.sync(); err != nil {
 		return err
 	}
+	if handle.disk.IgnoreSyncs {
+		return nil
+	}
 	handle.file.durable = reached
 	return nil
 }
 
 func (handle *handle) Close() error { return nil }
+
+// Used tells how many bytes the disk holds.
+func (disk *Disk) Used() int { return disk.used() }
