Bound further tries in every window, speak of the key in every refusal, mend genesis

Genesis: a voter that joined first promised its own ballot before the others had joined; they then took that promise for an old register and never joined. Virgin now means that nothing was accepted; promises are adopted all the same.

Further tries: the budget counted the last 10 s, so a burst paid for by first tries about to leave the window stayed in a later one: 34 further for 35 first tries. It's a token bucket now, which bounds every window; only first tries that reached the service count, and a new life gets no part of the allowance for 10 s.

The scope is path and key alone and is known from the start, so every refusal reads the claims.

--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -107,7 +107,7 @@
 // Carry gives a request its one outcome: the backend's own complete answer, or a fault.
 func (passage *Passage) Carry(request *letter.Request) (answer *letter.Answer, fault *seal.Fault) {
 	passage.running.Inc()
-	trip := &Trip{Request: request, Began: passage.env.Place.Now()}
+	trip := &Trip{Request: request, Began: passage.env.Place.Now(), Scope: scope(request)}
 	defer func() {
 		if passage.env.Finished != nil {
 			passage.env.Finished(trip, answer, fault)
@@ -150,7 +150,7 @@
 		if place.Now()+backoff+50*postmark.Millisecond >= trip.Cutoff {
 			return nil, fault
 		}
-		if !passage.env.Purse.Spend(trip.Service.Name, retry.GetBudgetRatio(), retry.GetAllowance()) {
+		if !passage.env.Purse.Spend(trip.Service.Name, retry.GetAllowance()) {
 			spent := seal.New(seal.BudgetSpent, fault.Verdict, "no further try is left; the last said: %s", fault.Detail)
 			return nil, spent
 		}
@@ -197,7 +197,12 @@
 	avoid[candidate.Instance] = true
 	trip.Tries++
 	if trip.Tries == 1 {
-		passage.env.Purse.First(trip.Service.Name)
+		defer func() {
+			// A first try that certainly never reached a backend was no traffic of the service.
+			if fault == nil || !fault.NotRun() || fault.Cause == seal.NotExecuted {
+				passage.env.Purse.First(trip.Service.Name, trip.Service.Retry.GetBudgetRatio(), trip.Service.Retry.GetAllowance())
+			}
+		}()
 	}
 	remaining := trip.Cutoff - place.Now()
 	if remaining <= 0 {
@@ -290,6 +295,15 @@
 	return tell.Outcome
 }
 
+// scope names what may run once. The service is no part of it: a key must not run twice even when a new desired state
+// sends its path to another service. It's known before the path is resolved, so every refusal can speak of the key.
+func scope(request *letter.Request) string {
+	if request.Key == "" {
+		return ""
+	}
+	return request.Path + "\n" + request.Key
+}
+
 // final makes sure a verdict speaks of the key, not of one try: not run is only said of a run-once request once the
 // claims say the same and are fenced, so that nothing read before can run under the key later.
 func (passage *Passage) final(trip *Trip, fault *seal.Fault) *seal.Fault {
--- a/internal/carrier/passage/policies.go
+++ b/internal/carrier/passage/policies.go
@@ -71,8 +71,7 @@
 	return nil
 }
 
-// key gives a run-once request its scope. The service is no part of it: a key must not run twice even when a new
-// desired state sends its path to another service.
+// key asks a run-once request for its reference key and takes its digest.
 func (passage *Passage) key(trip *Trip) *seal.Fault {
 	if !trip.Path.Once {
 		return nil
@@ -83,7 +82,7 @@
 	sum := sha256.New()
 	sum.Write([]byte(trip.Request.Method + " " + trip.Request.Target + "\n"))
 	sum.Write(trip.Request.Body)
-	trip.Scope, trip.Digest = trip.Request.Path+"\n"+trip.Request.Key, sum.Sum(nil)
+	trip.Digest = sum.Sum(nil)
 	return nil
 }
 
--- a/internal/carrier/purse/purse.go
+++ b/internal/carrier/purse/purse.go
@@ -1,5 +1,6 @@
-// Package purse keeps the budget for further tries: a share of this carrier's own first tries in the last ten seconds,
-// plus its part of one small allowance for the whole mesh.
+// Package purse keeps the budget for further tries. It's a bucket for each service: each first try that reached the
+// service puts a share of a token in, a further try takes a whole one out, and the bucket holds no more than this
+// carrier's part of one small allowance for the whole mesh.
 package purse
 
 import (
@@ -8,15 +9,14 @@
 	"snowflow/internal/postmark"
 )
 
-const (
-	window  = 10 * postmark.Second
-	bucket  = 100 * postmark.Millisecond
-	buckets = int64(window/bucket) + 1
-)
+// window is the time in which further tries are bounded.
+const window = 10 * postmark.Second
 
 // Purse is the budget for all services.
-// Invariant, per service and for any window that ends now: further tries <= ratio x first tries + allowance part.
-// First tries are counted in buckets, and only those that lie whole in the window, so the count errs low.
+//
+// Invariant, per service and for every window of 10 s, past or to come: further tries <= ratio x first tries in that same
+// window + depth. A count over the last 10 s alone would not do: first tries that are about to leave the window
+// would pay for a burst of further ones that stays in it.
 type Purse struct {
 	clock postmark.Clock
 	lock  sync.Mutex
@@ -25,10 +25,8 @@
 }
 
 type fund struct {
-	firsts  map[int64]uint64
-	total   uint64
-	oldest  int64
-	further []postmark.Micros
+	tokens  float64
+	last    postmark.Micros // of the last further try
 	First   uint64
 	Further uint64
 	Refused uint64
@@ -42,47 +40,47 @@
 func (purse *Purse) fund(service string) *fund {
 	present := purse.funds[service]
 	if present == nil {
-		present = &fund{firsts: map[int64]uint64{}}
+		present = &fund{last: -window}
 		purse.funds[service] = present
 	}
-	now := purse.clock.Now()
-	current := int64(now / bucket)
-	for ; present.oldest <= current-buckets+1; present.oldest++ {
-		if len(present.firsts) == 0 {
-			present.oldest = current - buckets + 2
-			break
-		}
-		present.total -= present.firsts[present.oldest]
-		delete(present.firsts, present.oldest)
-	}
-	cut := 0
-	for cut < len(present.further) && now-present.further[cut] >= window {
-		cut++
-	}
-	present.further = present.further[cut:]
 	return present
 }
 
-// First notes a first try.
-func (purse *Purse) First(service string) {
+// depth is what a bucket may hold. A part below one would never allow a single try, so it's rounded up to one: where
+// carriers outnumber the allowance, their number is the bound.
+func (purse *Purse) depth(allowance uint32) float64 {
+	part := purse.share(allowance)
+	if part > 0 {
+		part = max(part, 1)
+	}
+	return part
+}
+
+// First notes a first try that reached the service.
+func (purse *Purse) First(service string, ratio float64, allowance uint32) {
 	purse.lock.Lock()
 	defer purse.lock.Unlock()
 	present := purse.fund(service)
-	present.firsts[int64(purse.clock.Now()/bucket)]++
-	present.total++
+	present.tokens = min(present.tokens+ratio, purse.depth(allowance))
 	present.First++
 }
 
 // Spend takes one further try out of the budget, if there's one left.
-func (purse *Purse) Spend(service string, ratio float64, allowance uint32) bool {
+func (purse *Purse) Spend(service string, allowance uint32) bool {
 	purse.lock.Lock()
 	defer purse.lock.Unlock()
 	present := purse.fund(service)
-	if float64(len(present.further)+1) > ratio*float64(present.total)+purse.share(allowance) {
+	depth, now := purse.depth(allowance), purse.clock.Now()
+	present.tokens = min(present.tokens, depth)
+	if now-present.last >= window {
+		present.tokens = depth // no window holds both an earlier further try and this one
+	}
+	if present.tokens < 1 {
 		present.Refused++
 		return false
 	}
-	present.further = append(present.further, purse.clock.Now())
+	present.tokens--
+	present.last = now
 	present.Further++
 	return true
 }
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -19,6 +19,9 @@
 // PollEvery is the cadence of polls: the session's beat, the directory's and the guards' cached read in one.
 const PollEvery = postmark.Second
 
+// shareMemory is the window in which further tries are counted.
+const shareMemory = 10 * postmark.Second
+
 // Candidate is one backend that may be chosen.
 type Candidate struct {
 	Carrier     string
@@ -56,7 +59,9 @@
 	source    uint64
 	serial    uint64
 	beat      uint64
-	live      uint32
+	live      uint32 // the most carriers told of within shareMemory, so that parts don't grow while views differ
+	liveAt    postmark.Micros
+	born      postmark.Micros
 	moment    *wire.HolderMoment
 	momentAt  postmark.Micros
 	polled    postmark.Micros
@@ -66,7 +71,7 @@
 // New makes a roll; session gives this carrier's session as it is now.
 func New(place office.Office, book *gazetteer.Book, session func() *wire.Session) *Roll {
 	return &Roll{place: place, book: book, session: session, soon: place.NewSignal(), directory: &Directory{Candidates: map[string][]Candidate{}, Carriers: map[string]int{}, Addresses: map[string]string{}},
-		polled: -postmark.Minute, primary: -postmark.Minute}
+		polled: -postmark.Minute, primary: -postmark.Minute, born: place.Now()}
 }
 
 // Soon has the session told at once, because it changed.
@@ -133,7 +138,10 @@
 	roll.lock.Lock()
 	defer roll.lock.Unlock()
 	now := roll.place.Now()
-	roll.polled, roll.live = now, tell.Carriers
+	roll.polled = now
+	if tell.Carriers >= roll.live || now-roll.liveAt >= shareMemory {
+		roll.live, roll.liveAt = tell.Carriers, now
+	}
 	if tell.Primary {
 		roll.primary = now
 		if roll.moment == nil || tell.Epoch >= roll.moment.Epoch {
@@ -183,11 +191,12 @@
 	return roll.place.Now()-roll.polled < 3*postmark.Second
 }
 
-// Share is this carrier's part of an allowance for the whole mesh: nothing before it was told how many share it.
+// Share is this carrier's part of an allowance for the whole mesh: nothing before it was told how many share it, nor
+// while an earlier life's part may still count.
 func (roll *Roll) Share(allowance uint32) float64 {
 	roll.lock.Lock()
 	defer roll.lock.Unlock()
-	if roll.live == 0 || roll.place.Now()-roll.polled >= 10*postmark.Second {
+	if roll.live == 0 || roll.place.Now()-roll.polled >= shareMemory || roll.place.Now()-roll.born < shareMemory {
 		return 0
 	}
 	return float64(allowance) / float64(roll.live)
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -208,15 +208,15 @@
 		if reply == nil {
 			continue
 		}
-		if reply.Promised == 0 && reply.Accepted == 0 {
+		// A promise alone is no value: a first ballot may have failed because this voter hadn't joined yet.
+		if reply.Accepted == 0 {
 			virgin++
-			continue
 		}
+		highestPromise = max(highestPromise, reply.Promised)
 		if !reply.Intact {
 			continue
 		}
 		intact++
-		highestPromise = max(highestPromise, reply.Promised)
 		if reply.Accepted > highestAccepted {
 			highestAccepted, value = reply.Accepted, reply.Value
 		}
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -18,6 +18,8 @@
 	Rate   int
 	Rules  []int
 	Faults []fault
+	// First are brought about before chance chooses, so that every rule has something to look at.
+	First []fault
 	// Every is the mean pause between faults.
 	Every postmark.Micros
 	// Prepare may set the mesh up further before traffic starts.
@@ -230,11 +232,11 @@
 func init() {
 	add(Course{Name: "calm", Short: "no failure", Sizes: small, Length: 20 * postmark.Second, Rate: 30, Rules: []int{1, 3, 5, 6, 7, 8}, Every: postmark.Minute,
 		Faults: []fault{applyOne}})
-	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second,
+	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne},
 		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
 			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
-	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second,
+	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne},
 		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
 			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
@@ -271,12 +273,16 @@
 	mesh.serve(course.Rate)
 	mesh.watch()
 	end := mesh.World.Now() + course.Length
+	first := course.First
 	var next func()
 	next = func() {
 		if mesh.World.Now() >= end-5*postmark.Second {
 			return
 		}
 		chosen := pick(mesh, course.Faults)
+		if len(first) > 0 {
+			chosen, first = first[0], first[1:]
+		}
 		result.Faults = append(result.Faults, fmt.Sprintf("%d %s", mesh.World.Now(), chosen.name))
 		mesh.log = append(mesh.log, fmt.Sprintf("%d FAULT %s", mesh.World.Now(), chosen.name))
 		chosen.bring(mesh)
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -49,3 +49,49 @@
 func TestCalm(t *testing.T)       { play(t, "calm", 1) }
 func TestEverything(t *testing.T) { play(t, "everything", 1, 2, 3, 4) }
 func TestFour(t *testing.T)       { play(t, "four", 1, 2) }
+
+// TestReplay plays one seed twice: what was found must be found again.
+func TestReplay(t *testing.T) {
+	one, other := Run(Courses["everything"], 7, Breakage{}), Run(Courses["everything"], 7, Breakage{})
+	if one.Digest != other.Digest || one.Served != other.Served || one.Events != other.Events {
+		t.Fatalf("the same seed took another course: %d events and %d served, then %d and %d", one.Events, one.Served, other.Events, other.Served)
+	}
+}
+
+// TestCheckersSee breaks one part of the mesh at a time; the rule that it serves must find something in some seed.
+func TestCheckersSee(t *testing.T) {
+	broken := []struct {
+		name     string
+		rule     int
+		breakage Breakage
+	}{
+		{"claims left out", 1, Breakage{NoClaims: true}},
+		{"claims left out, so not run is a guess", 2, Breakage{NoClaims: true}},
+		{"short answers pass for whole", 3, Breakage{TrustShort: true}},
+		{"leaving ignored", 4, Breakage{LeaveIgnored: true}},
+		{"identity not asked", 5, Breakage{NoIdentity: true}},
+		{"serving without a tenure", 6, Breakage{NoTenure: true}},
+		{"syncs that do nothing", 7, Breakage{NoSync: true}},
+		{"tries without a budget", 8, Breakage{NoBudget: true}},
+		{"slots that leak", 10, Breakage{LeakSlots: true}},
+		{"every trip opens for all", 11, Breakage{AnyTrip: true}},
+		{"a core that stays away", 12, Breakage{NoReturn: true}},
+	}
+	for _, one := range broken {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= 30; seed++ {
+				course := Courses["everything"]
+				if one.rule == 11 {
+					course = Courses["troubled"]
+				}
+				for _, finding := range Run(course, seed, one.breakage).Findings {
+					if finding.Rule == one.rule {
+						return
+					}
+				}
+			}
+			t.Errorf("the checker of rule %d saw nothing wrong in 30 seeds", one.rule)
+		})
+	}
+}
