Checkers shown to fail: one broken part of the mesh for each rule, and a troubled caller's course

Cause: a checker that can't fail proves nothing. Each rule now has a variant with one part broken that it must catch.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -122,6 +122,9 @@
 // Moment is a moment of holder time that has certainly passed.
 func (carrier *Carrier) Moment() *wire.HolderMoment { return carrier.Roll.Moment() }
 
+// Now reads this carrier's clock.
+func (carrier *Carrier) Now() postmark.Micros { return carrier.env.Place.Now() }
+
 // Incarnation names this life.
 func (carrier *Carrier) Incarnation() uint64 { return carrier.incarnation }
 
--- a/internal/carrier/purse/purse.go
+++ b/internal/carrier/purse/purse.go
@@ -22,8 +22,13 @@
 	lock  sync.Mutex
 	funds map[string]*fund
 	share func(allowance uint32) float64
+	// unlimited takes the bound away; only rehearsals of the checkers set it.
+	unlimited bool
 }
 
+// Unlimited takes the bound away, to show that a checker sees what comes of it. No program sets it.
+func (purse *Purse) Unlimited(broken bool) { purse.unlimited = broken }
+
 type fund struct {
 	tokens  float64
 	last    postmark.Micros // of the last further try
@@ -75,7 +80,7 @@
 	if now-present.last >= window {
 		present.tokens = depth // no window holds both an earlier further try and this one
 	}
-	if present.tokens < 1 {
+	if present.tokens < 1 && !purse.unlimited {
 		present.Refused++
 		return false
 	}
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -174,7 +174,7 @@
 	replaceBackend = fault{"replace a backend", func(mesh *Mesh) {
 		if found := mesh.live(""); len(found) > 0 {
 			one := pick(mesh, found)
-			mesh.startBackend(one.service, pick(mesh, mesh.carriers), fmt.Sprintf("%s:%d", one.carrier, 9000+mesh.number))
+			mesh.startBackend(one.service, pick(mesh, mesh.carriers), fmt.Sprintf("%s:%d", one.carrier, 9000+mesh.number), 0)
 			mesh.leave(one)
 		}
 	}}
@@ -186,8 +186,8 @@
 		one := pick(mesh, found)
 		one.up = false
 		other := map[string]string{"forms": "households", "households": "forms"}[one.service]
-		mesh.later(2*postmark.Second, func() { mesh.startBackend(other, one.carrier, one.address) })
-		mesh.startBackend(one.service, pick(mesh, mesh.carriers), fmt.Sprintf("%s:%d", one.carrier, 9000+mesh.number))
+		mesh.later(2*postmark.Second, func() { mesh.startBackend(other, one.carrier, one.address, mesh.span(0, 4*postmark.Second)) })
+		mesh.startBackend(one.service, pick(mesh, mesh.carriers), fmt.Sprintf("%s:%d", one.carrier, 9000+mesh.number), 0)
 	}}
 	applyOne = fault{"apply a desired state", func(mesh *Mesh) {
 		variant := mesh.World.Chance().IntN(1 << 20)
@@ -232,16 +232,26 @@
 func init() {
 	add(Course{Name: "calm", Short: "no failure", Sizes: small, Length: 20 * postmark.Second, Rate: 30, Rules: []int{1, 3, 5, 6, 7, 8}, Every: postmark.Minute,
 		Faults: []fault{applyOne}})
-	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne},
+	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
 		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
 			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
-	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne},
+	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
 		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
 			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
 }
 
+func init() {
+	add(Course{Name: "troubled", Short: "one caller's network in trouble, all others well", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 4 * postmark.Second,
+		Rules: []int{1, 3, 11}, Prepare: func(mesh *Mesh) {
+			mesh.troubled = mesh.carriers[0]
+			mesh.History.Mark("troubled "+mesh.troubled, mesh.World.Now())
+		}, Faults: []fault{{"cut the troubled carrier from others, one way or both", func(mesh *Mesh) {
+			mesh.cutFor(mesh.troubled, pick(mesh, mesh.carriers), mesh.World.Chance().IntN(2) == 0, mesh.span(500*postmark.Millisecond, 6*postmark.Second))
+		}}, applyOne}})
+}
+
 // Result is how a run ended.
 type Result struct {
 	Seed     uint64
@@ -324,6 +334,10 @@
 	for _, node := range mesh.World.Nodes() {
 		node.Disk.Capacity, node.Disk.FailSyncs, node.Disk.Delay = 0, 0, 200
 		mesh.World.Thaw(node)
+		if mesh.breakage.NoReturn && node.Machine == mesh.cores[0] || mesh.breakage.NoReturn && node.Machine == mesh.cores[1] {
+			mesh.World.Kill(node)
+			continue
+		}
 		mesh.World.Start(node)
 	}
 	for _, one := range mesh.backends {
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -24,6 +24,7 @@
 	"snowflow/internal/postmaster"
 	"snowflow/internal/seal"
 	"snowflow/internal/sorter"
+	"snowflow/internal/sorter/rack"
 )
 
 // Mesh is a simulated mesh with its outside.
@@ -42,6 +43,7 @@
 	number   int
 	serving  bool
 	latest   uint64
+	troubled string // the carrier whose callers give up too early, as over a bad network
 	adjust   func(*countersign.Env)
 	breakage Breakage
 	log      []string
@@ -61,7 +63,10 @@
 	NoTenure     bool // carriers serve without a live tenure
 	NoSync       bool // syncs do nothing
 	TrustShort   bool // short answers pass for whole
-	LeakSlots    bool // probes of ended carriers are not given back
+	LeakSlots    bool // slots of a round are lost
+	NoBudget     bool // further tries are not bounded
+	AnyTrip      bool // one carrier's trip opens a guard for all
+	NoReturn     bool // the core stays down at the end
 }
 
 type backend struct {
@@ -72,7 +77,7 @@
 	up       bool
 	manner   string
 	leaving  bool
-	since    postmark.Micros
+	quiet    postmark.Micros // how long it listens before it registers
 }
 
 // Desired is the simulated mesh's configuration; variant makes contents differ.
@@ -132,7 +137,7 @@
 	for index := range sizes.Backends {
 		for number, service := range []string{"forms", "households"} {
 			carrier := mesh.carriers[(index+number)%len(mesh.carriers)]
-			mesh.startBackend(service, carrier, fmt.Sprintf("%s:%d", carrier, 8000+10*index+number))
+			mesh.startBackend(service, carrier, fmt.Sprintf("%s:%d", carrier, 8000+10*index+number), 0)
 		}
 	}
 	return mesh
@@ -153,7 +158,10 @@
 			}
 		}
 		if group == "sorter" {
-			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust})
+			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust,
+				Prepare: func(state *rack.Rack) {
+					state.Guards.Leaky, state.Guards.AnyTrip = mesh.breakage.LeakSlots, mesh.breakage.AnyTrip
+				}})
 			if err != nil {
 				return nil, err
 			}
@@ -186,6 +194,7 @@
 			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}})
 		one.Gate.Unclaimed(mesh.breakage.NoClaims)
 		one.Desk.Untenured(mesh.breakage.NoTenure)
+		one.Purse.Unlimited(mesh.breakage.NoBudget)
 		one.Register(table)
 		one.Start()
 		mesh.lives[name] = one
@@ -195,9 +204,9 @@
 
 // ---- backends ----
 
-func (mesh *Mesh) startBackend(service, carrier, address string) *backend {
+func (mesh *Mesh) startBackend(service, carrier, address string, quiet postmark.Micros) *backend {
 	mesh.number++
-	fresh := &backend{service: service, instance: fmt.Sprintf("%s-%d", service, mesh.number), address: address, carrier: carrier, up: true, since: mesh.World.Now()}
+	fresh := &backend{service: service, instance: fmt.Sprintf("%s-%d", service, mesh.number), address: address, carrier: carrier, up: true, quiet: quiet}
 	mesh.backends = append(mesh.backends, fresh)
 	mesh.Outside.Go(func() { mesh.beats(fresh) })
 	return fresh
@@ -205,6 +214,7 @@
 
 func (mesh *Mesh) beats(one *backend) {
 	registered := false
+	mesh.Outside.Sleep(one.quiet)
 	for one.up {
 		node := mesh.World.Node(one.carrier)
 		_, err := mesh.Outside.Transact(node.Address, postmark.Second, func(*world.Node) ([]byte, error) {
@@ -213,7 +223,7 @@
 				return nil, keeper.Register(hutch.Backend{Service: one.service, Instance: one.instance, Address: one.address})
 			}
 			condition := hutch.Working
-			if one.leaving {
+			if one.leaving && !mesh.breakage.LeaveIgnored {
 				condition = hutch.Leaving
 			}
 			return nil, keeper.Beat(one.instance, condition)
@@ -375,6 +385,9 @@
 		life = mesh.lives[attempt.Caller]
 		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Path: attempt.Path, Target: attempt.Path, Key: attempt.Key,
 			ReadAt: life.Moment(), Headers: []*wire.Header{{Name: letter.KeyHeader, Value: attempt.Key}}}
+		if attempt.Caller == mesh.troubled {
+			request.Cutoff = life.Now() + 3*postmark.Millisecond
+		}
 		answer, fault := life.Passage.Carry(request)
 		if fault != nil {
 			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter > 0})
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -48,6 +48,7 @@
 
 func TestCalm(t *testing.T)       { play(t, "calm", 1) }
 func TestEverything(t *testing.T) { play(t, "everything", 1, 2, 3, 4) }
+func TestTroubled(t *testing.T)   { play(t, "troubled", 1, 2) }
 func TestFour(t *testing.T)       { play(t, "four", 1, 2) }
 
 // TestReplay plays one seed twice: what was found must be found again.
--- a/internal/sorter/pigeonhole/pigeonhole.go
+++ b/internal/sorter/pigeonhole/pigeonhole.go
@@ -32,7 +32,12 @@
 //   - while half open: budget + probes + tallies == permitted, so no slot is lost or made;
 //   - an id is in probes or in tallies, never in both; only ids that were leased are ever tallied;
 //   - reports are only kept while closed.
-type Table struct{ records map[string]*wire.GuardRecord }
+type Table struct {
+	records map[string]*wire.GuardRecord
+	// Leaky loses the slots of ended carriers, and AnyTrip opens on a single report; only rehearsals of the checkers
+	// set them.
+	Leaky, AnyTrip bool
+}
 
 // New makes an empty table.
 func New() *Table { return &Table{records: map[string]*wire.GuardRecord{}} }
@@ -110,6 +115,9 @@
 	record := table.record(ask.Service, ask.Terms, now)
 	tell := &wire.GuardWriteTell{}
 	if carryOut := verbs[ask.Verb]; carryOut != nil && ask.ExpectedSerial == record.Serial {
+		if table.AnyTrip {
+			ask.Active = nil
+		}
 		if tell.Applied = carryOut(record, ask, now); tell.Applied {
 			touch(record, now)
 		}
@@ -218,6 +226,9 @@
 	}
 	for _, service := range table.services() {
 		sweep(table.records[service], gone, now)
+		if table.Leaky {
+			leak(table.records[service])
+		}
 	}
 }
 
@@ -239,6 +250,13 @@
 	sweeps[record.State](record, gone, now)
 }
 
+// leak drops what a probe that went back had given back.
+func leak(record *wire.GuardRecord) {
+	if record.State == HalfOpen && len(record.Tallies) > 0 && record.Budget > 0 {
+		record.Budget--
+	}
+}
+
 var sweeps = map[string]func(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros){
 	Closed: func(*wire.GuardRecord, map[string]uint64, postmark.Micros) {},
 	Open: func(record *wire.GuardRecord, _ map[string]uint64, now postmark.Micros) {
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -29,6 +29,8 @@
 	Voters []string
 	// Adjust lets tests and the simulator change the core's figures.
 	Adjust func(*countersign.Env)
+	// Prepare lets rehearsals of the checkers change the replicated state's manner.
+	Prepare func(*rack.Rack)
 }
 
 // Sorter is one registry process.
@@ -42,6 +44,9 @@
 // Open reads the disk.
 func Open(env Env) (*Sorter, error) {
 	sorter := &Sorter{env: env, rack: rack.New(), directory: directory.New(env.Place, env.Place.Random())}
+	if env.Prepare != nil {
+		env.Prepare(sorter.rack)
+	}
 	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Machine: sorter.rack}
 	if env.Adjust != nil {
 		env.Adjust(&core)
