--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -115,6 +115,19 @@
 	return nil
 }
 
+// Move gives a process that is down another host. Its seeds, and everybody else's, stay as they were.
+func (fleet *Fleet) Move(process *Process, machine int) error {
+	host := fleet.Host(machine)
+	_, port, _ := net.SplitHostPort(process.Listen)
+	_, desk, _ := net.SplitHostPort(process.Desk)
+	process.Host, process.Listen, process.Desk = host, host+":"+port, host+":"+desk
+	process.Peer = process.Listen
+	if err := fleet.link(process); err != nil {
+		return err
+	}
+	return fleet.settings(process)
+}
+
 func (fleet *Fleet) settings(process *Process) error {
 	seeds := []string{}
 	for index := 0; index < 3 && index < len(fleet.Sorters); index++ {
--- /dev/null
+++ b/internal/depot/scenario/faults.go
@@ -0,0 +1,392 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"snowflow/examples"
+	"snowflow/internal/depot/fleet"
+	"snowflow/internal/depot/layout"
+	"snowflow/internal/depot/standin"
+)
+
+// part is a piece of a scenario's length.
+func (stage *Stage) part(fraction float64) time.Duration {
+	return time.Duration(float64(stage.Options.Length) * fraction)
+}
+
+// restart starts a process again after a while.
+func (stage *Stage) restart(process *fleet.Process, after time.Duration) {
+	time.Sleep(after)
+	if err := stage.Fleet.Start(process, ""); err != nil {
+		stage.Say("%s does not start: %v", process.Name, err)
+	}
+}
+
+// returned marks the machines' return and lets traffic go on for the 15 s that service has to come back in.
+func (stage *Stage) returned() {
+	stage.History.Mark("returned", stage.Clock.Now())
+	time.Sleep(17 * time.Second)
+}
+
+// variant is the layout's desired state with a note of its own.
+func (stage *Stage) variant(number int) []byte {
+	content, _ := examples.Desired(stage.Fleet.Layout.Desired)
+	return bytes.Replace(content, []byte(`"note": "`), []byte(fmt.Sprintf(`"note": "variant %d. `, number)), 1)
+}
+
+// replace starts a new instance of a backend's service on another machine, then has the old one leave and end.
+func (stage *Stage) replace(old *standin.Backend, stay time.Duration) error {
+	if _, err := stage.AddBackend(old.Service, (stage.Beside(old)+1)%len(stage.Fleet.Carriers)); err != nil {
+		return err
+	}
+	old.Leave()
+	time.Sleep(stay)
+	old.End()
+	stage.Remove(old)
+	return nil
+}
+
+func service(stage *Stage, name string) layout.Service {
+	for _, present := range stage.Fleet.Layout.Services {
+		if present.Name == name {
+			return present
+		}
+	}
+	return layout.Service{}
+}
+
+// moveCore gives a core machine's processes a new host while they are down, as when seeds move to other machines.
+func (stage *Stage) moveCore(index int) error {
+	for _, process := range []*fleet.Process{stage.Fleet.Sorters[index], stage.Fleet.Postmasters[index]} {
+		process.Kill()
+		if err := stage.Fleet.Move(process, 150+index); err != nil {
+			return err
+		}
+		if err := stage.Fleet.Start(process, ""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func init() {
+	add(Scenario{"kill-carriers", "kill carriers one after another; each comes back after two seconds", []int{1, 3, 5, 8}, func(stage *Stage) error {
+		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
+			victim := random(stage.Fleet.Carriers)
+			stage.Say("killing %s", victim.Name)
+			victim.Kill()
+			stage.restart(victim, 2*time.Second)
+			stage.Wait(3 * time.Second)
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"kill-primaries", "kill the sorters' and the postmasters' primary in turn", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
+			group := stage.Fleet.Sorters
+			if turn%2 == 1 {
+				group = stage.Fleet.Postmasters
+			}
+			victim := stage.Primary(group)
+			stage.Say("killing the primary %s", victim.Name)
+			victim.Kill()
+			began := time.Now()
+			next := stage.Primary(group)
+			stage.Say("%s answers %d ms later", next.Name, time.Since(began).Milliseconds())
+			stage.restart(victim, time.Second)
+			if _, err := stage.Operator.Apply(stage.variant(turn), "any", 40*time.Second); err != nil {
+				return err
+			}
+			stage.Wait(4 * time.Second)
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"lose-disk", "a core machine ends with its disk lost, and comes back blank", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		stage.Wait(stage.part(0.3))
+		for _, group := range [][]*fleet.Process{stage.Fleet.Sorters, stage.Fleet.Postmasters} {
+			victim := stage.Primary(group)
+			stage.Say("%s loses its disk", victim.Name)
+			victim.Kill()
+			if err := os.RemoveAll(filepath.Join(victim.Folder, "data")); err != nil {
+				return err
+			}
+			stage.restart(victim, 3*time.Second)
+			stage.Wait(stage.part(0.3))
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"kill-core", "kill the whole core at once, some seconds later start it again", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		stage.Wait(stage.part(0.4))
+		core := append(append([]*fleet.Process(nil), stage.Fleet.Sorters...), stage.Fleet.Postmasters...)
+		for _, process := range core {
+			process.Kill()
+		}
+		stage.Wait(3 * time.Second)
+		for _, process := range core {
+			stage.restart(process, 0)
+		}
+		stage.returned()
+		stage.Wait(stage.part(0.2))
+		return nil
+	}})
+	add(Scenario{"closing", "a closing fault: kill everything, start it again, and be back within 15 s", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		stage.Wait(stage.part(0.5))
+		for _, process := range stage.Fleet.All() {
+			process.Signal(syscall.SIGKILL)
+		}
+		stage.Wait(2 * time.Second)
+		for _, process := range stage.Fleet.All() {
+			process.Wait(5 * time.Second)
+			stage.restart(process, 0)
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"rolling", "restart every machine in turn by a planned stop", []int{1, 3, 7, 9, 12}, func(stage *Stage) error {
+		for _, process := range stage.Fleet.All() {
+			stage.Say("stopping %s", process.Name)
+			if !process.Stop(12 * time.Second) {
+				return fmt.Errorf("%s did not stop by itself", process.Name)
+			}
+			stage.restart(process, 0)
+			if err := fleet.Await([]*fleet.Process{process}, 20*time.Second); err != nil {
+				return err
+			}
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"versions", "roll every machine from an earlier build to this one, serving all the while", []int{1, 3, 7, 9, 12}, func(stage *Stage) error {
+		if stage.Options.Older == "" {
+			return fmt.Errorf("the versions scenario needs --older, a folder of an earlier build's daemons")
+		}
+		for _, binaries := range []string{stage.Options.Older, stage.Fleet.Binaries} {
+			for _, process := range stage.Fleet.All() {
+				if !process.Stop(12 * time.Second) {
+					return fmt.Errorf("%s did not stop by itself", process.Name)
+				}
+				if err := stage.Fleet.Start(process, binaries); err != nil {
+					return err
+				}
+				if err := fleet.Await([]*fleet.Process{process}, 20*time.Second); err != nil {
+					return err
+				}
+			}
+			stage.Say("all machines run %s", binaries)
+			if _, err := stage.Operator.Apply(stage.variant(time.Now().Nanosecond()), "any", 40*time.Second); err != nil {
+				return err
+			}
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"backends", "replace backends one by one, empty one machine, and remove an instance", []int{1, 3, 4, 5, 8}, func(stage *Stage) error {
+		for _, service := range stage.Fleet.Layout.Services {
+			for _, old := range stage.Of(service.Name) {
+				if err := stage.replace(old, 3*time.Second); err != nil {
+					return err
+				}
+			}
+		}
+		stage.Wait(3 * time.Second)
+		return nil
+	}})
+	add(Scenario{"address-reuse", "end backends without a word and give their addresses to other services two seconds later", []int{1, 3, 5, 8}, func(stage *Stage) error {
+		services := stage.Fleet.Layout.Services
+		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
+			old := random(stage.Of(services[turn%len(services)].Name))
+			if _, err := stage.AddBackend(old.Service, (stage.Beside(old)+1)%len(stage.Fleet.Carriers)); err != nil {
+				return err
+			}
+			old.End()
+			stage.Remove(old)
+			stage.Wait(2 * time.Second)
+			if _, err := stage.AddBackendAt(services[(turn+1)%len(services)], stage.Fleet.Carriers[stage.Beside(old)], old.Address); err != nil {
+				return err
+			}
+			stage.Wait(2 * time.Second)
+		}
+		return nil
+	}})
+	add(Scenario{"wrong-bytes", "backends run and lose answers, send short, long, garbled and endless ones, and say not executed", []int{1, 2, 3, 8}, func(stage *Stage) error {
+		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
+			var spoiled []*standin.Backend
+			for _, service := range stage.Fleet.Layout.Services {
+				chosen := random(stage.Of(service.Name))
+				chosen.Manner.Store(standin.Mixed)
+				spoiled = append(spoiled, chosen)
+			}
+			stage.Wait(5 * time.Second)
+			for _, chosen := range spoiled {
+				chosen.Manner.Store(standin.Normal)
+			}
+		}
+		return nil
+	}})
+	add(Scenario{"guard", "a whole service fails for a while; its guard opens, probes and closes again", []int{1, 2, 8, 10}, func(stage *Stage) error {
+		service := stage.Fleet.Layout.Services[0].Name
+		stage.Wait(stage.part(0.2))
+		for _, backend := range stage.Of(service) {
+			backend.Manner.Store(standin.Failing)
+		}
+		stage.Wait(stage.part(0.4))
+		// A prober's carrier dies with its probe in hand, and so does the holder of the record.
+		victim := random(stage.Fleet.Carriers)
+		victim.Kill()
+		holder := stage.Primary(stage.Fleet.Sorters)
+		holder.Kill()
+		stage.Wait(2 * time.Second)
+		for _, backend := range stage.Of(service) {
+			backend.Manner.Store(standin.Normal)
+		}
+		stage.restart(victim, 0)
+		stage.restart(holder, 0)
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"configurations", "storms of configurations, races between two operators, and invalid ones, with a carrier frozen", []int{1, 3, 5, 6, 7}, func(stage *Stage) error {
+		number := 100
+		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
+			victim := random(stage.Fleet.Carriers)
+			victim.Signal(syscall.SIGSTOP)
+			done := make(chan error, 8)
+			for storm := range 6 {
+				number++
+				content := stage.variant(number)
+				if storm%3 == 2 {
+					content = bytes.Replace(content, []byte(`"class": "once"`), []byte(`"class": "twice"`), 1)
+				}
+				go func() {
+					_, err := stage.Operator.Apply(content, "any", 40*time.Second)
+					done <- err
+				}()
+				stage.Wait(100 * time.Millisecond)
+			}
+			for range 2 {
+				number++
+				content := stage.variant(number)
+				go func() {
+					_, err := stage.Operator.Apply(content, fmt.Sprint(number/2), 40*time.Second)
+					done <- err
+				}()
+			}
+			stage.Wait(3 * time.Second)
+			victim.Signal(syscall.SIGCONT)
+			for range 8 {
+				if err := <-done; err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}})
+	add(Scenario{"freeze", "freeze carriers and primaries for some seconds; they wake and must not act on what they knew", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
+			victim := random(stage.Fleet.Carriers)
+			if turn%3 == 1 {
+				victim = stage.Primary(stage.Fleet.Sorters)
+			} else if turn%3 == 2 {
+				victim = stage.Primary(stage.Fleet.Postmasters)
+			}
+			stage.Say("freezing %s", victim.Name)
+			victim.Signal(syscall.SIGSTOP)
+			stage.Wait(4 * time.Second)
+			victim.Signal(syscall.SIGCONT)
+			stage.Wait(3 * time.Second)
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"isolate", "cut single machines off, one way and both, carriers and core", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+		if stage.Fleet.Relays == nil {
+			return fmt.Errorf("cuts need --relays")
+		}
+		all := stage.Fleet.All()
+		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
+			victim := random(stage.Fleet.Carriers)
+			if turn%2 == 1 {
+				victim = stage.Primary(stage.Fleet.Sorters)
+			}
+			stage.Say("cutting %s off", victim.Name)
+			for _, other := range all {
+				if other.Host != victim.Host {
+					stage.Fleet.Relays.Cut(victim.Host, other.Host)
+					if turn%3 != 2 {
+						stage.Fleet.Relays.Cut(other.Host, victim.Host)
+					}
+				}
+			}
+			stage.Wait(5 * time.Second)
+			stage.Fleet.Relays.Mend()
+			stage.Wait(4 * time.Second)
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"split", "split the core from itself and from the carriers", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+		if stage.Fleet.Relays == nil {
+			return fmt.Errorf("cuts need --relays")
+		}
+		stage.Wait(stage.part(0.2))
+		one := stage.Fleet.Sorters[0].Host
+		for _, other := range stage.Fleet.Sorters[1:] {
+			stage.Fleet.Relays.Cut(one, other.Host)
+			stage.Fleet.Relays.Cut(other.Host, one)
+		}
+		stage.Wait(stage.part(0.3))
+		stage.Fleet.Relays.Mend()
+		for _, carrier := range stage.Fleet.Carriers {
+			for _, core := range stage.Fleet.Sorters {
+				stage.Fleet.Relays.Cut(carrier.Host, core.Host)
+				stage.Fleet.Relays.Cut(core.Host, carrier.Host)
+			}
+		}
+		stage.Wait(stage.part(0.3))
+		stage.Fleet.Relays.Mend()
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"troubled", "one carrier's network to the others is slow and cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
+		if stage.Fleet.Relays == nil {
+			return fmt.Errorf("cuts need --relays")
+		}
+		victim := stage.Fleet.Carriers[1]
+		stage.Wait(stage.part(0.2))
+		stage.History.Mark("troubled "+victim.Name, stage.Clock.Now())
+		for _, other := range stage.Fleet.Carriers {
+			if other != victim {
+				stage.Fleet.Relays.Cut(victim.Host, other.Host)
+			}
+		}
+		stage.Wait(stage.part(0.6))
+		stage.Fleet.Relays.Mend()
+		stage.History.Mark("untroubled", stage.Clock.Now())
+		stage.Wait(stage.part(0.2))
+		return nil
+	}})
+	add(Scenario{"move-seeds", "two core machines move to other addresses, one after the other, and a carrier restarts on stale seeds", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		for index := range 2 {
+			stage.Wait(stage.part(0.2))
+			stage.Say("moving core machine %d", index+1)
+			if err := stage.moveCore(index); err != nil {
+				return err
+			}
+			stage.Wait(stage.part(0.2))
+		}
+		victim := random(stage.Fleet.Carriers)
+		victim.Kill()
+		stage.restart(victim, 0)
+		if err := fleet.Await([]*fleet.Process{victim}, 20*time.Second); err != nil {
+			return err
+		}
+		stage.returned()
+		return nil
+	}})
+}
