Avoid backends that err in a row and carriers that owe answers; give refusals time to read claims

Cause 1: one backend of three sending wrong bytes was chosen as often as the others until the whole service's guard opened. A caller now avoids an instance for 2 s after three faults in a row, while others are left. Cause 2: a frozen or cut carrier was chosen until its session ended. One that owes answers for 0.7 s is chosen last. Cause 3: refusals made before the path is known had 300 ms to read the claims, and said may have run when the sorter was just failing over; they have 1.5 s now. Ruled out for 1: lowering the guard's weight of broken answers, which would hide a service that is broken as a whole.

--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -9,23 +9,36 @@
 	"snowflow/internal/seal"
 )
 
-// shunned is how long a carrier or backend that just failed is only chosen when nothing else is left.
-const shunned = 2 * postmark.Second
+const (
+	// shunned is how long a carrier or backend that just failed is only chosen when nothing else is left.
+	shunned = 2 * postmark.Second
+	// faultsInRow shun a backend whose answers are broken, late or errors, while others of its service do well.
+	faultsInRow = 3
+	// silence is how long a carrier may owe answers without giving any before others are chosen first.
+	silence = 700 * postmark.Millisecond
+)
 
 // chooser picks backends: in the own domain first, and beyond it for the part of the load that the own domain's share
 // of the backends can't bear.
-// Invariant: inFlight counts this carrier's own passes under way, by instance.
+// Invariants: inFlight counts this carrier's own passes under way, by instance; owing holds a carrier exactly while
+// passes to it are under way, and since when it has given no answer; faults counts a backend's faults in a row.
 type chooser struct {
 	place    office.Office
 	domain   string
 	lock     sync.Mutex
 	inFlight map[string]int
 	avoided  map[string]postmark.Micros
-	choices  map[bool]uint64
+	owing    map[string]*debt
+	faults   map[string]int
+}
+
+type debt struct {
+	passes int
+	since  postmark.Micros
 }
 
 func newChooser(place office.Office, domain string) *chooser {
-	return &chooser{place: place, domain: domain, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, choices: map[bool]uint64{}}
+	return &chooser{place: place, domain: domain, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
 func (chooser *chooser) shun(name string) {
@@ -34,6 +47,27 @@
 	chooser.avoided[name] = chooser.place.Now() + shunned
 }
 
+// judge notes what a backend's answer was worth.
+func (chooser *chooser) judge(instance string, faulty bool) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	if !faulty {
+		delete(chooser.faults, instance)
+		return
+	}
+	chooser.faults[instance]++
+	if chooser.faults[instance] >= faultsInRow {
+		delete(chooser.faults, instance)
+		chooser.avoided[instance] = chooser.place.Now() + shunned
+	}
+}
+
+// silent tells whether a carrier owes answers for too long.
+func (chooser *chooser) silent(carrier string, now postmark.Micros) bool {
+	owed := chooser.owing[carrier]
+	return owed != nil && now-owed.since >= silence
+}
+
 func (chooser *chooser) shuns(name string, now postmark.Micros) bool {
 	until, present := chooser.avoided[name]
 	if present && now >= until {
@@ -54,7 +88,7 @@
 	}
 	var fit, worse []roll.Candidate
 	for _, candidate := range all {
-		if avoid[candidate.Instance] || chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) {
+		if avoid[candidate.Instance] || chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.silent(candidate.Carrier, now) {
 			worse = append(worse, candidate)
 			continue
 		}
@@ -65,13 +99,22 @@
 	}
 	chosen := chooser.lighter(chooser.near(directory, fit))
 	chooser.inFlight[chosen.Instance]++
-	chooser.choices[chosen.Domain == chooser.domain]++
+	owed := chooser.owing[chosen.Carrier]
+	if owed == nil {
+		owed = &debt{since: now}
+		chooser.owing[chosen.Carrier] = owed
+	}
+	owed.passes++
 	return chosen, func() {
 		chooser.lock.Lock()
 		defer chooser.lock.Unlock()
 		if chooser.inFlight[chosen.Instance]--; chooser.inFlight[chosen.Instance] == 0 {
 			delete(chooser.inFlight, chosen.Instance)
 		}
+		owed.since = chooser.place.Now()
+		if owed.passes--; owed.passes == 0 {
+			delete(chooser.owing, chosen.Carrier)
+		}
 	}, nil
 }
 
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -108,6 +108,7 @@
 func (passage *Passage) Carry(request *letter.Request) (answer *letter.Answer, fault *seal.Fault) {
 	passage.running.Inc()
 	trip := &Trip{Request: request, Began: passage.env.Place.Now(), Scope: scope(request)}
+	trip.Cutoff = trip.Began + voidPatience // until the path's own limit is known
 	defer func() {
 		if passage.env.Finished != nil {
 			passage.env.Finished(trip, answer, fault)
@@ -233,6 +234,7 @@
 		outcome = wicket.Failure
 	}
 	ticket.Done(outcome)
+	passage.choices.judge(candidate.Instance, outcome == wicket.Failure)
 	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance, Serial: trip.View.Serial}, nil, false
 }
 
@@ -274,6 +276,7 @@
 		outcome = wicket.Failure
 	}
 	ticket.Done(outcome)
+	passage.choices.judge(candidate.Instance, fault.Backend)
 	if fault.Cause == seal.BackendDial || fault.Cause == seal.BackendIdentity || fault.Cause == seal.BackendLeaving || fault.Cause == seal.BackendUnknown {
 		passage.choices.shun(candidate.Instance)
 	}
