Transcripts of exchanges, answers and desired states; every fault of a desired state by its place

Cause: what callers, backends and operators are told was only seen by eye; and protojson stops at its first fault. What there is: datadriven transcripts of whole exchanges with a running small mesh, of backend answers, of desired states; bad settings and bad rehearsals exit with 2; a second process on a data folder is turned away. Before protojson reads a tree, its shape is compared with the message, so misplaced fields are all told with their place.

--- /dev/null
+++ b/internal/depot/scenario/fleet_test.go
@@ -0,0 +1,205 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"snowflow/internal/depot/standin"
+)
+
+// binaries builds the daemons once for all tests of this package.
+func binaries(t *testing.T) string {
+	t.Helper()
+	folder := filepath.Join(os.TempDir(), fmt.Sprintf("snowflow-binaries-%d", os.Getpid()))
+	if _, err := os.Stat(folder); err == nil {
+		return folder
+	}
+	command := exec.Command("go", "build", "-buildvcs=false", "-o", folder+"/", "snowflow/cmd/...")
+	if output, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	return folder
+}
+
+func TestMain(main *testing.M) {
+	code := main.Run()
+	_ = os.RemoveAll(filepath.Join(os.TempDir(), fmt.Sprintf("snowflow-binaries-%d", os.Getpid())))
+	os.Exit(code)
+}
+
+func options(t *testing.T, name string, base int) Options {
+	return Options{Layout: "small", Scenario: name, Length: 4 * time.Second, Factor: 1, Folder: t.TempDir(), Binaries: binaries(t), Base: base, Relays: true}
+}
+
+// TestFleetSurvives plays short rehearsals with real processes. Only the checkers judge; nothing depends on how fast
+// this machine is.
+func TestFleetSurvives(t *testing.T) {
+	for index, name := range []string{"kill-primaries", "closing"} {
+		t.Run(name, func(t *testing.T) {
+			report, err := Run(options(t, name, 201+index), t.Logf)
+			t.Log(report.Text())
+			if err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+var varying = []struct {
+	pattern *regexp.Regexp
+	by      string
+}{
+	{regexp.MustCompile(`"digest":"[0-9a-f]{64}"`), `"digest":"..."`},
+	{regexp.MustCompile(`"request":"[^"]*"`), `"request":"..."`},
+	{regexp.MustCompile(`-[0-9a-f]{16}`), `-...`},
+	{regexp.MustCompile(`households-[0-9a-f]{8}|forms-[0-9a-f]{8}`), `instance`},
+	{regexp.MustCompile(`carrier-[0-9]`), `carrier`},
+}
+
+var shownHeaders = []string{"Retry-After", "X-Snowflow-Not-Executed", "X-Snowflow-Serial"}
+
+// TestExchanges keeps approved transcripts of whole exchanges with a running mesh.
+func TestExchanges(t *testing.T) {
+	stage, err := Open(options(t, "steady", 211), t.Logf)
+	if stage != nil {
+		defer stage.Close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Timeout: 30 * time.Second}
+	doors := map[string]string{"caller": stage.Fleet.Carriers[0].Callers, "other-caller": stage.Fleet.Carriers[1].Callers,
+		"backend": stage.Fleet.Carriers[0].Desk, "operator": stage.Fleet.Postmasters[0].Desk}
+	datadriven.RunTest(t, "testdata/exchanges", func(t *testing.T, data *datadriven.TestData) string {
+		manner := ""
+		if data.MaybeScanArgs(t, "manner", &manner); data.Cmd == "backends" {
+			for _, backend := range stage.Backends {
+				backend.Manner.Store(strings.TrimPrefix(manner, "normal"))
+			}
+			return ""
+		}
+		address, known := doors[data.Cmd]
+		if !known {
+			t.Fatalf("no door %q", data.Cmd)
+		}
+		method, path, key, big := "GET", "/", "", 0
+		data.ScanArgs(t, "method", &method)
+		data.ScanArgs(t, "path", &path)
+		data.MaybeScanArgs(t, "key", &key)
+		data.MaybeScanArgs(t, "big", &big)
+		body := data.Input
+		if big > 0 {
+			body = strings.Repeat("x", big)
+		}
+		request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if key != "" {
+			request.Header.Set("X-Snowflow-Key", key)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return err.Error()
+		}
+		defer response.Body.Close()
+		content, err := io.ReadAll(response.Body)
+		if err != nil {
+			return err.Error()
+		}
+		return shown(response, content)
+	})
+}
+
+func shown(response *http.Response, content []byte) string {
+	text := response.Status + "\n"
+	for _, name := range shownHeaders {
+		if value := response.Header.Get(name); value != "" {
+			text += name + ": " + value + "\n"
+		}
+	}
+	if response.Header.Get(standin.EchoHeader) != "" {
+		return text + fmt.Sprintf("the backend's own answer, whole: %v\n", response.Header.Get(standin.SumHeader) == standin.Sum(content))
+	}
+	body := string(content)
+	for _, part := range varying {
+		body = part.pattern.ReplaceAllString(body, part.by)
+	}
+	return text + body
+}
+
+// TestBadStarts starts daemons with settings that can't be: all faults are told, and the exit code is 2.
+func TestBadStarts(t *testing.T) {
+	folder := binaries(t)
+	settings := filepath.Join(t.TempDir(), "env.json")
+	if err := os.WriteFile(settings, []byte(`{"name":"Core 1","listen":"localhost:70000","seeds":["127.0.0.1:1","here"],"voters":["a","a"],"colour":"blue"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, program := range []string{"sorter", "postmaster", "carrier"} {
+		output, err := exec.Command(filepath.Join(folder, program), "--env", settings, "--log", "loud").CombinedOutput()
+		failed, isExit := err.(*exec.ExitError)
+		if !isExit || failed.ExitCode() != 2 {
+			t.Errorf("%s: %v\n%s", program, err, output)
+		}
+		for _, place := range []string{"name:", "domain:", "listen:", "seeds:", "log:", "colour:"} {
+			if !strings.Contains(string(output), place) {
+				t.Errorf("%s doesn't tell what is wrong with %s\n%s", program, place, output)
+			}
+		}
+	}
+}
+
+// TestBadRehearsals: what can't be played ends with exit code 2 and the reason.
+func TestBadRehearsals(t *testing.T) {
+	folder := binaries(t)
+	for _, arguments := range [][]string{{"run", "--scenario", "flood"}, {"run", "--layout", "moon"}, {"run", "--length", "soon"}, {"run", "--length", "-3s"},
+		{"run", "--binaries", "/nowhere"}, {"run", "--scenario", "versions", "--folder", t.TempDir(), "--base", "221", "--length", "1s"}} {
+		output, err := exec.Command(filepath.Join(folder, "depot"), arguments...).CombinedOutput()
+		failed, isExit := err.(*exec.ExitError)
+		if !isExit || failed.ExitCode() != 2 || len(output) == 0 {
+			t.Errorf("%v: %v\n%s", arguments, err, output)
+		}
+	}
+}
+
+// TestSecondProcessIsTurnedAway: a data folder belongs to one process.
+func TestSecondProcessIsTurnedAway(t *testing.T) {
+	stage := options(t, "steady", 231)
+	folder := filepath.Join(stage.Folder, "data")
+	arguments := func(host string) []string {
+		return []string{"--name", "sorter-1", "--domain", "north", "--listen", host + ":7100", "--desk", host + ":7101",
+			"--seeds", "127.231.0.1:7100,127.231.0.2:7100,127.231.0.3:7100", "--voters", "sorter-1,sorter-2,sorter-3", "--data", folder}
+	}
+	first := exec.Command(filepath.Join(stage.Binaries, "sorter"), arguments("127.231.0.1")...)
+	var log bytes.Buffer
+	first.Stderr = &log
+	if err := first.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Process.Kill(); _ = first.Wait() }()
+	// The first holds the folder once its desk answers.
+	for turn := 0; ; turn++ {
+		if response, err := http.Get("http://127.231.0.1:7101/live"); err == nil {
+			_ = response.Body.Close()
+			break
+		}
+		if turn > 1_000_000 {
+			t.Fatal(log.String())
+		}
+	}
+	output, err := exec.Command(filepath.Join(stage.Binaries, "sorter"), arguments("127.231.0.2")...).CombinedOutput()
+	if err == nil || !strings.Contains(string(output), "held by another process") {
+		t.Fatalf("%v\n%s", err, output)
+	}
+}
--- a/internal/franking/franking.go
+++ b/internal/franking/franking.go
@@ -33,6 +33,9 @@
 		return nil, []Fault{{"", fmt.Sprintf("%d bytes, at most %d", len(content), Longest)}}
 	}
 	state := &wire.DesiredState{}
+	if faults := shape(content, state.ProtoReflect().Descriptor()); len(faults) > 0 {
+		return nil, faults
+	}
 	if err := (protojson.UnmarshalOptions{}).Unmarshal(content, state); err != nil {
 		return nil, []Fault{{"", strings.ReplaceAll(err.Error(), "\u00a0", " ")}}
 	}
