clerk doctor: eight checks, each finding with its advice; frames that are none close the connection

Cause: an operator had to read raw status pages to see what is wrong. What there is: seeds, copies, versions, clock, disk, carriers, guards, backends; exit code 0 well, 1 unwell, 2 misused; JSON; a cutoff for the whole examination. Also tests that malformed, flipped, unknown and distant frames close their connection with event 110.

--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -13,10 +13,11 @@
 	"snowflow/internal/depot/layout"
 	"snowflow/internal/depot/scenario"
 	"snowflow/internal/house"
+	"snowflow/internal/release"
 )
 
 func main() {
-	root := &cobra.Command{Use: "depot", Short: "rehearsals: a fleet on loopback, its outside, failures and checkers", SilenceUsage: true, SilenceErrors: true, Version: house.Release}
+	root := &cobra.Command{Use: "depot", Short: "rehearsals: a fleet on loopback, its outside, failures and checkers", SilenceUsage: true, SilenceErrors: true, Version: release.Version}
 	root.AddCommand(run(), list())
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return house.Misused(err) })
 	house.Main(root)
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -18,6 +18,7 @@
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/release"
 	"snowflow/internal/seal"
 
 	"go.uber.org/atomic"
@@ -86,7 +87,7 @@
 func (carrier *Carrier) session() *wire.Session {
 	serial, _ := carrier.Desk.Serial()
 	return &wire.Session{Carrier: carrier.env.Name, Incarnation: carrier.incarnation, Address: carrier.env.Address, Domain: carrier.env.Domain,
-		Backends: carrier.Hutch.Told(), Leaving: carrier.leaving.Load(), DesiredSerial: serial}
+		Backends: carrier.Hutch.Told(), Leaving: carrier.leaving.Load(), DesiredSerial: serial, Release: release.Version}
 }
 
 func (carrier *Carrier) callPrimaryOnce(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -15,10 +15,12 @@
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
+	"snowflow/internal/clerk/doctor"
 	"snowflow/internal/env"
 	"snowflow/internal/franking"
 	"snowflow/internal/house"
 	"snowflow/internal/postmaster/door"
+	"snowflow/internal/release"
 )
 
 // desks asks postmasters' doors in turn, until one answers.
@@ -69,10 +71,10 @@
 // Root makes the command line.
 func Root() *cobra.Command {
 	shared := &desks{client: &http.Client{Timeout: 25 * time.Second}}
-	root := &cobra.Command{Use: "clerk", Short: "the operators' command line of snowflow", SilenceUsage: true, SilenceErrors: true, Version: house.Release}
+	root := &cobra.Command{Use: "clerk", Short: "the operators' command line of snowflow", SilenceUsage: true, SilenceErrors: true, Version: release.Version}
 	root.PersistentFlags().StringVar(&shared.addresses, "desks", "127.0.0.1:7201", "addresses of postmasters' desks, with commas between")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return house.Misused(err) })
-	root.AddCommand(apply(shared), check(), get(shared), history(shared), status(shared), guard(), drain())
+	root.AddCommand(apply(shared), check(), get(shared), history(shared), status(shared), guard(), drain(), examine(shared))
 	return root
 }
 
@@ -194,3 +196,38 @@
 			return carrier(arguments[0], http.MethodPost, "/drain")
 		}}
 }
+
+// errUnwell ends the doctor with exit code 1 after its findings were printed.
+var errUnwell = errors.New("the mesh is not well")
+
+func examine(shared *desks) *cobra.Command {
+	patience, asJSON := 5*time.Second, false
+	command := &cobra.Command{Use: "doctor", Short: "look for common faults; each finding says what to do", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		addresses, err := shared.list()
+		if err != nil {
+			return err
+		}
+		if patience <= 0 {
+			return house.Misused(errors.New("--patience must be above zero"))
+		}
+		findings := doctor.Examine(addresses, patience)
+		if asJSON {
+			content, err := json.MarshalIndent(findings, "", "  ")
+			if err != nil {
+				return err
+			}
+			fmt.Println(string(content))
+		} else {
+			for _, finding := range findings {
+				fmt.Println(finding)
+			}
+		}
+		if doctor.Worst(findings) != doctor.Well {
+			return errUnwell
+		}
+		return nil
+	}}
+	command.Flags().DurationVar(&patience, "patience", patience, "how long the whole examination may take")
+	command.Flags().BoolVar(&asJSON, "json", false, "print the findings as JSON")
+	return command
+}
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -9,14 +9,17 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
+	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/release"
 	"snowflow/internal/strongbox"
 )
 
@@ -322,11 +325,16 @@
 	Voters    []string `json:"voters"`
 	SyncTime  int64    `json:"sync_micros"`
 	FreeBytes uint64   `json:"free_bytes"`
+	Release   string   `json:"release"`
+	Wire      uint16   `json:"wire"`
+	// Wall is this machine's wall clock, for the doctor; nothing decides by it.
+	Wall int64 `json:"wall_micros"`
 }
 
 // Status tells how this member stands.
 func (member *Member) Status() Status {
-	status := Status{Group: member.env.Group, Name: member.env.Name, Voters: member.env.Voters, Answering: member.Answering()}
+	status := Status{Group: member.env.Group, Name: member.env.Name, Voters: member.env.Voters, Answering: member.Answering(),
+		Release: release.Version, Wire: frame.Version, Wall: time.Now().UnixMicro()}
 	member.seat.Do(func() { status.Joined = member.voter.record.Joined })
 	member.keeper.Do(func() {
 		status.Sequence, status.Journal, status.SyncTime = member.copy.sequence, member.copy.box.Size(), int64(member.copy.lastSync)
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -26,13 +26,11 @@
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/release"
 	"snowflow/internal/strongbox"
 	"snowflow/internal/strongbox/folder"
 )
 
-// Release is this build's version.
-const Release = "0.1.0"
-
 // House is a daemon being put together. Invariant: cleanups unwind last first, once.
 type House struct {
 	Program  string
@@ -65,7 +63,7 @@
 // Command makes a daemon's command line. Bad settings end with exit code 2, a failed start with 1.
 func Command(program, short string, fields []env.Field, group string, build func(house *House) error) *cobra.Command {
 	command := &cobra.Command{
-		Use: program, Short: short, Args: cobra.NoArgs, Version: fmt.Sprintf("%s (wire version %d)", Release, frame.Version),
+		Use: program, Short: short, Args: cobra.NoArgs, Version: fmt.Sprintf("%s (wire version %d)", release.Version, frame.Version),
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	env.Flags(command.Flags(), fields)
@@ -197,7 +195,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	house.supervisor.ServeBackground(running)
-	house.Place.Report(bulletin.ProcessStarted, map[string]any{"release": Release, "wire": frame.Version, "listen": house.Values["listen"], "process": os.Getpid()})
+	house.Place.Report(bulletin.ProcessStarted, map[string]any{"release": release.Version, "wire": frame.Version, "listen": house.Values["listen"], "process": os.Getpid()})
 	signal.Notify(house.stops, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-house.stops:
--- /dev/null
+++ b/internal/office/machine/peers_test.go
@@ -0,0 +1,99 @@
+package machine
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/frame"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+func served(t *testing.T, table office.Table) (*Machine, string, *bulletin.Board) {
+	t.Helper()
+	board, err := bulletin.NewBoard("test", "test", "error")
+	if err != nil {
+		t.Fatal(err)
+	}
+	machine := New(nil, board, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close(); board.Close() })
+	go func() { _ = machine.Serve(listener, table) }()
+	return machine, listener.Addr().String(), board
+}
+
+// TestMalformedFramesCloseTheConnection sends what is no frame, a frame cut by a flipped bit, an unknown kind and a
+// version that isn't adjacent; each closes the connection and is told as an event.
+func TestMalformedFramesCloseTheConnection(t *testing.T) {
+	_, address, board := served(t, office.Table{wire.Kind_whois: nil})
+	good := frame.Append(nil, frame.Frame{Kind: wire.Kind_pass, Number: 1, Content: []byte("abc")})
+	flipped := append([]byte(nil), good...)
+	flipped[len(flipped)-1] ^= 1
+	distant := append([]byte(nil), good...)
+	distant[5] = byte(frame.Version + 2)
+	for name, content := range map[string][]byte{"no frame": []byte("GET / HTTP/1.1\r\nHost: somebody\r\n\r\n"), "a flipped bit": flipped,
+		"an unknown kind": good, "a distant version": distant} {
+		before := board.Counts()[bulletin.MalformedFrame]
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = connection.Write(content)
+		_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := connection.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !isReset(err) {
+			t.Errorf("%s: the connection stays open: %v", name, err)
+		}
+		_ = connection.Close()
+		if board.Counts()[bulletin.MalformedFrame] != before+1 {
+			t.Errorf("%s: no event", name)
+		}
+	}
+}
+
+func isReset(err error) bool {
+	operation := new(net.OpError)
+	return errors.As(err, &operation) && !operation.Timeout()
+}
+
+// TestCallsSayWhatMayHaveHappened: refused, unreachable and lost are told apart.
+func TestCallsSayWhatMayHaveHappened(t *testing.T) {
+	table := office.Table{}
+	held := make(chan struct{})
+	office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return nil, errors.New("no") })
+	office.Handle(table, wire.Kind_pass, func(*wire.PassAsk) (*wire.PassTell, error) { <-held; return &wire.PassTell{}, nil })
+	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) { return &wire.ClaimTell{Outcome: ask.Scope}, nil })
+	machine, address, _ := served(t, table)
+	defer close(held)
+	if err := machine.Call(address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, postmark.Second); !seal.IsRefused(err) {
+		t.Errorf("refused: %v", err)
+	}
+	if err := machine.Call(address, wire.Kind_pass, &wire.PassAsk{}, &wire.PassTell{}, 20*postmark.Millisecond); err == nil || seal.IsRefused(err) || seal.IsUnreachable(err) {
+		t.Errorf("lost: %v", err)
+	}
+	if err := machine.Call("127.0.0.1:1", wire.Kind_pass, &wire.PassAsk{}, &wire.PassTell{}, postmark.Second); !seal.IsUnreachable(err) {
+		t.Errorf("unreachable: %v", err)
+	}
+	// Answers find their own asks, whatever else waits on the connection.
+	done := make(chan bool)
+	for number := range 50 {
+		go func() {
+			tell, scope := &wire.ClaimTell{}, string(rune('a'+number))
+			err := machine.Call(address, wire.Kind_claim, &wire.ClaimAsk{Scope: scope}, tell, 10*postmark.Second)
+			done <- err == nil && tell.Outcome == scope
+		}()
+	}
+	for range 50 {
+		if !<-done {
+			t.Error("an answer went astray")
+		}
+	}
+}
