Overload: neither class may take all places; rush scenario; desired states also as Git objects

Cause: a rush fills a backend's queue until every answer is late. Places per backend were bounded, but lookups and submissions of one service could take all of them from one another. Change: each class takes at most three quarters of the places. Also: accepted states are kept as commits by go-git, from the record file, never in the way of an acknowledgement; lost, cut and foreign stores are written anew (five cases tested).

--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -68,6 +68,8 @@
 	flags.StringVar(&options.Scenario, "scenario", "steady", "see depot list")
 	flags.DurationVar(&options.Length, "length", 20*time.Second, "how long the traffic goes on, about")
 	flags.Float64Var(&options.Factor, "factor", 1, "multiplies the callers' rates")
+	flags.Float64Var(&options.Rush, "rush", 20, "what the rush scenario multiplies the rates by")
+	flags.IntVar(&options.Limit, "limit", 0, "overrides the small layout's places per backend")
 	flags.StringVar(&options.Folder, "folder", "", "where the fleet's settings, data and logs go; a temporary folder if left out")
 	flags.StringVar(&options.Binaries, "binaries", "", "folder of the daemons; depot's own if left out")
 	flags.StringVar(&options.Older, "older", "", "folder of an earlier build's daemons, for the versions scenario")
--- a/cmd/postmaster/main.go
+++ b/cmd/postmaster/main.go
@@ -2,9 +2,13 @@
 package main
 
 import (
+	"path/filepath"
+
+	"snowflow/internal/bulletin"
 	"snowflow/internal/env"
 	"snowflow/internal/house"
 	"snowflow/internal/postmaster"
+	"snowflow/internal/postmaster/archive"
 	"snowflow/internal/postmaster/door"
 )
 
@@ -13,7 +17,12 @@
 }
 
 func build(home *house.House) error {
-	store, err := postmaster.Open(postmaster.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters")})
+	// Best effort by design: the record file decides, and the archive is written anew from it.
+	objects := archive.Open(filepath.Join(home.Values["data"], "desired.git"), func(err error) {
+		home.Place.Report(bulletin.ObjectStoreTrouble, map[string]any{"error": err.Error()})
+	})
+	store, err := postmaster.Open(postmaster.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"),
+		Kept: objects.Keep})
 	if err != nil {
 		return err
 	}
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -153,7 +153,7 @@
 	}
 	view, _ := gate.env.Desk.Current()
 	service := view.Services[ask.Service]
-	backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, service.Limits.GetInFlightPerBackend())
+	backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, service.Limits.GetInFlightPerBackend(), ask.Once)
 	if fault != nil {
 		return gate.refused(ask, fault), nil
 	}
--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -40,7 +40,7 @@
 	Backend
 	condition string
 	beat      postmark.Micros
-	inFlight  uint32
+	inFlight  map[bool]uint32 // by whether they run once
 	overdue   bool
 }
 
@@ -78,7 +78,7 @@
 			delete(hutch.entries, instance)
 		}
 	}
-	hutch.entries[backend.Instance] = &entry{Backend: backend, condition: condition, beat: hutch.place.Now()}
+	hutch.entries[backend.Instance] = &entry{Backend: backend, condition: condition, beat: hutch.place.Now(), inFlight: map[bool]uint32{}}
 	hutch.lock.Unlock()
 	hutch.place.Report(bulletin.BackendRegistered, map[string]any{"service": backend.Service, "instance": backend.Instance, "address": backend.Address})
 	hutch.changed()
@@ -144,22 +144,27 @@
 	return instances
 }
 
+// classShare is the most of a backend's places that reads, or run-once requests, may take. Neither can starve the other:
+// submissions call lookups of the same services, so each would wait for the other's places.
+const classShare = 0.75
+
 // Enter lets one request in to a backend, or tells why not. leave must be called once it's over.
-func (hutch *Hutch) Enter(instance, service string, limit uint32) (backend Backend, leave func(), fault *seal.Fault) {
+func (hutch *Hutch) Enter(instance, service string, limit uint32, once bool) (backend Backend, leave func(), fault *seal.Fault) {
 	hutch.lock.Lock()
 	defer hutch.lock.Unlock()
 	present := hutch.entries[instance]
 	if fault := hutch.objection(present, instance, service); fault != nil {
 		return Backend{}, nil, fault
 	}
-	if present.inFlight >= limit {
-		return Backend{}, nil, seal.New(seal.Overloaded, seal.NotRun, "%d requests at %s", present.inFlight, instance)
+	total := present.inFlight[true] + present.inFlight[false]
+	if total >= limit || limit > 1 && float64(present.inFlight[once]) >= classShare*float64(limit) {
+		return Backend{}, nil, seal.New(seal.Overloaded, seal.NotRun, "%d requests at %s", total, instance)
 	}
-	present.inFlight++
+	present.inFlight[once]++
 	return present.Backend, func() {
 		hutch.lock.Lock()
 		defer hutch.lock.Unlock()
-		present.inFlight--
+		present.inFlight[once]--
 	}, nil
 }
 
@@ -194,7 +199,7 @@
 			condition = "overdue"
 		}
 		backends = append(backends, &wire.Backend{Service: present.Service, Instance: present.Instance, Address: present.Address,
-			Condition: condition, InFlight: present.inFlight})
+			Condition: condition, InFlight: present.inFlight[true] + present.inFlight[false]})
 	}
 	return backends
 }
--- a/internal/clerk/doctor/doctor_test.go
+++ b/internal/clerk/doctor/doctor_test.go
@@ -41,15 +41,25 @@
 		spoil              func(mesh Mesh)
 	}{
 		{"seeds", Watch, "never heard of", func(mesh Mesh) { delete(mesh.Sorters, "sorter-3") }},
-		{"copies", Ill, "0 sorters answer", func(mesh Mesh) { spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.Answering = false }) }},
-		{"copies", Ill, "2 sorters answer", func(mesh Mesh) { spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Answering = true }) }},
+		{"copies", Ill, "0 sorters answer", func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.Answering = false })
+		}},
+		{"copies", Ill, "2 sorters answer", func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Answering = true })
+		}},
 		{"copies", Watch, "knows epoch 1", func(mesh Mesh) { spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Epoch = 1 }) }},
-		{"copies", Watch, "not joined", func(mesh Mesh) { spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Joined = false }) }},
-		{"versions", Watch, "release b", func(mesh Mesh) { spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Release = "b" }) }},
+		{"copies", Watch, "not joined", func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Joined = false })
+		}},
+		{"versions", Watch, "release b", func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Release = "b" })
+		}},
 		{"clock", Watch, "wall clock", func(mesh Mesh) {
 			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Wall += int64(postmark.Minute) })
 		}},
-		{"disk", Ill, "1 MiB", func(mesh Mesh) { spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.FreeBytes = 1 << 20 }) }},
+		{"disk", Ill, "1 MiB", func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.FreeBytes = 1 << 20 })
+		}},
 		{"disk", Watch, "last write", func(mesh Mesh) {
 			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.SyncTime = int64(postmark.Second) })
 		}},
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -389,4 +389,19 @@
 		stage.returned()
 		return nil
 	}})
+	add(Scenario{"rush", "many times the traffic for a while, at backends with few workers", []int{1, 3, 8}, func(stage *Stage) error {
+		for _, backend := range stage.Backends {
+			backend.Bound(4, 40000)
+		}
+		stage.Wait(stage.part(0.2))
+		rush := standin.NewCallers(stage.Fleet, stage.Clock, stage.History)
+		rush.Again = 0
+		stage.History.Mark("rush", stage.Clock.Now())
+		rush.Start(stage.Options.Rush)
+		stage.Wait(stage.part(0.6))
+		stage.History.Mark("rushed", stage.Clock.Now())
+		rush.Stop()
+		stage.Wait(stage.part(0.2))
+		return nil
+	}})
 }
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -2,6 +2,7 @@
 package scenario
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -44,6 +45,8 @@
 	Scenario string
 	Length   time.Duration
 	Factor   float64
+	Rush     float64 // what the rush scenario multiplies the rates by
+	Limit    int     // overrides every service's places per backend, for comparing
 	Folder   string
 	Binaries string
 	Older    string // binaries of an earlier build, for rolling versions
@@ -87,6 +90,9 @@
 	if err != nil {
 		return stage, err
 	}
+	if options.Limit > 0 {
+		content = bytes.ReplaceAll(content, []byte(`"services": [`), []byte(fmt.Sprintf(`"limits": {"inFlightPerBackend": %d}, "services": [`, options.Limit)))
+	}
 	applied, err := stage.Operator.Apply(content, "any", 30*time.Second)
 	if err != nil || applied.Outcome != "accepted" {
 		return stage, fmt.Errorf("the first desired state was not accepted: %v %w", applied, err)
@@ -242,6 +248,7 @@
 	PerAsk    int64                     `json:"processor_micros_per_request"`
 	Bytes     map[string]uint64         `json:"bytes_between,omitempty"`
 	Unnamed   int                       `json:"refusals_without_retry_after"`
+	Rush      map[string][2]float64     `json:"served_per_second_before_and_in_rush,omitempty"`
 }
 
 // Conclude makes the report.
@@ -282,9 +289,41 @@
 	}
 	report.PerAsk = used / int64(max(1, total))
 	stage.between(report.Bytes)
+	report.Rush = stage.rushed()
 	return report
 }
 
+// rushed gives each kind's successes a second before the rush and in its second half, when queues have grown.
+func (stage *Stage) rushed() map[string][2]float64 {
+	var from, until postmark.Micros
+	for _, note := range stage.History.Notes {
+		if note.What == "rush" {
+			from = note.At
+		}
+		if note.What == "rushed" {
+			until = note.At
+		}
+	}
+	if from == 0 || until == 0 || len(stage.History.Attempts) == 0 {
+		return nil
+	}
+	start, half := stage.History.Attempts[0].Sent, from+(until-from)/2
+	rates := map[string][2]float64{}
+	for _, attempt := range stage.History.Attempts {
+		if outcome(attempt) != "served" {
+			continue
+		}
+		rate := rates[attempt.Kind]
+		if attempt.Ended < from {
+			rate[0] += 1 / (float64(from-start) / 1e6)
+		} else if attempt.Ended >= half && attempt.Ended < until {
+			rate[1] += 1 / (float64(until-half) / 1e6)
+		}
+		rates[attempt.Kind] = rate
+	}
+	return rates
+}
+
 // between sums the relays' bytes by whether they crossed a zone's border.
 func (stage *Stage) between(totals map[string]uint64) {
 	if stage.Fleet.Relays == nil {
@@ -343,6 +382,9 @@
 	if len(report.Bytes) > 0 {
 		fmt.Fprintf(&text, "  bytes: %v\n", report.Bytes)
 	}
+	for _, kind := range sorted(report.Rush) {
+		fmt.Fprintf(&text, "  %s served a second: %.0f before, %.0f in the rush\n", kind, report.Rush[kind][0], report.Rush[kind][1])
+	}
 	fmt.Fprintf(&text, "  worst further per first tries in any 10 s: %v\n", report.Tries)
 	fmt.Fprintf(&text, "  seen by rule: %v\n", report.Seen)
 	fmt.Fprintf(&text, "  findings: %d\n", len(report.Findings))
--- a/internal/depot/standin/backend.go
+++ b/internal/depot/standin/backend.go
@@ -53,8 +53,17 @@
 	stop     chan struct{}
 	stopped  sync.Once
 	Served   atomic.Int64
+	work     atomic.Int64
 	leaving  atomic.Bool
 	client   *http.Client
+	// places bounds how many requests are worked on at once; others wait, as in a backend's own queue.
+	places chan struct{}
+}
+
+// Bound gives the backend this many workers that take this long for a request.
+func (backend *Backend) Bound(workers, microseconds int) {
+	backend.work.Store(int64(microseconds))
+	backend.places = make(chan struct{}, workers)
 }
 
 // NewBackend starts an instance at an address beside a carrier.
@@ -66,6 +75,7 @@
 	backend := &Backend{Service: service, Address: address, beside: beside, clock: clock, history: history, listener: listener,
 		Instance: fmt.Sprintf("%s-%08x", service.Name, rand.Uint32()), stop: make(chan struct{}),
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	backend.work.Store(int64(service.Work))
 	backend.server = &http.Server{Handler: backend, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = backend.server.Serve(listener) }()
 	go backend.beat()
@@ -171,7 +181,12 @@
 	if backend.Service.Lookup != "" && served%int64(backend.Service.LookupEvery) == 0 && !strings.HasPrefix(incoming.URL.Path, backend.Service.Lookup) {
 		backend.lookup(attempt, served)
 	}
-	time.Sleep(time.Duration(backend.Service.Work/2+rand.IntN(backend.Service.Work+1)) * time.Microsecond)
+	work := int(backend.work.Load())
+	if backend.places != nil {
+		backend.places <- struct{}{}
+		defer func() { <-backend.places }()
+	}
+	time.Sleep(time.Duration(work/2+rand.IntN(work+1)) * time.Microsecond)
 	answer := backend.body(attempt, body)
 	backend.headers(writer.Header(), attempt, answer)
 	writer.WriteHeader(http.StatusOK)
--- a/internal/depot/standin/caller.go
+++ b/internal/depot/standin/caller.go
@@ -34,13 +34,14 @@
 	stop    chan struct{}
 	waiting sync.WaitGroup
 	number  atomic.Int64
+	mark    string // tells these callers' requests from others'
 	// Again is how often a keyed request is repeated.
 	Again int
 }
 
 // NewCallers makes them.
 func NewCallers(running *fleet.Fleet, clock postmark.Clock, history *inspector.History) *Callers {
-	return &Callers{fleet: running, clock: clock, history: history, stop: make(chan struct{}), Again: 3,
+	return &Callers{fleet: running, clock: clock, history: history, stop: make(chan struct{}), Again: 3, mark: fmt.Sprintf("%04x-", rand.Uint32()&0xffff),
 		client: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 2048}}}
 }
 
@@ -129,7 +130,7 @@
 	}
 	for again := 0; ; again++ {
 		path := fmt.Sprintf("%s%d", kind.Path, number)
-		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", kind.Name, number, again), Key: key, Kind: kind.Name, Method: kind.Method, Path: path, Sent: callers.clock.Now()}
+		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%s%d-%d", kind.Name, callers.mark, number, again), Key: key, Kind: kind.Name, Method: kind.Method, Path: path, Sent: callers.clock.Now()}
 		carrier := callers.pick()
 		attempt.Caller = carrier.Name
 		send(callers.client, callers.history, callers.clock, carrier, attempt, body)
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -165,7 +165,7 @@
 		for _, one := range found {
 			one.manner = manner
 		}
-		mesh.later(mesh.span(2*postmark.Second, 8*postmark.Second), func() {
+		mesh.later(mesh.span(5*postmark.Second, 9*postmark.Second), func() {
 			for _, one := range found {
 				one.manner = ""
 			}
--- /dev/null
+++ b/internal/postmaster/archive/archive_test.go
@@ -0,0 +1,72 @@
+package archive
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-git/go-git/v5"
+
+	"snowflow/internal/parcel/wire"
+)
+
+func states(count int) (all []*wire.DesiredKept) {
+	for serial := range count {
+		all = append(all, &wire.DesiredKept{Serial: uint64(serial + 1), Content: []byte(fmt.Sprintf(`{"note":"%d"}`, serial+1)), Digest: "d", Request: "r"})
+	}
+	return all
+}
+
+func history(t *testing.T, folder string) (messages []string) {
+	t.Helper()
+	repository, err := git.PlainOpen(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := repository.Log(&git.LogOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		entry, err := log.Next()
+		if err != nil {
+			return messages
+		}
+		content, err := entry.File(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := content.Contents()
+		messages = append(messages, text)
+	}
+}
+
+// TestLostAndSpoiledArchivesAreWrittenAnew removes, cuts and replaces the store between writes.
+func TestLostAndSpoiledArchivesAreWrittenAnew(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "desired.git")
+	archive := Open(folder, func(err error) { t.Error(err) })
+	for name, spoil := range map[string]func(){
+		"nothing": func() {},
+		"lost":    func() { _ = os.RemoveAll(folder) },
+		"cut":     func() { _ = os.RemoveAll(filepath.Join(folder, "objects")) },
+		"a file":  func() { _ = os.RemoveAll(folder); _ = os.WriteFile(folder, nil, 0o600) },
+		"another's": func() {
+			_ = os.RemoveAll(folder)
+			other := states(9)
+			other[8].Content = []byte("{}")
+			if err := (&Archive{folder: folder}).write(other); err != nil {
+				t.Fatal(err)
+			}
+		},
+	} {
+		archive.Keep(states(3))
+		<-archive.written
+		spoil()
+		archive.Keep(states(5))
+		<-archive.written
+		if kept := history(t, folder); len(kept) != 5 || kept[0] != `{"note":"5"}` || kept[4] != `{"note":"1"}` {
+			t.Errorf("%s: %q", name, kept)
+		}
+	}
+}
--- a/internal/postmaster/ledger/ledger.go
+++ b/internal/postmaster/ledger/ledger.go
@@ -76,6 +76,11 @@
 	return ledger.states[serial-1]
 }
 
+// All lists every state, oldest first. States don't change, and the list only grows behind its end.
+func (ledger *Ledger) All() []*wire.DesiredKept {
+	return ledger.states[:len(ledger.states):len(ledger.states)]
+}
+
 // View gives the whole state.
 func (ledger *Ledger) View() []byte {
 	content, err := proto.Marshal(&wire.DesiredView{States: ledger.states})
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -42,8 +42,9 @@
 	Name   string
 	Voters []string
 	Adjust func(*countersign.Env)
-	// Kept is told every desired state this process comes to hold as primary; it must not block.
-	Kept func(*wire.DesiredKept)
+	// Kept is told all accepted states, oldest first, whenever this process as primary accepts one or starts to answer;
+	// it must not block.
+	Kept func(states []*wire.DesiredKept)
 }
 
 // Postmaster is one store process.
@@ -92,6 +93,21 @@
 		master.ackFrom = master.env.Place.Now() + Tenure - Slack
 	}
 	master.epoch = epoch
+	master.env.Place.Go(func() {
+		master.env.Place.Sleep(postmark.Second) // it isn't answering yet
+		master.tellKept()
+	})
+}
+
+func (master *Postmaster) tellKept() {
+	if master.env.Kept == nil {
+		return
+	}
+	master.Member.Read(func(uint64, postmark.Micros) {
+		if states := master.ledger.All(); len(states) > 0 {
+			master.env.Kept(states)
+		}
+	})
 }
 
 // Register adds the postmaster's handlers.
@@ -241,9 +257,7 @@
 	if tell.Outcome != ledger.Accepted {
 		return tell, nil
 	}
-	if master.env.Kept != nil {
-		master.Member.Read(func(uint64, postmark.Micros) { master.env.Kept(master.ledger.Find(tell.Serial)) })
-	}
+	master.tellKept()
 	master.env.Place.Report(bulletin.DesiredAccepted, map[string]any{"serial": tell.Serial, "digest": tell.Digest})
 	if !master.spread(tell.Serial) {
 		return nil, ErrUnacknowledged
