--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -75,6 +75,7 @@
 	flags.StringVar(&options.Older, "older", "", "folder of an earlier build's daemons, for the versions scenario")
 	flags.IntVar(&options.Base, "base", 77, "second part of the fleet's loopback numbers")
 	flags.BoolVar(&options.Relays, "relays", true, "put relays between the processes, for cuts and for counting bytes")
+	flags.StringVar(&options.Choice, "choice", "near", "how carriers choose backends: near or blind")
 	flags.StringVar(&options.Level, "log", "info", "least level of events the daemons log")
 	flags.BoolVar(&asJSON, "json", false, "print the report as JSON")
 	return command
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -31,6 +31,7 @@
 	Name     string
 	Domain   string
 	Address  string
+	Blind    bool // choose backends without looking at zones
 	Delivery gate.Delivery
 	Finished func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
 }
@@ -62,7 +63,7 @@
 	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk,
 		Hutch: carrier.Hutch, Shelf: restante.New(env.Place), Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
-		Domain: env.Domain, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
+		Domain: env.Domain, Blind: env.Blind, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
 		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished})
 	return carrier
 }
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -25,6 +25,7 @@
 type chooser struct {
 	place    office.Office
 	domain   string
+	blind    bool
 	lock     sync.Mutex
 	inFlight map[string]int
 	avoided  map[string]postmark.Micros
@@ -37,8 +38,8 @@
 	since  postmark.Micros
 }
 
-func newChooser(place office.Office, domain string) *chooser {
-	return &chooser{place: place, domain: domain, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
+func newChooser(place office.Office, domain string, blind bool) *chooser {
+	return &chooser{place: place, domain: domain, blind: blind, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
 func (chooser *chooser) shun(name string) {
@@ -126,7 +127,7 @@
 		byDomain[candidate.Domain] = append(byDomain[candidate.Domain], candidate)
 	}
 	own := byDomain[chooser.domain]
-	if len(own) == len(fit) {
+	if chooser.blind || len(own) == len(fit) {
 		return fit
 	}
 	spare := func(domain string) float64 {
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -34,6 +34,7 @@
 	Incarnation uint64
 	Address     string
 	Domain      string
+	Blind       bool
 	Desk        *desk.Desk
 	Roll        *roll.Roll
 	Wicket      *wicket.Wicket
@@ -72,7 +73,7 @@
 
 // New makes a passage.
 func New(env Env) *Passage {
-	passage := &Passage{env: env, idle: env.Place.NewSignal(), choices: newChooser(env.Place, env.Domain)}
+	passage := &Passage{env: env, idle: env.Place.NewSignal(), choices: newChooser(env.Place, env.Domain, env.Blind)}
 	passage.policies = passage.Policies()
 	return passage
 }
--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -47,12 +47,13 @@
 	Carriers    []*Process
 	Relays      *relay.Hub
 	Level       string
+	Choice      string
 	base        int
 }
 
 // New lays out a fleet. base is the second part of its loopback numbers, so that fleets don't meet.
-func New(chosen layout.Layout, folder, binaries string, base int, relays bool) (*Fleet, error) {
-	fleet := &Fleet{Layout: chosen, Folder: folder, Binaries: binaries, Level: "info", base: base}
+func New(chosen layout.Layout, folder, binaries string, base int, relays bool, choice string) (*Fleet, error) {
+	fleet := &Fleet{Layout: chosen, Folder: folder, Binaries: binaries, Level: "info", Choice: choice, base: base}
 	if relays {
 		fleet.Relays = relay.NewHub()
 	}
@@ -140,7 +141,7 @@
 	settings := map[string]any{"name": process.Name, "domain": process.Zone, "listen": process.Listen, "advertise": process.Peer,
 		"seeds": seeds, "desk": process.Desk, "log": fleet.Level}
 	if process.Program == "carrier" {
-		settings["callers"] = process.Callers
+		settings["callers"], settings["choice"] = process.Callers, fleet.Choice
 	} else {
 		group := fleet.Sorters
 		if process.Program == "postmaster" {
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -404,4 +404,26 @@
 		stage.Wait(stage.part(0.2))
 		return nil
 	}})
+	add(Scenario{"acknowledge", "apply configurations with all carriers there, then right after one was killed", []int{1, 3, 6, 7}, func(stage *Stage) error {
+		waits := func(what string, times int, before func()) error {
+			for number := range times {
+				before()
+				began := time.Now()
+				if _, err := stage.Operator.Apply(stage.variant(number), "any", 40*time.Second); err != nil {
+					return err
+				}
+				stage.Say("%s: acknowledged after %d ms", what, time.Since(began).Milliseconds())
+			}
+			return nil
+		}
+		if err := waits("all there", 10, func() { stage.Wait(300 * time.Millisecond) }); err != nil {
+			return err
+		}
+		return waits("one just lost", 4, func() {
+			stage.Wait(2 * time.Second)
+			victim := random(stage.Fleet.Carriers)
+			victim.Kill()
+			go stage.restart(victim, 8*time.Second)
+		})
+	}})
 }
--- a/internal/depot/scenario/fleet_test.go
+++ b/internal/depot/scenario/fleet_test.go
@@ -39,7 +39,7 @@
 }
 
 func options(t *testing.T, name string, base int) Options {
-	return Options{Layout: "small", Scenario: name, Length: 4 * time.Second, Factor: 1, Folder: t.TempDir(), Binaries: binaries(t), Base: base, Relays: true}
+	return Options{Layout: "small", Scenario: name, Length: 4 * time.Second, Factor: 1, Folder: t.TempDir(), Binaries: binaries(t), Base: base, Relays: true, Choice: "near"}
 }
 
 // TestFleetSurvives plays short rehearsals with real processes. Only the checkers judge; nothing depends on how fast
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -53,6 +53,7 @@
 	Base     int
 	Relays   bool
 	Level    string
+	Choice   string // near or blind
 }
 
 // Open starts the fleet, its backends and its first desired state.
@@ -63,7 +64,7 @@
 	}
 	stage := &Stage{Clock: postmark.NewMachine(), History: &inspector.History{}, Say: say, Options: options, ports: map[string]int{},
 		processor: map[string]int64{}, watching: make(chan struct{})}
-	if stage.Fleet, err = fleet.New(chosen, options.Folder, options.Binaries, options.Base, options.Relays); err != nil {
+	if stage.Fleet, err = fleet.New(chosen, options.Folder, options.Binaries, options.Base, options.Relays, options.Choice); err != nil {
 		return nil, err
 	}
 	stage.cleanups = append(stage.cleanups, stage.Fleet.End)
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -195,6 +195,18 @@
 	return err
 }
 
+// OneOf checks a word against a list.
+func OneOf(words ...string) func(value string) error {
+	return func(value string) error {
+		for _, word := range words {
+			if value == word {
+				return nil
+			}
+		}
+		return fmt.Errorf("%q is none of %v", value, words)
+	}
+}
+
 // Level checks a log level.
 func Level(value string) error {
 	_, err := log.ParseLevel(value)
@@ -226,6 +238,7 @@
 func Carrier() []Field {
 	return append(Common(),
 		Field{Name: "callers", Help: "HTTP address for callers", Check: Address},
+		Field{Name: "choice", Help: "near prefers backends of the own zone while the load stays even; blind doesn't look at zones", Default: "near", Check: OneOf("near", "blind")},
 		Field{Name: "desk", Help: "HTTP address for this machine's backends, the platform and operators", Check: Address},
 		Field{Name: "grace", Help: "how long a planned stop may take", Default: "8s", Check: Span},
 	)
