--- a/internal/carrier/backdoor/backdoor.go
+++ b/internal/carrier/backdoor/backdoor.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/hutch"
@@ -112,6 +113,7 @@
 		Write(writer, http.StatusOK, carrier.Wicket.Show())
 	})
 	router.Handle("/metrics", metrics)
+	router.Mount("/debug", middleware.Profiler())
 	return router
 }
 
--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -74,7 +74,9 @@
 	if answer.Serial > 0 {
 		headers.Set(letter.SerialHeader, strconv.FormatUint(answer.Serial, 10))
 	}
-	headers.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	if incoming.Method != http.MethodHead && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+		headers.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	writer.WriteHeader(int(answer.Status))
 	_, _ = writer.Write(answer.Body) // a caller that has gone can't be told
 }
--- a/internal/countersign/copy.go
+++ b/internal/countersign/copy.go
@@ -33,6 +33,7 @@
 	fenced      uint64
 	pending     []*wire.Entry
 	lastSync    postmark.Micros
+	rewritten   int64 // the file's size after its last rewrite
 }
 
 func (member *Member) openCopy() error {
@@ -110,9 +111,16 @@
 			_ = strongbox.Reserve(member.env.Place.Disk(), 1<<20) // best effort: without room the doctor tells
 		}
 	}
+	member.copy.rewritten = member.copy.box.Size()
 	return member.surviving(err)
 }
 
+// long tells whether the journal is worth rewriting: past a least length, and several times what a rewrite leaves. The
+// second keeps a large state from being rewritten with every batch.
+func (member *Member) long() bool {
+	return member.copy.box.Size() > max(member.env.CompactFrom, 3*member.copy.rewritten)
+}
+
 // surviving stops the process on a failed sync, and passes every error on.
 func (member *Member) surviving(err error) error {
 	if isPoisoned(err) {
@@ -123,7 +131,7 @@
 
 // store writes entries and syncs them. They are not applied yet.
 func (member *Member) store(entries []*wire.Entry) error {
-	if member.copy.box.Size() > member.env.CompactFrom && len(member.copy.pending) == 0 {
+	if member.long() && len(member.copy.pending) == 0 {
 		if err := member.rewrite(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/countersign/copy_test.go
@@ -0,0 +1,53 @@
+package countersign
+
+import (
+	"bytes"
+	"testing"
+
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// heavy is a state that stays large whatever is applied.
+type heavy struct{ content []byte }
+
+func (heavy *heavy) Apply(uint64, postmark.Micros, []byte) []byte { return nil }
+func (heavy *heavy) View() []byte                                 { return heavy.content }
+func (heavy *heavy) Restore([]byte) error                         { return nil }
+func (heavy *heavy) Waiting() bool                                { return false }
+
+// TestLargeStateIsNotRewrittenWithEveryBatch fills a journal whose view alone is longer than the least length.
+func TestLargeStateIsNotRewrittenWithEveryBatch(t *testing.T) {
+	simulated := world.New(1)
+	stored := 0
+	node := simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		member, err := Open(Env{Place: place, Book: gazetteer.New(place, nil, nil), Group: "test", Name: "one", Voters: []string{"one"},
+			Machine: &heavy{content: bytes.Repeat([]byte("x"), 100<<10)}, CompactFrom: 1 << 10})
+		if err != nil {
+			return nil, err
+		}
+		for sequence := uint64(1); sequence <= 1000; sequence++ {
+			entry := &wire.Entry{Epoch: 1, Sequence: sequence, Command: bytes.Repeat([]byte("c"), 1<<10)}
+			member.keeper.Do(func() {
+				if err = member.store([]*wire.Entry{entry}); err == nil {
+					member.apply(entry)
+					stored++
+				}
+			})
+		}
+		return office.Table{}, err
+	})
+	simulated.Start(node)
+	simulated.Run(simulated.Now() + postmark.Minute)
+	defer simulated.Close()
+	if stored != 1000 {
+		t.Fatalf("%d of 1000 stored; %v", stored, simulated.Panicked)
+	}
+	// A megabyte of entries behind a view of a tenth of that is worth a handful of rewrites.
+	if node.Disk.Renames > 10 {
+		t.Errorf("%d rewrites for 1000 batches", node.Disk.Renames)
+	}
+}
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -283,6 +283,9 @@
 	}
 }
 
+// installPatience is how long a whole view may take to reach a new backup and be synced there.
+const installPatience = 5 * postmark.Second
+
 // settle brings a backup into step and names it in the register; only then does the primary answer.
 func (member *Member) settle(failed *wire.Holder) bool {
 	member.lock.Lock()
@@ -292,9 +295,13 @@
 		return false
 	}
 	for _, name := range member.candidates(value, failed) {
-		view := member.viewNow()
+		// A voter that doesn't answer a small ask isn't waited for with a large one.
+		if member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, &wire.RegisterReadTell{}) != nil {
+			continue
+		}
 		tell := &wire.InstallTell{}
-		err := member.call(name, wire.Kind_install, &wire.InstallAsk{To: name, From: member.self(), Epoch: epoch, View: view}, tell)
+		err := member.env.Book.Call(name, wire.Kind_install, &wire.InstallAsk{To: name, From: member.self(), Epoch: epoch, View: member.viewNow()},
+			tell, installPatience)
 		if err != nil || !tell.Stored {
 			continue
 		}
--- /dev/null
+++ b/internal/docscheck/docs_test.go
@@ -0,0 +1,88 @@
+// Package docscheck keeps the documents in step with the code they describe.
+package docscheck
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/depot/scenario"
+	"snowflow/internal/env"
+	"snowflow/internal/mailround/round"
+	"snowflow/internal/seal"
+)
+
+func read(t *testing.T, name string) string {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+func TestEventsAreListed(t *testing.T) {
+	page := read(t, "events.md")
+	for number, listed := range bulletin.Catalogue {
+		if !strings.Contains(page, fmt.Sprintf("| %d | %s | %s |", number, listed.Level, listed.Text)) {
+			t.Errorf("event %d (%s) is not in docs/events.md as it is in the code", number, listed.Text)
+		}
+	}
+}
+
+func TestCausesAreListed(t *testing.T) {
+	page := read(t, "interfaces.md")
+	for cause, name := range seal.Causes() {
+		if !strings.Contains(page, fmt.Sprintf("| %d | %s | %d |", cause, name, seal.New(cause, seal.NotRun, "").Status())) {
+			t.Errorf("cause %d (%s) is not in docs/interfaces.md as it is in the code", cause, name)
+		}
+	}
+}
+
+func TestSettingsAreListed(t *testing.T) {
+	page := read(t, "settings.md")
+	for _, field := range append(env.Core(), env.Carrier()...) {
+		if !strings.Contains(page, "`"+field.Name+"`") {
+			t.Errorf("setting %s is not in docs/settings.md", field.Name)
+		}
+	}
+}
+
+func TestScenariosAndCoursesAreListed(t *testing.T) {
+	page := read(t, "rules.md")
+	for name := range scenario.All {
+		if !strings.Contains(page, "`"+name+"`") {
+			t.Errorf("scenario %s is not in docs/rules.md", name)
+		}
+	}
+	for name := range round.Courses {
+		if !strings.Contains(page, "`"+name+"`") {
+			t.Errorf("course %s is not in docs/rules.md", name)
+		}
+	}
+}
+
+var link = regexp.MustCompile(`\]\(([^)#]+\.md)\)`)
+
+func TestLinksLead(t *testing.T) {
+	root := filepath.Join("..", "..", "docs")
+	_ = filepath.Walk(root, func(path string, _ os.FileInfo, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".md") {
+			return err
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, found := range link.FindAllStringSubmatch(string(content), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(path), found[1])); err != nil {
+				t.Errorf("%s leads nowhere: %s", path, found[1])
+			}
+		}
+		return nil
+	})
+}
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -235,11 +235,11 @@
 	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
 		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
-			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
+			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm, killEverything, moveCore}})
 	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
 		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
-			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm}})
+			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm, killEverything, moveCore}})
 }
 
 func init() {
@@ -253,6 +253,24 @@
 }
 
 var (
+	killEverything = fault{"power off everything", func(mesh *Mesh) {
+		nodes := mesh.allCore()
+		for _, name := range mesh.carriers {
+			nodes = append(nodes, mesh.World.Node(name))
+		}
+		for _, node := range nodes {
+			mesh.down([]*world.Node{node}, mesh.span(500*postmark.Millisecond, 3*postmark.Second), mesh.World.PowerLoss)
+		}
+	}}
+	moveCore = fault{"move a core machine to other addresses", func(mesh *Mesh) {
+		for _, node := range mesh.coreNodes(pick(mesh, mesh.cores)) {
+			if node.Up() {
+				mesh.World.Kill(node)
+				node.Address = fmt.Sprintf("%s:%s:%d", node.Machine, node.Name, mesh.World.Now())
+				mesh.later(mesh.span(200*postmark.Millisecond, 2*postmark.Second), func() { mesh.World.Start(node) })
+			}
+		}
+	}}
 	cutFromCore = fault{"cut a carrier from the whole core", func(mesh *Mesh) {
 		victim, span := pick(mesh, mesh.carriers), mesh.span(3*postmark.Second, 9*postmark.Second)
 		for _, core := range mesh.cores {
@@ -326,7 +344,10 @@
 func init() {
 	add(Course{Name: "core", Short: "the core's failures alone: kills, power, disks, cuts, freezes, planned stops", Sizes: small, Length: 50 * postmark.Second, Rate: 25, Every: 3 * postmark.Second,
 		Rules: []int{1, 3, 6, 7, 10, 12}, First: []fault{serviceFails, applyOne, killLeader},
-		Faults: []fault{killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, cutCore, slowDisk, fullDisk, failSync, loseDisk, damageDisk, handOver, applyOne, applyRace}})
+		Faults: []fault{killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, cutCore, slowDisk, fullDisk, failSync, loseDisk, damageDisk, handOver, applyOne, applyRace, moveCore}})
+	add(Course{Name: "closing", Short: "power lost everywhere, more than once", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 8 * postmark.Second,
+		Rules: []int{1, 3, 7, 12}, First: []fault{applyOne},
+		Faults: []fault{killEverything, killEverything, applyOne, moveCore}})
 	add(Course{Name: "configurations", Short: "configurations change while carriers are cut, frozen and restarted", Sizes: small, Length: 40 * postmark.Second, Rate: 30, Every: 1500 * postmark.Millisecond,
 		Rules: []int{3, 5, 6, 7}, First: []fault{cutFromCore, applyOne},
 		Faults: []fault{cutFromCore, cutFromCore, freezeCarrier, killCarrier, killLeader, applyOne, applyOne, applyRace, applyStorm}})
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -152,7 +152,7 @@
 	name := fmt.Sprintf("%s-%d", group, index+1)
 	address := machine + ":" + group
 	node := mesh.World.Add(name, address, machine, func(place *world.Place) (office.Table, error) {
-		book := gazetteer.New(place, &wire.PeerAddress{Name: name, Address: address, Group: group}, seeds)
+		book := gazetteer.New(place, &wire.PeerAddress{Name: name, Address: place.Node().Address, Group: group}, seeds)
 		table := office.Table{}
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -54,6 +54,7 @@
 func TestConfigurations(t *testing.T) { play(t, "configurations", 1) }
 func TestBackends(t *testing.T)       { play(t, "backends", 1) }
 func TestDrains(t *testing.T)         { play(t, "drains", 1) }
+func TestClosing(t *testing.T)        { play(t, "closing", 1) }
 func TestGuards(t *testing.T)         { play(t, "guards", 1) }
 
 // TestReplay plays one seed twice: what was found must be found again.
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -55,8 +55,8 @@
 
 	lock    sync.Mutex
 	holders map[string]*holder
-	waiters map[uint64]office.Signal
-	turn    uint64
+	news    *crowd // polls that wait for a new state
+	words   *crowd // applies that wait for carriers' word of adoption
 	// ackFrom is the moment from which no tenure that an earlier primary gave has more than Slack left.
 	ackFrom postmark.Micros
 	epoch   uint64
@@ -71,7 +71,7 @@
 
 // Open reads the disk.
 func Open(env Env) (*Postmaster, error) {
-	master := &Postmaster{env: env, ledger: ledger.New(), holders: map[string]*holder{}, waiters: map[uint64]office.Signal{}}
+	master := &Postmaster{env: env, ledger: ledger.New(), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
 	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
 		Machine: master.ledger, Settled: master.settled}
 	if env.Adjust != nil {
@@ -128,6 +128,7 @@
 	master.adopted(ask)
 	cutoff := place.Now() + pollHold
 	for {
+		news := master.news.join()
 		tell := &wire.DesiredPollTell{Primaries: master.env.Book.Primaries(), Tenure: int64(Tenure)}
 		tell.Primary = master.Member.Read(func(epoch uint64, _ postmark.Micros) {
 			tell.Epoch, tell.Serial = epoch, master.ledger.Serial()
@@ -138,13 +139,16 @@
 			master.grant(ask)
 		})
 		if !tell.Primary {
+			master.news.leave(news)
 			return &wire.DesiredPollTell{Primaries: tell.Primaries}, nil
 		}
 		remaining := cutoff - place.Now()
 		if tell.Serial != ask.Have || ask.First || remaining <= 0 {
+			master.news.leave(news)
 			return tell, nil
 		}
-		master.await(remaining)
+		news.Wait(remaining)
+		master.news.leave(news)
 	}
 }
 
@@ -158,7 +162,7 @@
 		present.adopted = max(present.adopted, ask.Have)
 	}
 	master.lock.Unlock()
-	master.wake()
+	master.words.wake()
 }
 
 func (master *Postmaster) grant(ask *wire.DesiredPollAsk) {
@@ -172,37 +176,6 @@
 	present.adopted, present.until = max(present.adopted, ask.Have), master.env.Place.Now()+Tenure
 }
 
-// await waits until something about tenures or serials changed.
-func (master *Postmaster) await(patience postmark.Micros) {
-	signal := master.env.Place.NewSignal()
-	master.lock.Lock()
-	master.turn++
-	turn := master.turn
-	master.waiters[turn] = signal
-	master.lock.Unlock()
-	signal.Wait(patience)
-	master.lock.Lock()
-	delete(master.waiters, turn)
-	master.lock.Unlock()
-}
-
-func (master *Postmaster) wake() {
-	master.lock.Lock()
-	turns := make([]uint64, 0, len(master.waiters))
-	for turn := range master.waiters {
-		turns = append(turns, turn)
-	}
-	sort.Slice(turns, func(one, other int) bool { return turns[one] < turns[other] })
-	signals := make([]office.Signal, 0, len(turns))
-	for _, turn := range turns {
-		signals = append(signals, master.waiters[turn])
-	}
-	master.lock.Unlock()
-	for _, signal := range signals {
-		signal.Fire()
-	}
-}
-
 // behind names the carriers that may still serve by an older serial for longer than Slack.
 func (master *Postmaster) behind(serial uint64) (names []string, wait postmark.Micros) {
 	master.lock.Lock()
@@ -274,18 +247,21 @@
 func (master *Postmaster) spread(serial uint64) bool {
 	place := master.env.Place
 	started := place.Now()
-	master.wake()
+	master.news.wake()
 	for place.Now()-started < spreadPatience {
 		wait := 100 * postmark.Millisecond
+		word := master.words.join()
 		if master.Member.Answering() {
 			names, behind := master.behind(serial)
 			if len(names) == 0 && master.Member.Answering() {
+				master.words.leave(word)
 				place.Report(bulletin.DesiredSpread, map[string]any{"serial": serial, "micros": int64(place.Now() - started)})
 				return true
 			}
 			wait = min(max(behind, postmark.Millisecond), 250*postmark.Millisecond)
 		}
-		master.await(wait)
+		word.Wait(wait)
+		master.words.leave(word)
 	}
 	return false
 }
--- a/internal/strongbox/memory/memory.go
+++ b/internal/strongbox/memory/memory.go
@@ -24,6 +24,8 @@
 	Wait  func(postmark.Micros)
 	// FailSyncs makes the next syncs fail.
 	FailSyncs int
+	// Renames counts how often a file took another's place.
+	Renames int
 	// IgnoreSyncs makes syncs do nothing while saying that they did; it's there to show that checkers see it.
 	IgnoreSyncs bool
 	// Tear is called at a power loss with the unsynced tail's length, and gives how much of it lasts.
@@ -96,6 +98,7 @@
 	if disk.files[from] == nil {
 		return fmt.Errorf("no file %s", from)
 	}
+	disk.Renames++
 	disk.files[to] = disk.files[from]
 	delete(disk.files, from)
 	return nil
