A batch keeps the lead it was taken under; one slow sync counts once

Cause, found by reading: commit looked the lead up again after it had been checked; a step-down in between left no backup to send to (a crash) and stamped the batch with the process's own clock instead of holder time. And idle beats counted the last slow sync again each time, so one slow sync handed the lead over within half a second.

--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -113,6 +113,9 @@
 	baseAt        postmark.Micros // this reading of the own clock
 }
 
+// holderTime is the group's time at a reading of the own clock.
+func (lead lead) holderTime(now postmark.Micros) postmark.Micros { return lead.base + now - lead.baseAt }
+
 type proposal struct {
 	command []byte
 	result  []byte
@@ -295,7 +298,7 @@
 func (member *Member) HolderTime() postmark.Micros {
 	member.lock.Lock()
 	defer member.lock.Unlock()
-	return member.lead.base + member.env.Place.Now() - member.lead.baseAt
+	return member.lead.holderTime(member.env.Place.Now())
 }
 
 // Read looks at the machine under a live tenure. It tells whether it did.
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -154,7 +154,7 @@
 			lastTick = member.env.Place.Now()
 			batch = []*proposal{{done: member.env.Place.NewSignal()}}
 		}
-		member.commit(batch)
+		member.commit(state, batch)
 	}
 }
 
@@ -172,12 +172,10 @@
 }
 
 // commit writes a batch to both copies and applies it; an empty batch only keeps the backup in touch.
-func (member *Member) commit(batch []*proposal) {
+// state is the lead as it was when the batch was taken: a lead that ends meanwhile must not change what is written.
+func (member *Member) commit(state lead, batch []*proposal) {
 	place := member.env.Place
-	now := member.HolderTime()
-	member.lock.Lock()
-	epoch, backup := member.lead.epoch, member.lead.backup
-	member.lock.Unlock()
+	epoch, backup, now := state.epoch, state.backup, state.holderTime(place.Now())
 	ask := &wire.ReplicateAsk{To: backup.Name, From: member.self(), ToIncarnation: backup.Incarnation, Epoch: epoch, HolderTime: int64(now)}
 	member.keeper.Do(func() {
 		ask.PreviousEpoch, ask.PreviousSequence = member.copy.epoch, member.copy.sequence
@@ -240,7 +238,9 @@
 	member.lead.failures = 0
 	member.lock.Unlock()
 	member.reply(batch, member.applyPending(), epoch)
-	member.minding()
+	if len(batch) > 0 {
+		member.minding()
+	}
 }
 
 // reply answers a batch, unless the tenure ended meanwhile.
