Reports tell how long after the return service was back; defaults are left out of fleets' settings

Cause: rolling from an earlier build failed, since that build refuses a setting it doesn't know. Settings that have their default aren't written.

--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -141,7 +141,10 @@
 	settings := map[string]any{"name": process.Name, "domain": process.Zone, "listen": process.Listen, "advertise": process.Peer,
 		"seeds": seeds, "desk": process.Desk, "log": fleet.Level}
 	if process.Program == "carrier" {
-		settings["callers"], settings["choice"] = process.Callers, fleet.Choice
+		settings["callers"] = process.Callers
+		if fleet.Choice != "near" { // a default is left out, so that an earlier build that doesn't know it starts too
+			settings["choice"] = fleet.Choice
+		}
 	} else {
 		group := fleet.Sorters
 		if process.Program == "postmaster" {
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -249,6 +249,7 @@
 	PerAsk    int64                     `json:"processor_micros_per_request"`
 	Bytes     map[string]uint64         `json:"bytes_between,omitempty"`
 	Unnamed   int                       `json:"refusals_without_retry_after"`
+	Return    map[string]int64          `json:"micros_from_return_to_first_success,omitempty"`
 	Rush      map[string][2]float64     `json:"served_per_second_before_and_in_rush,omitempty"`
 }
 
@@ -291,6 +292,7 @@
 	report.PerAsk = used / int64(max(1, total))
 	stage.between(report.Bytes)
 	report.Rush = stage.rushed()
+	report.Return = stage.back()
 	return report
 }
 
@@ -325,6 +327,25 @@
 	return rates
 }
 
+// back gives how long after the machines' return each kind of traffic had its first success.
+func (stage *Stage) back() map[string]int64 {
+	first := map[string]int64{}
+	for _, note := range stage.History.Notes {
+		if note.What != "returned" {
+			continue
+		}
+		for _, attempt := range stage.History.Attempts {
+			if outcome(attempt) != "served" || attempt.Sent < note.At {
+				continue
+			}
+			if took, known := first[attempt.Kind]; !known || int64(attempt.Ended-note.At) < took {
+				first[attempt.Kind] = int64(attempt.Ended - note.At)
+			}
+		}
+	}
+	return first
+}
+
 // between sums the relays' bytes by whether they crossed a zone's border.
 func (stage *Stage) between(totals map[string]uint64) {
 	if stage.Fleet.Relays == nil {
@@ -383,6 +404,9 @@
 	if len(report.Bytes) > 0 {
 		fmt.Fprintf(&text, "  bytes: %v\n", report.Bytes)
 	}
+	if len(report.Return) > 0 {
+		fmt.Fprintf(&text, "  microseconds from the return to the first success: %v\n", report.Return)
+	}
 	for _, kind := range sorted(report.Rush) {
 		fmt.Fprintf(&text, "  %s served a second: %.0f before, %.0f in the rush\n", kind, report.Rush[kind][0], report.Rush[kind][1])
 	}
