Guard's caller side tested alone; control messages counted as carriers double

Cause: manual controls, the lane's bound, degrading and the promise of no inline call were only seen through whole meshes.

--- /dev/null
+++ b/internal/carrier/wicket/wicket_test.go
@@ -0,0 +1,192 @@
+package wicket_test
+
+import (
+	"errors"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/carrier/wicket"
+	"snowflow/internal/franking"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// played runs a guard alone in a simulated place, with a sorter that answers as told.
+type played struct {
+	t       *testing.T
+	guard   *wicket.Wicket
+	place   *world.Place
+	service *franking.Service
+	calls   []wire.Kind
+	answer  func(kind wire.Kind, tell proto.Message) error
+	events  map[int]int
+}
+
+func play(t *testing.T, course func(played *played)) {
+	t.Helper()
+	simulated := world.New(1)
+	scene := &played{t: t, events: map[int]int{}, answer: func(wire.Kind, proto.Message) error { return nil }}
+	simulated.Trace = func(_ postmark.Micros, _ string, number int, _ map[string]any) { scene.events[number]++ }
+	state, faults := franking.Parse([]byte(`{"groups":[{"name":"field","guard":{"windowCalls":10,"minimumCalls":5,"waitOpenMicros":2000000,"permittedHalfOpen":2},
+"services":[{"name":"forms","paths":[{"method":"GET","prefix":"/forms","class":"read"}]}]}]}`))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	scene.service = franking.Compile(state, 1, "").Services["forms"]
+	played := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		scene.place = place
+		scene.guard = wicket.New(wicket.Env{Place: place, Carrier: "one", Incarnation: 1, Call: func(kind wire.Kind, _, tell proto.Message, _ postmark.Micros) error {
+			scene.calls = append(scene.calls, kind)
+			return scene.answer(kind, tell)
+		}})
+		course(scene)
+		played = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + postmark.Minute)
+	defer simulated.Close()
+	if !played {
+		t.Fatalf("the course did not end: %v", simulated.Panicked)
+	}
+}
+
+// try makes one call with an outcome, and tells its refusal's cause, or zero.
+func (scene *played) try(outcome wicket.Outcome) seal.Cause {
+	ticket, fault := scene.guard.Admit(scene.service)
+	if fault != nil {
+		return fault.Cause
+	}
+	ticket.Done(outcome)
+	return 0
+}
+
+func (scene *played) expect(what string, got, wanted any) {
+	scene.t.Helper()
+	if got != wanted {
+		scene.t.Errorf("%s: %v, not %v", what, got, wanted)
+	}
+}
+
+func record(state string, serial uint64) []*wire.GuardRecord {
+	return []*wire.GuardRecord{{Service: "forms", State: state, Serial: serial}}
+}
+
+func TestNoInlineCallWhileClosedOrOpen(t *testing.T) {
+	play(t, func(scene *played) {
+		for range 20 {
+			scene.expect("closed", scene.try(wicket.Success), seal.Cause(0))
+		}
+		scene.guard.Polled(record("open", 2), true)
+		for range 20 {
+			scene.expect("open", scene.try(wicket.Success), seal.GuardOpen)
+		}
+		scene.expect("calls", len(scene.calls), 0)
+		scene.guard.Polled(record("half_open", 3), true)
+		scene.answer = func(_ wire.Kind, tell proto.Message) error {
+			tell.(*wire.ProbeLeaseTell).Record = record("half_open", 3)[0]
+			return nil
+		}
+		scene.expect("no probe left", scene.try(wicket.Success), seal.NoProbe)
+		scene.expect("one call for one try", len(scene.calls), 1)
+		scene.guard.Polled(record("open", 2), true)
+		scene.expect("an older record is not taken", scene.try(wicket.Success), seal.NoProbe)
+	})
+}
+
+func TestLocalTripAndItsOwnRecovery(t *testing.T) {
+	play(t, func(scene *played) {
+		for range 4 {
+			scene.expect("before the minimum", scene.try(wicket.Failure), seal.Cause(0))
+		}
+		for range 30 {
+			scene.expect("neutral outcomes say nothing", scene.try(wicket.Neutral), seal.Cause(0))
+		}
+		scene.expect("the fifth failure", scene.try(wicket.Failure), seal.Cause(0))
+		scene.expect("open by itself", scene.try(wicket.Success), seal.GuardOpen)
+		scene.place.Sleep(2100 * postmark.Millisecond)
+		scene.expect("first local probe", scene.try(wicket.Success), seal.Cause(0))
+		scene.expect("second local probe", scene.try(wicket.Success), seal.Cause(0))
+		scene.expect("closed again", scene.guard.Show()[0].Local, "closed")
+		scene.expect("reported once", scene.events[bulletin.GuardLocalTrip], 1)
+	})
+}
+
+func TestControlsGoFirst(t *testing.T) {
+	play(t, func(scene *played) {
+		control := func(verb string) {
+			if err := scene.guard.Control("forms", verb); err != nil {
+				scene.t.Error(err)
+			}
+		}
+		control("force_open")
+		scene.expect("forced open", scene.try(wicket.Success), seal.GuardOpen)
+		scene.guard.Polled(record("half_open", 2), true)
+		for _, verb := range []string{"disable", "metrics_only"} {
+			control(verb)
+			for range 30 {
+				scene.expect(verb, scene.try(wicket.Failure), seal.Cause(0))
+			}
+		}
+		scene.expect("no probe was taken", len(scene.calls), 0)
+		scene.expect("counted by metrics_only alone", scene.guard.Show()[0].Calls, uint64(30))
+		control("reset")
+		scene.guard.Polled(record("open", 3), true)
+		scene.expect("reset goes back to the shared verdict", scene.try(wicket.Success), seal.GuardOpen)
+		if scene.guard.Control("forms", "smash") == nil {
+			scene.t.Error("an unknown control was taken")
+		}
+	})
+}
+
+func TestDegradesAndRecovers(t *testing.T) {
+	play(t, func(scene *played) {
+		scene.guard.Polled(record("half_open", 2), true)
+		scene.answer = func(wire.Kind, proto.Message) error { return errors.New("cut off") }
+		scene.expect("a failed lease falls back to the local window", scene.try(wicket.Success), seal.Cause(0))
+		scene.expect("and later ones don't ask", scene.try(wicket.Success), seal.Cause(0))
+		scene.expect("calls", len(scene.calls), 1)
+		for range 10 {
+			scene.try(wicket.Failure)
+		}
+		scene.expect("writes are dropped and told", scene.events[bulletin.GuardWriteDropped], 1)
+		scene.guard.Polled(record("open", 3), true)
+		scene.expect("recovered", scene.events[bulletin.GuardRecovered], 1)
+		scene.expect("the shared verdict counts again", scene.try(wicket.Success), seal.GuardOpen)
+	})
+}
+
+func TestLaneIsBoundedAndDrained(t *testing.T) {
+	play(t, func(scene *played) {
+		scene.guard.Polled(record("half_open", 2), true)
+		scene.answer = func(kind wire.Kind, tell proto.Message) error {
+			if lease, is := tell.(*wire.ProbeLeaseTell); is {
+				lease.Granted, lease.Record = true, record("half_open", 2)[0]
+			}
+			if written, is := tell.(*wire.GuardWriteTell); is {
+				written.Record = record("half_open", 2)[0]
+			}
+			return nil
+		}
+		for range 200 { // nothing drains the lane yet
+			scene.try(wicket.Success)
+		}
+		scene.expect("dropped beyond 128", scene.events[bulletin.GuardWriteDropped], 72)
+		scene.place.Go(scene.guard.Lane)
+		scene.guard.Close(5 * postmark.Second)
+		written := 0
+		for _, kind := range scene.calls {
+			if kind == wire.Kind_guard_write {
+				written++
+			}
+		}
+		scene.expect("written before closing", written, 128)
+		scene.try(wicket.Failure)
+		scene.expect("nothing after", len(scene.calls), 200+128)
+	})
+}
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
 
@@ -118,3 +119,40 @@
 			submission[len(submission)/2], submission[len(submission)*99/100])
 	}
 }
+
+// TestControlMessages counts what an idle carrier says and hears as carriers double: a mesh of many must not make each
+// one talk more.
+func TestControlMessages(t *testing.T) {
+	const seconds = 30
+	perCarrier := func(carriers int) (calls, bytes, core float64) {
+		mesh := Build(1, Sizes{Cores: 3, Carriers: carriers, Zones: 3, Backends: carriers / 2}, Breakage{})
+		defer mesh.World.Close()
+		mesh.Outside.Go(func() { mesh.apply(Desired(0), false, 0, 20*postmark.Second) })
+		mesh.World.Run(mesh.World.Now() + 15*postmark.Second)
+		mesh.World.Calls, mesh.World.Bytes = map[string]map[wire.Kind]int{}, map[string]int{}
+		mesh.World.Run(mesh.World.Now() + seconds*postmark.Second)
+		for node, kinds := range mesh.World.Calls {
+			for _, count := range kinds {
+				if strings.HasPrefix(node, "carrier") {
+					calls += float64(count) / seconds / float64(carriers)
+				} else if node != "outside" {
+					core += float64(count) / seconds
+				}
+			}
+		}
+		for node, count := range mesh.World.Bytes {
+			if strings.HasPrefix(node, "carrier") {
+				bytes += float64(count) / seconds / float64(carriers)
+			}
+		}
+		return calls, bytes, core
+	}
+	first, _, _ := perCarrier(4)
+	for _, carriers := range []int{4, 8, 16, 32} {
+		calls, bytes, core := perCarrier(carriers)
+		t.Logf("%d carriers: %.2f calls and %.0f bytes a second for each; the core %.0f calls a second among itself", carriers, calls, bytes, core)
+		if calls == 0 || calls > 1.2*first {
+			t.Errorf("%d carriers: %.2f calls a second for each, %.2f with four", carriers, calls, first)
+		}
+	}
+}
--- a/internal/mailround/world/world.go
+++ b/internal/mailround/world/world.go
@@ -40,6 +40,9 @@
 	Panicked any
 	// Events counts what happened, as a measure of the run.
 	Events uint64
+	// Calls counts the calls of each node by their kind, and Bytes what they and their replies came to.
+	Calls map[string]map[wire.Kind]int
+	Bytes map[string]int
 	// digest mixes every event's time and task, to compare replays.
 	digest uint64
 }
@@ -103,7 +106,7 @@
 // New makes a world from a seed.
 func New(seed uint64) *World {
 	return &World{now: postmark.Minute, chance: rand.New(rand.NewPCG(seed, 0x736e6f77)), yielded: make(chan struct{}),
-		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, Lag: 2 * postmark.Millisecond}
+		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, Calls: map[string]map[wire.Kind]int{}, Bytes: map[string]int{}, Lag: 2 * postmark.Millisecond}
 }
 
 // Now is the observer's clock.
@@ -446,6 +449,12 @@
 	if err != nil {
 		return err
 	}
+	world := place.node.world
+	if world.Calls[place.node.Name] == nil {
+		world.Calls[place.node.Name] = map[wire.Kind]int{}
+	}
+	world.Calls[place.node.Name][kind]++
+	world.Bytes[place.node.Name] += len(content)
 	answer, err := place.transact(address, patience, func(node *Node) ([]byte, error) {
 		handle := node.table[kind]
 		if handle == nil {
@@ -460,6 +469,7 @@
 	if err != nil {
 		return err
 	}
+	world.Bytes[place.node.Name] += len(answer)
 	return proto.Unmarshal(answer, reply)
 }
 
