A further try that never reached the service goes back to the budget

Cause: while configurations change fast, carriers refuse passes of older serials as not run; each further try after such a refusal was charged as if it had been traffic of the service, and the budget was soon spent. Change: a further try that ended certainly before a backend is put back.

--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -198,14 +198,7 @@
 	defer leave()
 	avoid[candidate.Instance] = true
 	trip.Tries++
-	if trip.Tries == 1 {
-		defer func() {
-			// A first try that certainly never reached a backend was no traffic of the service.
-			if fault == nil || !fault.NotRun() || fault.Cause == seal.NotExecuted {
-				passage.env.Purse.First(trip.Service.Name, trip.Service.Retry.GetBudgetRatio(), trip.Service.Retry.GetAllowance())
-			}
-		}()
-	}
+	defer passage.account(trip, trip.Tries, &fault)
 	remaining := trip.Cutoff - place.Now()
 	if remaining <= 0 {
 		ticket.Done(wicket.Neutral)
@@ -239,6 +232,19 @@
 	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance, Serial: trip.View.Serial}, nil, false
 }
 
+// account settles a try with the budget: one that certainly never reached a backend was no traffic of the service, neither as
+// a first try that pays for others nor as a further one.
+func (passage *Passage) account(trip *Trip, number int, ended **seal.Fault) {
+	fault, service, retry := *ended, trip.Service.Name, trip.Service.Retry
+	reached := fault == nil || !fault.NotRun() || fault.Cause == seal.NotExecuted
+	if number == 1 && reached {
+		passage.env.Purse.First(service, retry.GetBudgetRatio(), retry.GetAllowance())
+	}
+	if number > 1 && !reached {
+		passage.env.Purse.Refund(service, retry.GetAllowance())
+	}
+}
+
 // send passes a request on; to this carrier's own gate without a connection.
 func (passage *Passage) send(candidate roll.Candidate, ask *wire.PassAsk, patience postmark.Micros) (*wire.PassTell, error) {
 	if candidate.Carrier == passage.env.Carrier && candidate.Incarnation == passage.env.Incarnation {
--- a/internal/carrier/purse/purse.go
+++ b/internal/carrier/purse/purse.go
@@ -90,6 +90,15 @@
 	return true
 }
 
+// Refund puts a further try back that certainly never reached the service.
+func (purse *Purse) Refund(service string, allowance uint32) {
+	purse.lock.Lock()
+	defer purse.lock.Unlock()
+	present := purse.fund(service)
+	present.tokens = min(present.tokens+1, purse.depth(allowance))
+	present.Further--
+}
+
 // Totals gives first tries, further tries and refused ones since the start.
 func (purse *Purse) Totals(service string) (first, further, refused uint64) {
 	purse.lock.Lock()
