Remove what nothing calls, and use the library's search in lists

Found by reading the whole change: the budget's totals, claims' and inboxes' look-ups, sync times, a fault's wrapped form, a service look-up and a poll's moment were kept and read by nothing; the rehearsal wrapped a field in a function of its own; two packages searched lists by hand. Behaviour and tests are as they were. Looked at and left: the doctor's and the rehearsal's operator both fetch a page as JSON, with other clients, limits and errors; the scenarios' and courses' tables share their shape, not their logic.

--- a/internal/carrier/purse/purse.go
+++ b/internal/carrier/purse/purse.go
@@ -30,11 +30,8 @@
 func (purse *Purse) Unlimited(broken bool) { purse.unlimited = broken }
 
 type fund struct {
-	tokens  float64
-	last    postmark.Micros // of the last further try
-	First   uint64
-	Further uint64
-	Refused uint64
+	tokens float64
+	last   postmark.Micros // of the last further try
 }
 
 // New makes a purse; share tells this carrier's part of an allowance, zero while unknown.
@@ -67,7 +64,6 @@
 	defer purse.lock.Unlock()
 	present := purse.fund(service)
 	present.tokens = min(present.tokens+ratio, purse.depth(allowance))
-	present.First++
 }
 
 // Spend takes one further try out of the budget, if there's one left.
@@ -81,12 +77,10 @@
 		present.tokens = depth // no window holds both an earlier further try and this one
 	}
 	if present.tokens < 1 && !purse.unlimited {
-		present.Refused++
 		return false
 	}
 	present.tokens--
 	present.last = now
-	present.Further++
 	return true
 }
 
@@ -96,13 +90,4 @@
 	defer purse.lock.Unlock()
 	present := purse.fund(service)
 	present.tokens = min(present.tokens+1, purse.depth(allowance))
-	present.Further--
-}
-
-// Totals gives first tries, further tries and refused ones since the start.
-func (purse *Purse) Totals(service string) (first, further, refused uint64) {
-	purse.lock.Lock()
-	defer purse.lock.Unlock()
-	present := purse.fund(service)
-	return present.First, present.Further, present.Refused
 }
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -65,13 +65,12 @@
 	moment    *wire.HolderMoment
 	momentAt  postmark.Micros
 	polled    postmark.Micros
-	primary   postmark.Micros
 }
 
 // New makes a roll; session gives this carrier's session as it is now.
 func New(place office.Office, book *gazetteer.Book, session func() *wire.Session) *Roll {
 	return &Roll{place: place, book: book, session: session, soon: place.NewSignal(), directory: &Directory{Candidates: map[string][]Candidate{}, Carriers: map[string]int{}, Addresses: map[string]string{}},
-		polled: -postmark.Minute, primary: -postmark.Minute, born: place.Now()}
+		polled: -postmark.Minute, born: place.Now()}
 }
 
 // Soon has the session told at once, because it changed.
@@ -143,7 +142,6 @@
 		roll.live, roll.liveAt = tell.Carriers, now
 	}
 	if tell.Primary {
-		roll.primary = now
 		if roll.moment == nil || tell.Epoch >= roll.moment.Epoch {
 			roll.moment, roll.momentAt = &wire.HolderMoment{Epoch: tell.Epoch, Time: tell.HolderTime}, now
 		}
--- a/internal/clerk/doctor/doctor.go
+++ b/internal/clerk/doctor/doctor.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -161,7 +162,7 @@
 	groups := map[string][]string{"postmaster": names(mesh.Postmasters), "sorter": names(mesh.Sorters)}
 	for _, group := range names(groups) {
 		for _, voter := range voters(mesh, group) {
-			if !contains(groups[group], voter) && mesh.Overview.Missing[group+" "+voter] == "" {
+			if !slices.Contains(groups[group], voter) && mesh.Overview.Missing[group+" "+voter] == "" {
 				found = append(found, Finding{Level: Watch, What: fmt.Sprintf("voter %s of the %ss was never heard of", voter, group),
 					Advice: "start it, and check that its seeds name a live process"})
 			}
@@ -170,15 +171,6 @@
 	return found
 }
 
-func contains(list []string, wanted string) bool {
-	for _, entry := range list {
-		if entry == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 func voters(mesh Mesh, group string) []string {
 	for _, core := range cores(mesh) {
 		if core.Group == group {
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -10,7 +10,6 @@
 
 	"snowflow/examples"
 	"snowflow/internal/depot/fleet"
-	"snowflow/internal/depot/layout"
 	"snowflow/internal/depot/standin"
 )
 
@@ -51,15 +50,6 @@
 	return nil
 }
 
-func service(stage *Stage, name string) layout.Service {
-	for _, present := range stage.Fleet.Layout.Services {
-		if present.Name == name {
-			return present
-		}
-	}
-	return layout.Service{}
-}
-
 // moveCore gives a core machine's processes a new host while they are down, as when seeds move to other machines.
 func (stage *Stage) moveCore(index int) error {
 	for _, process := range []*fleet.Process{stage.Fleet.Sorters[index], stage.Fleet.Postmasters[index]} {
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 
@@ -101,7 +102,7 @@
 		}
 		book.groups[peer.Name] = peer.Group
 		addresses := book.known[peer.Name]
-		if contains(addresses, peer.Address) {
+		if slices.Contains(addresses, peer.Address) {
 			continue
 		}
 		if len(addresses) == mostAddresses {
@@ -113,15 +114,6 @@
 	}
 }
 
-func contains(addresses []string, wanted string) bool {
-	for _, address := range addresses {
-		if address == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // Hint takes news of who leads a group.
 func (book *Book) Hint(primaries []*wire.Primary) {
 	book.lock.Lock()
@@ -241,7 +233,7 @@
 	}
 	targets := append([]string(nil), book.seeds...)
 	for _, peer := range book.Known() {
-		if (book.own == nil || peer.Name != book.own.Name) && !contains(targets, peer.Address) {
+		if (book.own == nil || peer.Name != book.own.Name) && !slices.Contains(targets, peer.Address) {
 			targets = append(targets, peer.Address)
 		}
 	}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -373,9 +373,6 @@
 	}
 }
 
-// planned tells whether every end of a carrier in this run is a planned one, so that a lost request was dropped.
-func (mesh *Mesh) planned() bool { return mesh.onlyPlanned }
-
 type told struct {
 	Status  uint32
 	Serial  uint64
@@ -412,7 +409,7 @@
 	if err != nil {
 		attempt.Transport = "lost"
 		// The carrier had read it, and was killed by nobody before its planned stop was over.
-		if read && attempt.Planned && mesh.planned() {
+		if read && attempt.Planned && mesh.onlyPlanned {
 			attempt.Transport = "dropped"
 		}
 		return
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -98,13 +98,6 @@
 	return items
 }
 
-// Length tells how many items wait.
-func (inbox *Inbox[Item]) Length() int {
-	inbox.lock.Lock()
-	defer inbox.lock.Unlock()
-	return len(inbox.items)
-}
-
 // Owner runs commands one after another in a task of its own; a table's owner.
 type Owner struct {
 	place Office
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -20,8 +20,7 @@
 )
 
 var (
-	space         = errorx.NewNamespace("snowflow")
-	requestFailed = space.NewType("request")
+	space = errorx.NewNamespace("snowflow")
 	// Unreachable marks a call whose message certainly never reached the other process.
 	Unreachable = space.NewType("unreachable")
 	// Lost marks a call that may have reached the other process; no answer came back.
@@ -52,9 +51,6 @@
 	return fmt.Sprintf("cause %d %s (%s): %s", fault.Cause, fault.Cause.Name(), fault.Verdict, fault.Detail)
 }
 
-// Wrapped gives the fault as an errorx error, for logs that want its stack.
-func (fault *Fault) Wrapped() *errorx.Error { return requestFailed.New("%s", fault.Error()) }
-
 // New makes a fault from the catalogue's defaults.
 func New(cause Cause, verdict Verdict, format string, arguments ...any) *Fault {
 	entry := catalogue[cause]
--- a/internal/sorter/counterfoil/counterfoil.go
+++ b/internal/sorter/counterfoil/counterfoil.go
@@ -6,8 +6,6 @@
 	"bytes"
 	"sort"
 
-	"google.golang.org/protobuf/proto"
-
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -158,11 +156,3 @@
 		}
 	}
 }
-
-// Find gives a copy of a record, for status and tests.
-func (table *Table) Find(scope string) *wire.ClaimRecord {
-	if record := table.records[scope]; record != nil {
-		return proto.Clone(record).(*wire.ClaimRecord)
-	}
-	return nil
-}
--- a/internal/strongbox/folder/folder.go
+++ b/internal/strongbox/folder/folder.go
@@ -7,20 +7,15 @@
 	"io"
 	"os"
 	"path/filepath"
-	"sync"
 	"syscall"
-	"time"
 
 	"snowflow/internal/strongbox"
 )
 
 // Folder is a data folder held by this process alone, until the process ends.
 type Folder struct {
-	path     string
-	lock     *os.File
-	guard    sync.Mutex
-	slowest  time.Duration
-	lastSync time.Duration
+	path string
+	lock *os.File
 }
 
 // Open makes and locks the folder. A second process on it is turned away.
@@ -44,7 +39,7 @@
 	if err != nil {
 		return nil, full(err)
 	}
-	return &handle{file: file, folder: folder}, nil
+	return &handle{file: file}, nil
 }
 
 // Rename moves a file over another.
@@ -78,16 +73,8 @@
 	return status.Bavail * uint64(status.Bsize), nil
 }
 
-// SyncTimes tells the latest and the slowest sync so far.
-func (folder *Folder) SyncTimes() (latest, slowest time.Duration) {
-	folder.guard.Lock()
-	defer folder.guard.Unlock()
-	return folder.lastSync, folder.slowest
-}
-
 type handle struct {
-	file   *os.File
-	folder *Folder
+	file *os.File
 }
 
 func (handle *handle) ReadAll() ([]byte, error) {
@@ -104,16 +91,7 @@
 
 func (handle *handle) Truncate(size int64) error { return handle.file.Truncate(size) }
 
-func (handle *handle) Sync() error {
-	started := time.Now()
-	err := handle.file.Sync()
-	took := time.Since(started)
-	handle.folder.guard.Lock()
-	defer handle.folder.guard.Unlock()
-	handle.folder.lastSync = took
-	handle.folder.slowest = max(handle.folder.slowest, took)
-	return err
-}
+func (handle *handle) Sync() error { return handle.file.Sync() }
 
 func (handle *handle) Close() error { return handle.file.Close() }
 
