Hutch: a backend that registers again keeps the requests it has in hand

Cause: registering again under an instance put a fresh entry in the old one's place, with its count of requests at zero, while the older requests still ran and gave their places back to the old entry. Until they ended, a backend could be given up to twice its places.

Ruled out: counting at the courier instead; the entry is the one place that admission looks at.

Before: the new test is let in beyond its bound right after the second registration. After: refused until the earlier ones leave.

--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -69,16 +69,21 @@
 		return seal.Invalid.New("a backend needs service, instance and address")
 	}
 	hutch.lock.Lock()
-	if present := hutch.entries[backend.Instance]; present != nil && (present.Backend != backend || present.condition == Leaving && condition != Leaving) {
+	present := hutch.entries[backend.Instance]
+	if present != nil && (present.Backend != backend || present.condition == Leaving && condition != Leaving) {
 		hutch.lock.Unlock()
 		return seal.Invalid.New("instance %s is registered otherwise or leaving; take a new instance id", backend.Instance)
 	}
-	for instance, present := range hutch.entries {
-		if present.Address == backend.Address && instance != backend.Instance {
+	for instance, other := range hutch.entries {
+		if other.Address == backend.Address && instance != backend.Instance {
 			delete(hutch.entries, instance)
 		}
 	}
-	hutch.entries[backend.Instance] = &entry{Backend: backend, condition: condition, beat: hutch.place.Now(), inFlight: map[bool]uint32{}}
+	if present == nil {
+		present = &entry{Backend: backend, inFlight: map[bool]uint32{}}
+		hutch.entries[backend.Instance] = present
+	}
+	present.condition, present.beat, present.overdue = condition, hutch.place.Now(), false
 	hutch.lock.Unlock()
 	hutch.place.Report(bulletin.BackendRegistered, map[string]any{"service": backend.Service, "instance": backend.Instance, "address": backend.Address})
 	hutch.changed()
