--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -3,7 +3,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +10,9 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -190,18 +192,20 @@
 }
 
 func encode(order gate.Order) []byte {
-	var buffer bytes.Buffer
-	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", order.Method, order.Target, order.Backend.Address)
-	for _, header := range order.Headers {
-		fmt.Fprintf(&buffer, "%s: %s\r\n", header.Name, header.Value)
+	encoded := make([]byte, 0, 512+len(order.Body))
+	encoded = append(append(append(append(encoded, order.Method...), ' '), order.Target...), " HTTP/1.1\r\n"...)
+	header := func(name, value string) {
+		encoded = append(append(append(append(encoded, name...), ": "...), value...), "\r\n"...)
 	}
-	fmt.Fprintf(&buffer, "%s: %s\r\n", letter.RequestHeader, order.ID)
+	header("Host", order.Backend.Address)
+	for _, kept := range order.Headers {
+		header(kept.Name, kept.Value)
+	}
+	header(letter.RequestHeader, order.ID)
 	if len(order.Body) > 0 || order.Method == http.MethodPost || order.Method == http.MethodPut || order.Method == http.MethodPatch {
-		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", len(order.Body))
+		header("Content-Length", strconv.Itoa(len(order.Body)))
 	}
-	buffer.WriteString("\r\n")
-	buffer.Write(order.Body)
-	return buffer.Bytes()
+	return append(append(encoded, "\r\n"...), order.Body...)
 }
 
 // read takes the answer off the connection. Whatever isn't whole, or says more than it announced, is no answer.
@@ -245,6 +249,7 @@
 		return nil, false, seal.New(seal.AnswerTooLarge, seal.MayHaveRun, "%s sent more than %d bytes", order.Backend.Instance, order.AnswerLimit)
 	}
 	line.since = time.Now()
+	// Bytes that come later are found before the connection is used again.
 	if line.reader.Buffered() > 0 {
 		return broken("%d bytes behind the end of the answer", line.reader.Buffered())
 	}
@@ -252,7 +257,7 @@
 		return nil, false, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "%s answered request %s, not %s", order.Backend.Instance, echoed, order.ID)
 	}
 	return &letter.Answer{Status: uint32(response.StatusCode), Headers: Kept(response.Header), Body: body},
-		!response.Close && !bodyless && line.quiet(), nil
+		!response.Close && !bodyless, nil
 }
 
 func late(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
@@ -262,16 +267,20 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
 	"Proxy-Connection": true, letter.CutoffHeader: true}
 
-// Kept lists the headers that are passed on.
-func Kept(headers http.Header) (kept []*wire.Header) {
-	named := map[string]bool{}
+// Kept lists the headers that are passed on, without those named.
+func Kept(headers http.Header, without ...string) []*wire.Header {
+	var named map[string]bool // by the Connection header; few requests have one
 	for _, value := range headers.Values("Connection") {
-		for _, name := range bytes.Split([]byte(value), []byte(",")) {
-			named[http.CanonicalHeaderKey(string(bytes.TrimSpace(name)))] = true
+		for name := range strings.SplitSeq(value, ",") {
+			if named == nil {
+				named = map[string]bool{}
+			}
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
+	kept := make([]*wire.Header, 0, len(headers))
 	for name, values := range headers {
-		if hopByHop[name] || named[name] {
+		if hopByHop[name] || named[name] || slices.Contains(without, name) {
 			continue
 		}
 		for _, value := range values {
