--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -52,7 +52,7 @@
 		return
 	}
 	// From here on the request counts as read, and gets an answer.
-	request.Body, request.Headers, request.ReadAt = body, delivery.Kept(incoming.Header, letter.RequestHeader), counter.carrier.Moment()
+	request.Body, request.Headers, request.ReadAt = body, delivery.Kept(withoutOwn(incoming.Header)), counter.carrier.Moment()
 	if limit := incoming.Header.Get(letter.CutoffHeader); limit != "" {
 		span, err := strconv.ParseInt(limit, 10, 64)
 		if err != nil || span <= 0 {
@@ -81,6 +81,12 @@
 	_, _ = writer.Write(answer.Body) // a caller that has gone can't be told
 }
 
+func withoutOwn(headers http.Header) http.Header {
+	kept := headers.Clone()
+	kept.Del(letter.RequestHeader)
+	return kept
+}
+
 // Refusal is the body of every answer that is the mesh's own.
 type Refusal struct {
 	Cause            uint32 `json:"cause"`
--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,9 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -192,20 +190,18 @@
 }
 
 func encode(order gate.Order) []byte {
-	encoded := make([]byte, 0, 512+len(order.Body))
-	encoded = append(append(append(append(encoded, order.Method...), ' '), order.Target...), " HTTP/1.1\r\n"...)
-	header := func(name, value string) {
-		encoded = append(append(append(append(encoded, name...), ": "...), value...), "\r\n"...)
+	var buffer bytes.Buffer
+	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", order.Method, order.Target, order.Backend.Address)
+	for _, header := range order.Headers {
+		fmt.Fprintf(&buffer, "%s: %s\r\n", header.Name, header.Value)
 	}
-	header("Host", order.Backend.Address)
-	for _, kept := range order.Headers {
-		header(kept.Name, kept.Value)
-	}
-	header(letter.RequestHeader, order.ID)
+	fmt.Fprintf(&buffer, "%s: %s\r\n", letter.RequestHeader, order.ID)
 	if len(order.Body) > 0 || order.Method == http.MethodPost || order.Method == http.MethodPut || order.Method == http.MethodPatch {
-		header("Content-Length", strconv.Itoa(len(order.Body)))
+		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", len(order.Body))
 	}
-	return append(append(encoded, "\r\n"...), order.Body...)
+	buffer.WriteString("\r\n")
+	buffer.Write(order.Body)
+	return buffer.Bytes()
 }
 
 // read takes the answer off the connection. Whatever isn't whole, or says more than it announced, is no answer.
@@ -249,7 +245,6 @@
 		return nil, false, seal.New(seal.AnswerTooLarge, seal.MayHaveRun, "%s sent more than %d bytes", order.Backend.Instance, order.AnswerLimit)
 	}
 	line.since = time.Now()
-	// Bytes that come later are found before the connection is used again.
 	if line.reader.Buffered() > 0 {
 		return broken("%d bytes behind the end of the answer", line.reader.Buffered())
 	}
@@ -257,7 +252,7 @@
 		return nil, false, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "%s answered request %s, not %s", order.Backend.Instance, echoed, order.ID)
 	}
 	return &letter.Answer{Status: uint32(response.StatusCode), Headers: Kept(response.Header), Body: body},
-		!response.Close && !bodyless, nil
+		!response.Close && !bodyless && line.quiet(), nil
 }
 
 func late(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
@@ -267,20 +262,16 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
 	"Proxy-Connection": true, letter.CutoffHeader: true}
 
-// Kept lists the headers that are passed on, without those named.
-func Kept(headers http.Header, without ...string) []*wire.Header {
-	var named map[string]bool // by the Connection header; few requests have one
+// Kept lists the headers that are passed on.
+func Kept(headers http.Header) (kept []*wire.Header) {
+	named := map[string]bool{}
 	for _, value := range headers.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			if named == nil {
-				named = map[string]bool{}
-			}
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		for _, name := range bytes.Split([]byte(value), []byte(",")) {
+			named[http.CanonicalHeaderKey(string(bytes.TrimSpace(name)))] = true
 		}
 	}
-	kept := make([]*wire.Header, 0, len(headers))
 	for name, values := range headers {
-		if hopByHop[name] || named[name] || slices.Contains(without, name) {
+		if hopByHop[name] || named[name] {
 			continue
 		}
 		for _, value := range values {
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -87,7 +87,7 @@
 	if len(all) == 0 {
 		return roll.Candidate{}, nil, seal.New(seal.NoBackend, seal.NotRun, "no backend of %s is known", service)
 	}
-	fit, worse := make([]roll.Candidate, 0, len(all)), []roll.Candidate(nil)
+	var fit, worse []roll.Candidate
 	for _, candidate := range all {
 		if avoid[candidate.Instance] || chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.silent(candidate.Carrier, now) {
 			worse = append(worse, candidate)
@@ -122,37 +122,29 @@
 // near keeps to the own domain with the probability that makes every backend's load the same: the domain's share of the
 // backends over its share of the carriers. The rest goes to domains that have backends to spare.
 func (chooser *chooser) near(directory *roll.Directory, fit []roll.Candidate) []roll.Candidate {
-	if chooser.blind {
-		return fit
-	}
-	own := make([]roll.Candidate, 0, len(fit))
+	byDomain := map[string][]roll.Candidate{}
 	for _, candidate := range fit {
-		if candidate.Domain == chooser.domain {
-			own = append(own, candidate)
-		}
+		byDomain[candidate.Domain] = append(byDomain[candidate.Domain], candidate)
 	}
-	if len(own) == len(fit) {
+	own := byDomain[chooser.domain]
+	if chooser.blind || len(own) == len(fit) {
 		return fit
 	}
+	spare := func(domain string) float64 {
+		backends := float64(len(byDomain[domain])) / float64(len(fit))
+		return backends - float64(directory.Carriers[domain])/float64(max(1, directory.Live))
+	}
 	random := float64(chooser.place.Random()%1000000) / 1000000
 	callers := float64(max(1, directory.Carriers[chooser.domain])) / float64(max(1, directory.Live))
 	if share := float64(len(own)) / float64(len(fit)); random < share/callers {
 		return own
 	}
-	byDomain := map[string]int{}
-	for _, candidate := range fit {
-		byDomain[candidate.Domain]++
-	}
-	spare := func(domain string) float64 {
-		backends := float64(byDomain[domain]) / float64(len(fit))
-		return backends - float64(directory.Carriers[domain])/float64(max(1, directory.Live))
-	}
 	// Beyond the own domain, each candidate weighs what its domain has to spare.
 	var far []roll.Candidate
 	var weights []float64
 	total := 0.0
 	for _, candidate := range fit {
-		weight := spare(candidate.Domain) / float64(byDomain[candidate.Domain])
+		weight := spare(candidate.Domain) / float64(len(byDomain[candidate.Domain]))
 		if candidate.Domain == chooser.domain || weight <= 0 {
 			continue
 		}
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -145,24 +145,6 @@
 	link.pending = nil
 }
 
-func (link *link) forget(number uint64) {
-	link.lock.Lock()
-	defer link.lock.Unlock()
-	delete(link.pending, number)
-}
-
-// rooms are buffers that frames are encoded in. Invariant: nothing holds on to one once its frame is written.
-var rooms = sync.Pool{New: func() any { return new([]byte) }}
-
-// mostRoom is the largest buffer that is kept for the next frame.
-const mostRoom = 256 << 10
-
-func giveBack(room *[]byte) {
-	if cap(*room) <= mostRoom {
-		rooms.Put(room)
-	}
-}
-
 // Call sends a request and waits for its reply.
 func (peers *Peers) Call(address string, kind wire.Kind, request, reply proto.Message, patience postmark.Micros) error {
 	if address == "" {
@@ -180,6 +162,10 @@
 	if link.dialError != nil {
 		return seal.Unreachable.Wrap(link.dialError, "dialling %s", address)
 	}
+	content, err := proto.Marshal(request)
+	if err != nil {
+		return seal.Invalid.Wrap(err, "encoding %s", kind)
+	}
 	waiter := make(chan frame.Frame, 1)
 	link.lock.Lock()
 	if link.closed {
@@ -190,14 +176,7 @@
 	number := link.next
 	link.pending[number] = waiter
 	link.lock.Unlock()
-	room := rooms.Get().(*[]byte)
-	defer giveBack(room)
-	encoded, err := frame.AppendMessage((*room)[:0], frame.Frame{Kind: kind, Number: number}, request)
-	if err != nil {
-		link.forget(number)
-		return seal.Invalid.Wrap(err, "encoding %s", kind)
-	}
-	*room = encoded
+	encoded := frame.Append(make([]byte, 0, len(content)+32), frame.Frame{Kind: kind, Number: number, Content: content})
 	link.writing.Lock()
 	_ = link.connection.SetWriteDeadline(time.Now().Add(patience.Duration()))
 	_, err = link.connection.Write(encoded)
@@ -224,7 +203,9 @@
 		}
 		return nil
 	case <-timer.C:
-		link.forget(number)
+		link.lock.Lock()
+		delete(link.pending, number)
+		link.lock.Unlock()
 		// Nothing at all was heard since the request went out: the connection may be dead, so the next call dials anew.
 		if link.heard.Load() < int64(started) {
 			peers.drop(link)
@@ -268,18 +249,14 @@
 		go func() {
 			outgoing := frame.Frame{Kind: incoming.Kind, Flags: frame.Reply, Number: incoming.Number}
 			reply, err := table[incoming.Kind](incoming.Content)
-			room := rooms.Get().(*[]byte)
-			defer giveBack(room)
-			encoded := (*room)[:0]
 			if err == nil {
-				encoded, err = frame.AppendMessage(encoded, outgoing, reply)
+				outgoing.Content, err = proto.Marshal(reply)
 			}
 			if err != nil {
 				outgoing.Flags |= frame.Fault
 				outgoing.Content = []byte(err.Error())
-				encoded = frame.Append(encoded, outgoing)
 			}
-			*room = encoded
+			encoded := frame.Append(make([]byte, 0, len(outgoing.Content)+32), outgoing)
 			writing.Lock()
 			defer writing.Unlock()
 			_ = connection.SetWriteDeadline(time.Now().Add(10 * time.Second))
--- a/internal/parcel/frame/frame.go
+++ b/internal/parcel/frame/frame.go
@@ -8,9 +8,6 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"slices"
-
-	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/parcel/wire"
 )
@@ -48,33 +45,16 @@
 // Append encodes a frame behind buffer.
 func Append(buffer []byte, frame Frame) []byte {
 	start := len(buffer)
-	buffer = append(append(buffer, make([]byte, headerLength)...), frame.Content...)
-	seal(buffer[start:], frame)
-	return buffer
-}
-
-// AppendMessage encodes a frame behind buffer whose content is a message, encoded in its place.
-func AppendMessage(buffer []byte, frame Frame, message proto.Message) ([]byte, error) {
-	start := len(buffer)
-	buffer = slices.Grow(buffer, headerLength+proto.Size(message))
-	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(append(buffer, make([]byte, headerLength)...), message)
-	if err != nil {
-		return buffer[:start], err
-	}
-	seal(buffer[start:], frame)
-	return buffer, nil
-}
-
-// seal writes the header of a frame in front of the content that lies behind it.
-func seal(encoded []byte, frame Frame) {
-	header, content := encoded[:headerLength], encoded[headerLength:]
+	buffer = append(buffer, make([]byte, headerLength)...)
+	header := buffer[start:]
 	binary.BigEndian.PutUint32(header, mark)
 	binary.BigEndian.PutUint16(header[4:], Version)
 	binary.BigEndian.PutUint16(header[6:], frame.Flags)
 	binary.BigEndian.PutUint16(header[8:], uint16(frame.Kind))
 	binary.BigEndian.PutUint64(header[12:], frame.Number)
-	binary.BigEndian.PutUint32(header[20:], uint32(len(content)))
-	binary.BigEndian.PutUint32(header[24:], crc32.Update(Checksum(header[:24]), castagnoli, content))
+	binary.BigEndian.PutUint32(header[20:], uint32(len(frame.Content)))
+	binary.BigEndian.PutUint32(header[24:], crc32.Update(Checksum(header[:24]), castagnoli, frame.Content))
+	return append(buffer, frame.Content...)
 }
 
 // Read takes one frame off a stream. limit bounds the content.
