--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -64,7 +64,7 @@
 		return err
 	}}
 	flags := command.Flags()
-	flags.StringVar(&options.Layout, "layout", "small", "small, association or raahbar")
+	flags.StringVar(&options.Layout, "layout", "small", "small, hops, association or raahbar")
 	flags.StringVar(&options.Scenario, "scenario", "steady", "see depot list")
 	flags.DurationVar(&options.Length, "length", 20*time.Second, "how long the traffic goes on, about")
 	flags.Float64Var(&options.Factor, "factor", 1, "multiplies the callers' rates")
--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"snowflow/internal/depot/layout"
 	"snowflow/internal/depot/relay"
 )
@@ -35,6 +37,8 @@
 	// Stopping is set while a planned stop is under way or over.
 	Stopping bool
 	Started  time.Time
+	// Linger is what its disk takes longer for each sync, from the next start on.
+	Linger time.Duration
 }
 
 // Fleet is all of them.
@@ -106,6 +110,14 @@
 	return append(append(append([]*Process(nil), fleet.Postmasters...), fleet.Sorters...), fleet.Carriers...)
 }
 
+// Doors lists the carriers that callers may use.
+func (fleet *Fleet) Doors() []*Process {
+	if fleet.Layout.Apart > 0 {
+		return fleet.Carriers[:fleet.Layout.Apart]
+	}
+	return fleet.Carriers
+}
+
 // Find gives a process by name.
 func (fleet *Fleet) Find(name string) *Process {
 	for _, process := range fleet.All() {
@@ -129,6 +141,53 @@
 	return fleet.settings(process)
 }
 
+// Slow makes a process's disk slow, or well again, from its next start on.
+func (fleet *Fleet) Slow(process *Process, linger time.Duration) error {
+	process.Linger = linger
+	return fleet.settings(process)
+}
+
+// Data is the process's data folder.
+func (process *Process) Data() string { return filepath.Join(process.Folder, "data") }
+
+// Fill bounds the length of the files that a running process may write, so that it finds its disk full; Empty lifts that.
+func (process *Process) Fill(longest uint64) error {
+	return process.limit(func(limit *unix.Rlimit) { limit.Cur = longest })
+}
+
+// Empty ends what Fill began.
+func (process *Process) Empty() error {
+	return process.limit(func(limit *unix.Rlimit) { limit.Cur = limit.Max })
+}
+
+func (process *Process) limit(change func(limit *unix.Rlimit)) error {
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	if process.command == nil || process.command.Process == nil {
+		return fmt.Errorf("%s doesn't run", process.Name)
+	}
+	var limit unix.Rlimit
+	if err := unix.Prlimit(process.command.Process.Pid, unix.RLIMIT_FSIZE, nil, &limit); err != nil {
+		return err
+	}
+	change(&limit)
+	return unix.Prlimit(process.command.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+}
+
+// Damage flips a byte in the middle of a process's record file, as a bad sector would. The process must be down.
+func (process *Process) Damage() error {
+	names, err := filepath.Glob(filepath.Join(process.Data(), "*.journal"))
+	if err != nil || len(names) == 0 {
+		return fmt.Errorf("%s has no record file: %w", process.Name, err)
+	}
+	content, err := os.ReadFile(names[0])
+	if err != nil {
+		return err
+	}
+	content[len(content)/2] ^= 0x55
+	return os.WriteFile(names[0], content, 0o640)
+}
+
 func (fleet *Fleet) settings(process *Process) error {
 	seeds := []string{}
 	for index := 0; index < 3 && index < len(fleet.Sorters); index++ {
@@ -154,7 +213,10 @@
 		for _, member := range group {
 			voters = append(voters, member.Name)
 		}
-		settings["voters"], settings["data"] = voters, filepath.Join(process.Folder, "data")
+		settings["voters"], settings["data"] = voters, process.Data()
+		if process.Linger > 0 {
+			settings["rehearse-sync"] = process.Linger.String()
+		}
 	}
 	if err := os.MkdirAll(process.Folder, 0o755); err != nil {
 		return err
@@ -179,7 +241,6 @@
 	}
 	command := exec.Command(filepath.Join(binaries, process.Program), "--env", filepath.Join(process.Folder, "env.json"))
 	command.Stderr, command.Stdout = log, log
-	command.Env = append(os.Environ(), "GOMAXPROCS=2")
 	// A fleet must not outlive its depot.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/internal/depot/layout/layout.go
+++ b/internal/depot/layout/layout.go
@@ -33,6 +33,9 @@
 	Name     string
 	Zones    []string
 	Carriers int
+	// Apart keeps the two sides of a carrier apart, for measuring each: the first so many carriers take all callers, the
+	// others all backends. Zero has every carrier do both.
+	Apart    int
 	Cores    int
 	Services []Service
 	Kinds    []Kind
@@ -70,6 +73,14 @@
 			{Name: "quota", Method: "GET", Path: "/quotas/", Rate: 70, Service: "forms"},
 		},
 	},
+	"hops": {
+		Name: "hops", Zones: []string{"left"}, Carriers: 2, Apart: 1, Cores: 3, Desired: "small",
+		Services: []Service{{Name: "forms", Backends: 4, Answer: 2500}, {Name: "households", Backends: 4, Answer: 300}},
+		Kinds: []Kind{
+			{Name: "form", Method: "GET", Path: "/forms/", Rate: 200, Service: "forms"},
+			{Name: "submission", Method: "POST", Path: "/households/", Rate: 100, Keyed: true, Body: 1200, Service: "households"},
+		},
+	},
 	"small": {
 		Name: "small", Zones: []string{"left", "right"}, Carriers: 4, Cores: 3, Desired: "small",
 		Services: []Service{
@@ -97,6 +108,12 @@
 	return found, nil
 }
 
+// Home is the index of the carrier that a service's backend of an index stands beside at first.
+func (layout Layout) Home(service Service, index int) int {
+	// Spread over the machines; a prime step keeps services from piling up on the same ones.
+	return layout.Apart + (index*5+len(service.Name))%(layout.Carriers-layout.Apart)
+}
+
 // Zone is the zone of the machine with this index.
 func (layout Layout) Zone(index int) string { return layout.Zones[index%len(layout.Zones)] }
 
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -81,8 +81,7 @@
 	}
 	for _, service := range chosen.Services {
 		for index := range service.Backends {
-			// Spread over the machines; a prime step keeps services from piling up on the same ones.
-			if _, err := stage.AddBackend(service, (index*5+len(service.Name))%chosen.Carriers); err != nil {
+			if _, err := stage.AddBackend(service, chosen.Home(service, index)); err != nil {
 				return stage, err
 			}
 		}
@@ -247,6 +246,7 @@
 	Tries     map[string]string         `json:"worst_further_per_first_in_10s"`
 	Processor map[string]int64          `json:"processor_micros_by_program"`
 	PerAsk    int64                     `json:"processor_micros_per_request"`
+	Hops      map[string]int64          `json:"processor_micros_per_request_by_hop,omitempty"`
 	Bytes     map[string]uint64         `json:"bytes_between,omitempty"`
 	Unnamed   int                       `json:"refusals_without_retry_after"`
 	Return    map[string]int64          `json:"micros_from_return_to_first_success,omitempty"`
@@ -290,6 +290,16 @@
 		}
 	}
 	report.PerAsk = used / int64(max(1, total))
+	if apart := stage.Fleet.Layout.Apart; apart > 0 {
+		report.Hops = map[string]int64{}
+		for index, process := range stage.Fleet.Carriers {
+			side := "caller's side"
+			if index >= apart {
+				side = "server's side"
+			}
+			report.Hops[side] += (process.Processor() - stage.processor[process.Name]) / int64(max(1, total))
+		}
+	}
 	stage.between(report.Bytes)
 	report.Rush = stage.rushed()
 	report.Return = stage.back()
@@ -401,6 +411,9 @@
 		fmt.Fprintf(&text, "  (p50 %.1f ms, p99 %.1f ms, most %.1f ms)\n", float64(latency[0])/1000, float64(latency[1])/1000, float64(latency[2])/1000)
 	}
 	fmt.Fprintf(&text, "  processor per request at the carriers: %d microseconds; by program: %v\n", report.PerAsk, report.Processor)
+	if len(report.Hops) > 0 {
+		fmt.Fprintf(&text, "  of that, by hop: %v\n", report.Hops)
+	}
 	if len(report.Bytes) > 0 {
 		fmt.Fprintf(&text, "  bytes: %v\n", report.Bytes)
 	}
--- a/internal/depot/standin/caller.go
+++ b/internal/depot/standin/caller.go
@@ -92,7 +92,7 @@
 	var lock sync.Mutex
 	var ready []*fleet.Process
 	var asking sync.WaitGroup
-	for _, carrier := range callers.fleet.Carriers {
+	for _, carrier := range callers.fleet.Doors() {
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
@@ -113,7 +113,7 @@
 	callers.lock.Lock()
 	defer callers.lock.Unlock()
 	if len(callers.ready) == 0 {
-		return callers.fleet.Carriers[rand.IntN(len(callers.fleet.Carriers))]
+		return callers.fleet.Doors()[rand.IntN(len(callers.fleet.Doors()))]
 	}
 	return callers.ready[rand.IntN(len(callers.ready))]
 }
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -186,6 +186,15 @@
 	return errors.Join(faults...)
 }
 
+// Count checks a whole number from 1 to 1024.
+func Count(value string) error {
+	number, err := strconv.Atoi(value)
+	if err == nil && (number < 1 || number > 1024) {
+		return fmt.Errorf("%d is not from 1 to 1024", number)
+	}
+	return err
+}
+
 // Span checks a span of time such as 8s.
 func Span(value string) error {
 	span, err := time.ParseDuration(value)
@@ -221,6 +230,7 @@
 		{Name: "listen", Help: "address for the mesh's other processes", Check: Address},
 		{Name: "advertise", Help: "address at which others reach listen; the same if left out", Check: Address, Optional: true},
 		{Name: "seeds", Help: "three addresses of other processes, with commas between; any process of the mesh will do", Check: Addresses},
+		{Name: "processors", Help: "most processors to run on; as many as there are if left out", Check: Count, Optional: true},
 		{Name: "log", Help: "least level of events to log: debug, info, warn or error", Default: "info", Check: Level},
 	}
 }
@@ -230,6 +240,7 @@
 	return append(Common(),
 		Field{Name: "voters", Help: "names of all processes of this group, the same everywhere, with commas between", Check: Names},
 		Field{Name: "data", Help: "data folder, for this process alone"},
+		Field{Name: "rehearse-sync", Help: "added to each sync, to rehearse a slow disk; left out in earnest", Check: Span, Optional: true},
 		Field{Name: "desk", Help: "HTTP address for status, metrics and operators", Check: Address},
 	)
 }
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -108,7 +108,9 @@
 	house.Defer(board.Close)
 	var disk strongbox.Disk
 	if path := values["data"]; path != "" {
-		held, err := folder.Open(path)
+		// Where the system bounds a file's length, a write beyond it fails as on a full disk, instead of ending the process.
+		signal.Ignore(syscall.SIGXFSZ)
+		held, err := folder.Open(path, values.Span("rehearse-sync").Duration())
 		if err != nil {
 			return err
 		}
@@ -194,6 +196,7 @@
 	})
 	house.Add(func() error { house.Book.Roam(postmark.Second); return nil })
 	house.Add(func() error { house.watchFreezes(); return nil })
+	house.Add(func() error { house.govern(); return nil })
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	house.supervisor.ServeBackground(running)
--- a/internal/strongbox/folder/folder.go
+++ b/internal/strongbox/folder/folder.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"snowflow/internal/strongbox"
 )
@@ -16,10 +17,12 @@
 type Folder struct {
 	path string
 	lock *os.File
+	// linger is added to each sync, to rehearse a slow disk.
+	linger time.Duration
 }
 
-// Open makes and locks the folder. A second process on it is turned away.
-func Open(path string) (*Folder, error) {
+// Open makes and locks the folder. A second process on it is turned away. linger is added to each sync.
+func Open(path string, linger time.Duration) (*Folder, error) {
 	if err := os.MkdirAll(path, 0o750); err != nil {
 		return nil, err
 	}
@@ -30,7 +33,7 @@
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		return nil, errors.Join(fmt.Errorf("data folder %s is held by another process: %w", path, err), lock.Close())
 	}
-	return &Folder{path: path, lock: lock}, nil
+	return &Folder{path: path, lock: lock, linger: linger}, nil
 }
 
 // Open opens or makes a file.
@@ -39,7 +42,7 @@
 	if err != nil {
 		return nil, full(err)
 	}
-	return &handle{file: file}, nil
+	return &handle{file: file, linger: folder.linger}, nil
 }
 
 // Rename moves a file over another.
@@ -57,6 +60,9 @@
 
 // SyncFolder makes renames and removals last.
 func (folder *Folder) SyncFolder() error {
+	if folder.linger > 0 {
+		time.Sleep(folder.linger)
+	}
 	directory, err := os.Open(folder.path)
 	if err != nil {
 		return err
@@ -74,7 +80,8 @@
 }
 
 type handle struct {
-	file *os.File
+	file   *os.File
+	linger time.Duration
 }
 
 func (handle *handle) ReadAll() ([]byte, error) {
@@ -91,12 +98,18 @@
 
 func (handle *handle) Truncate(size int64) error { return handle.file.Truncate(size) }
 
-func (handle *handle) Sync() error { return handle.file.Sync() }
+func (handle *handle) Sync() error {
+	if handle.linger > 0 {
+		time.Sleep(handle.linger)
+	}
+	return handle.file.Sync()
+}
 
 func (handle *handle) Close() error { return handle.file.Close() }
 
+// full tells a disk, a quota or a file limit that is used up from other trouble.
 func full(err error) error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) {
 		return fmt.Errorf("%w: %w", strongbox.ErrFull, err)
 	}
 	return err
