Core: go on with a slow disk while another machine is down

Cause: the new scenario slow-disk, which slows one core machine's syncs by 400 ms and kills each other primary, had nothing answer until the killed one was back. Three causes, one after the other. A ballot waits for syncs but was given 0.4 s. A primary's own ballot under way made voters refuse its tenure, so with slow syncs it lost the lead while it named a backup. A slow backup was dropped at 0.4 s and installed anew with each batch, though there was no other; and a slow primary handed over to one that needed its slow disk as much.

Ruled out: tenures longer for all (a failover would take as long), and giving slow backups up for good (two copies are what an acknowledgement means).

Change: answers that wait for a sync get a tenure's time; a tenure isn't refused for a ballot promised to the same holder, which answers nothing until it knows what came of it; a backup of last resort gets 3 s; something is done about slowness only if a third voter answers, and at most every 10 s; a claim asked for again is granted from what was already granted.

Also new: the scenarios damage-disk and full-disk. The first flips a byte of a record file while its process is down and wants it told and copied anew; the second bounds the length of a running process's files, so that the system itself refuses its writes, and wants the primary to hand over.

--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -44,7 +44,8 @@
 	Machine Machine
 	// Tenure is how long a majority lets a primary lead; Beat how often it's renewed; Patience how long one call waits.
 	Tenure, Beat, Patience postmark.Micros
-	// SlowSync is how long a sync may take before the disk counts as slow; three in a row make the primary hand over.
+	// SlowSync is how long a sync may take before the disk counts as slow; three in a row make the primary hand over, or
+	// take another backup.
 	SlowSync postmark.Micros
 	// CompactFrom is the length from which the journal is rewritten.
 	CompactFrom int64
@@ -94,6 +95,9 @@
 	lastHeard     postmark.Micros
 	stopped       bool
 
+	// relieved is when something was last done about a slow disk; only the work task uses it.
+	relieved postmark.Micros
+
 	// machineLock guards env.Machine and the fields of copy that say how far it is applied.
 	machineLock sync.Mutex
 }
@@ -109,6 +113,8 @@
 	outbid        bool
 	failures      int
 	slowSyncs     int
+	slowReplies   int
+	lastResort    bool            // the backup had failed, and no other could be had
 	base          postmark.Micros // holder time at
 	baseAt        postmark.Micros // this reading of the own clock
 }
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/parcel/wire"
@@ -56,7 +57,7 @@
 
 // refresh reads the other voters' registers: this seat may have missed the ballot that names it as a holder.
 func (member *Member) refresh() {
-	for _, reply := range gather(member, member.others(), func(name string) (*wire.RegisterReadTell, error) {
+	for _, reply := range gather(member, member.others(), member.env.Patience, func(name string) (*wire.RegisterReadTell, error) {
 		tell := &wire.RegisterReadTell{}
 		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, tell)
 	}, nil) {
@@ -185,14 +186,21 @@
 		ask.Entries = append(ask.Entries, &wire.Entry{Epoch: epoch, Sequence: ask.PreviousSequence + uint64(index) + 1,
 			HolderTime: int64(now), Command: request.command})
 	}
+	// A backup that is there for want of another is given longer than one that can be replaced: time for a rewrite.
+	patience := member.env.Patience
+	if state.lastResort {
+		patience = 3 * member.env.Tenure
+	}
 	var remote error
-	answered := place.NewSignal()
+	var taken postmark.Micros
+	answered, started := place.NewSignal(), place.Now()
 	place.Go(func() {
 		tell := &wire.ReplicateTell{}
-		remote = member.call(backup.Name, wire.Kind_replicate, ask, tell)
+		remote = member.env.Book.Call(backup.Name, wire.Kind_replicate, ask, tell, patience)
 		if remote == nil && !tell.Stored {
 			remote = errors.New(tell.Why)
 		}
+		taken = place.Now() - started
 		answered.Fire()
 	})
 	var local error
@@ -239,7 +247,7 @@
 	member.lock.Unlock()
 	member.reply(batch, member.applyPending(), epoch)
 	if len(batch) > 0 {
-		member.minding()
+		member.minding(backup, taken > member.env.SlowSync)
 	}
 }
 
@@ -265,22 +273,49 @@
 	return results
 }
 
-// minding hands over after three slow syncs in a row.
-func (member *Member) minding() {
-	slow := false
-	member.keeper.Do(func() { slow = member.copy.lastSync > member.env.SlowSync })
-	member.lock.Lock()
-	if slow {
-		member.lead.slowSyncs++
-	} else {
-		member.lead.slowSyncs = 0
+// reliefPause is how often something is done about a slow disk: each change of the two copies holds writes up.
+const reliefPause = 10 * postmark.Second
+
+// minding looks at how long a batch took to sync. Three slow ones in a row make the primary hand over, if it was its own
+// disk alone, or take another backup; both only if there is a third voter.
+func (member *Member) minding(backup *wire.Holder, slowBackup bool) {
+	slowOwn := false
+	member.keeper.Do(func() { slowOwn = member.copy.lastSync > member.env.SlowSync })
+	count := func(counter *int, slow bool) bool {
+		if *counter++; !slow {
+			*counter = 0
+		}
+		return *counter >= 3
 	}
-	count := member.lead.slowSyncs
+	member.lock.Lock()
+	leave := count(&member.lead.slowSyncs, slowOwn && !slowBackup)
+	relieve := count(&member.lead.slowReplies, slowBackup)
+	value, due := member.value, member.env.Place.Now()-member.relieved >= reliefPause
 	member.lock.Unlock()
-	if count >= 3 {
+	if !due || !leave && !relieve {
+		return
+	}
+	member.relieved = member.env.Place.Now()
+	// Without a third voter both disks are needed for every write, whoever leads.
+	spare := slices.ContainsFunc(member.candidates(value, backup), func(name string) bool { return name != backup.Name && member.reachable(name) })
+	if !spare {
+		return
+	}
+	if leave {
 		member.env.Place.Report(bulletin.DiskSlow, map[string]any{"group": member.env.Group})
 		member.handOver("own disk is slow")
+		return
 	}
+	member.env.Place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": "its disk is slow"})
+	member.lock.Lock()
+	member.lead.answering, member.lead.backup = false, nil
+	member.lock.Unlock()
+	member.settle(backup)
+}
+
+// reachable asks a voter something small.
+func (member *Member) reachable(name string) bool {
+	return member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, &wire.RegisterReadTell{}) == nil
 }
 
 // installPatience is how long a whole view may take to reach a new backup and be synced there.
@@ -296,7 +331,7 @@
 	}
 	for _, name := range member.candidates(value, failed) {
 		// A voter that doesn't answer a small ask isn't waited for with a large one.
-		if member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, &wire.RegisterReadTell{}) != nil {
+		if !member.reachable(name) {
 			continue
 		}
 		tell := &wire.InstallTell{}
@@ -331,8 +366,9 @@
 			member.lock.Unlock()
 			return false
 		}
-		member.lead.epoch, member.lead.ballot, member.lead.backup = fresh.Epoch, ballot, backup
-		member.lead.failures, member.lead.slowSyncs = 0, 0
+		member.lead.epoch, member.lead.ballot, member.lead.backup, member.lead.outbid = fresh.Epoch, ballot, backup, false
+		member.lead.failures, member.lead.slowSyncs, member.lead.slowReplies = 0, 0, 0
+		member.lead.lastResort = failed != nil && failed.Name == name
 		member.lock.Unlock()
 		member.renew()
 		if member.env.Settled != nil {
--- a/internal/countersign/proposer.go
+++ b/internal/countersign/proposer.go
@@ -7,6 +7,7 @@
 
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
 
@@ -16,17 +17,23 @@
 // errUnchanged: the change function turned the present value down.
 var errUnchanged = errors.New("countersign: the register holds another value")
 
-func gather[Reply any](member *Member, names []string, ask func(name string) (Reply, error), enough func(map[string]Reply, int) bool) map[string]Reply {
+func gather[Reply any](member *Member, names []string, patience postmark.Micros, ask func(name string) (Reply, error), enough func(map[string]Reply, int) bool) map[string]Reply {
 	if enough == nil {
 		enough = func(map[string]Reply, int) bool { return false }
 	}
-	return office.Gather(member.env.Place, names, member.env.Patience, ask, enough)
+	return office.Gather(member.env.Place, names, patience, ask, enough)
 }
 
 func (member *Member) call(name string, kind wire.Kind, ask, tell proto.Message) error {
 	return member.env.Book.Call(name, kind, ask, tell, member.env.Patience)
 }
 
+// write is a call whose answer waits for a sync. A slow disk is given a tenure: where it's among the last that make a
+// majority, the group goes on with it or not at all.
+func (member *Member) write(name string, kind wire.Kind, ask, tell proto.Message) error {
+	return member.env.Book.Call(name, kind, ask, tell, member.env.Tenure)
+}
+
 // change runs one ballot and gives the value with its ballot; with errUnchanged it gives what was read instead: it reads the register from a majority and writes what alter makes of it to the same voters.
 // alter must not keep or change its argument. The own seat is always part of the majority.
 func (member *Member) change(alter func(value *wire.RegisterValue) (*wire.RegisterValue, error)) (result *wire.RegisterValue, ballot uint64, err error) {
@@ -39,13 +46,13 @@
 	started := place.Now()
 	ballot := member.nextBallot()
 	self := member.self()
-	promises := gather(member, member.env.Voters, func(name string) (*wire.PromiseTell, error) {
+	promises := gather(member, member.env.Voters, member.env.Tenure, func(name string) (*wire.PromiseTell, error) {
 		ask := &wire.PromiseAsk{To: name, Ballot: ballot, Proposer: self}
 		if name == member.env.Name {
 			return member.answerPromise(ask)
 		}
 		tell := &wire.PromiseTell{}
-		return tell, member.call(name, wire.Kind_register_promise, ask, tell)
+		return tell, member.write(name, wire.Kind_register_promise, ask, tell)
 	}, func(replies map[string]*wire.PromiseTell, _ int) bool {
 		granted := 0
 		for _, reply := range replies {
@@ -83,13 +90,13 @@
 	if place.Now()-started >= member.env.Tenure {
 		return nil, 0, errNoMajority
 	}
-	accepts := gather(member, granters, func(name string) (*wire.AcceptTell, error) {
+	accepts := gather(member, granters, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
 		ask := &wire.AcceptAsk{To: name, Ballot: ballot, Value: altered, Proposer: self}
 		if name == member.env.Name {
 			return member.answerAccept(ask)
 		}
 		tell := &wire.AcceptTell{}
-		return tell, member.call(name, wire.Kind_register_accept, ask, tell)
+		return tell, member.write(name, wire.Kind_register_accept, ask, tell)
 	}, func(replies map[string]*wire.AcceptTell, _ int) bool {
 		return countAccepts(replies) >= member.majority() && replies[member.env.Name] != nil
 	})
@@ -144,7 +151,7 @@
 		if reply.Value != nil && reply.Value.Epoch > epoch {
 			overtaken = true
 		}
-		if reply.Promised > ballot {
+		if !reply.Granted && reply.Promised > ballot {
 			member.lock.Lock()
 			member.lead.outbid = true
 			member.lock.Unlock()
@@ -183,14 +190,17 @@
 }
 
 func (member *Member) askTenure(epoch, ballot uint64, release bool) map[string]*wire.TenureTell {
-	self := member.self()
-	return gather(member, member.env.Voters, func(name string) (*wire.TenureTell, error) {
+	self, patience := member.self(), member.env.Tenure
+	if release {
+		patience = member.env.Patience
+	}
+	return gather(member, member.env.Voters, patience, func(name string) (*wire.TenureTell, error) {
 		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release}
 		if name == member.env.Name {
 			return member.answerTenure(ask)
 		}
 		tell := &wire.TenureTell{}
-		return tell, member.call(name, wire.Kind_tenure_ask, ask, tell)
+		return tell, member.env.Book.Call(name, wire.Kind_tenure_ask, ask, tell, patience)
 	}, func(replies map[string]*wire.TenureTell, _ int) bool {
 		granted := 0
 		for _, reply := range replies {
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -23,7 +23,7 @@
 	box        *strongbox.Box
 	record     *wire.RegisterRecord
 	promisedAt postmark.Micros
-	promisedIn bool
+	promisedTo *wire.Holder // in this life
 	votesFrom  postmark.Micros
 	grant      grant
 }
@@ -133,7 +133,7 @@
 		if err = member.changeRecord(func(record *wire.RegisterRecord) { record.Promised = ask.Ballot }); err != nil {
 			return
 		}
-		member.voter.promisedAt, member.voter.promisedIn = member.env.Place.Now(), true
+		member.voter.promisedAt, member.voter.promisedTo = member.env.Place.Now(), ask.Proposer
 		record = member.voter.record
 		tell.Granted, tell.Promised, tell.Accepted, tell.Value = true, record.Promised, record.Accepted, record.Value
 	})
@@ -159,7 +159,7 @@
 	member.seat.Do(func() {
 		voter := &member.voter
 		tell.Promised = voter.record.Promised
-		fresh := voter.promisedIn && member.env.Place.Now()-voter.promisedAt <= member.env.Tenure
+		fresh := voter.promisedTo != nil && member.env.Place.Now()-voter.promisedAt <= member.env.Tenure
 		if tell.Why = member.objection(ask.Proposer, ask.Ballot != voter.record.Promised || !fresh); tell.Why != "" {
 			return
 		}
@@ -182,8 +182,11 @@
 			}
 			return
 		}
-		newer := voter.record.Value != nil && voter.record.Value.Epoch > ask.Epoch
-		if tell.Why = member.objection(ask.Holder, voter.record.Promised > ask.Ballot || newer); tell.Why != "" {
+		// A primary's own ballot, under way or accepted, doesn't stand in the way of its tenure: it's the only one that
+		// can bring that ballot about, and it answers nothing until it knows what came of it.
+		rival := voter.record.Promised > ask.Ballot && !sameHolder(voter.promisedTo, ask.Holder)
+		newer := voter.record.Value != nil && voter.record.Value.Epoch > ask.Epoch && !sameHolder(voter.record.Value.Primary, ask.Holder)
+		if tell.Why = member.objection(ask.Holder, rival || newer); tell.Why != "" {
 			return
 		}
 		voter.grant = grant{holder: ask.Holder, until: member.env.Place.Now() + member.env.Tenure}
@@ -197,7 +200,7 @@
 // later, from the register of enough intact others that any majority of the past is among them.
 func (member *Member) join() {
 	others := member.others()
-	replies := gather(member, others, func(name string) (*wire.RegisterReadTell, error) {
+	replies := gather(member, others, member.env.Patience, func(name string) (*wire.RegisterReadTell, error) {
 		tell := &wire.RegisterReadTell{}
 		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, tell)
 	}, nil)
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"snowflow/examples"
+	"snowflow/internal/bulletin"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/standin"
 )
@@ -32,6 +33,12 @@
 	time.Sleep(17 * time.Second)
 }
 
+// logged tells whether a process's log holds an event of a number.
+func (stage *Stage) logged(process *fleet.Process, number int) (bool, error) {
+	content, err := os.ReadFile(filepath.Join(process.Folder, "log"))
+	return bytes.Contains(content, []byte(fmt.Sprintf(`"event":%d,`, number))), err
+}
+
 // variant is the layout's desired state with a note of its own.
 func (stage *Stage) variant(number int) []byte {
 	content, _ := examples.Desired(stage.Fleet.Layout.Desired)
@@ -103,7 +110,7 @@
 			victim := stage.Primary(group)
 			stage.Say("%s loses its disk", victim.Name)
 			victim.Kill()
-			if err := os.RemoveAll(filepath.Join(victim.Folder, "data")); err != nil {
+			if err := os.RemoveAll(victim.Data()); err != nil {
 				return err
 			}
 			stage.restart(victim, 3*time.Second)
@@ -112,6 +119,110 @@
 		stage.returned()
 		return nil
 	}})
+	add(Scenario{"damage-disk", "a byte of each primary's record file goes bad while it's down; it takes a fresh copy", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		for turn, group := range [][]*fleet.Process{stage.Fleet.Sorters, stage.Fleet.Postmasters} {
+			stage.Wait(stage.part(0.2))
+			if _, err := stage.Operator.Apply(stage.variant(turn), "any", 40*time.Second); err != nil {
+				return err
+			}
+			victim := stage.Primary(group)
+			victim.Kill()
+			if err := victim.Damage(); err != nil {
+				return err
+			}
+			stage.Say("%s finds a byte of its records damaged", victim.Name)
+			stage.restart(victim, 2*time.Second)
+			stage.Wait(stage.part(0.2))
+			told, err := stage.logged(victim, bulletin.DiskDamaged)
+			if err != nil || !told {
+				return fmt.Errorf("%s didn't tell that it discarded its damaged copy: %v", victim.Name, err)
+			}
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"full-disk", "the disk of each primary, then of a whole core machine, is full for a while", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		fill := func(processes ...*fleet.Process) error {
+			for _, process := range processes {
+				stage.Say("%s finds its disk full", process.Name)
+				if err := process.Fill(256); err != nil {
+					return err
+				}
+			}
+			if _, err := stage.Operator.Apply(stage.variant(time.Now().Nanosecond()), "any", 40*time.Second); err != nil {
+				return err
+			}
+			stage.Wait(stage.part(0.25))
+			for _, process := range processes {
+				group := map[string][]*fleet.Process{"sorter": stage.Fleet.Sorters, "postmaster": stage.Fleet.Postmasters}[process.Program]
+				if stage.Primary(group) == process {
+					return fmt.Errorf("%s leads with a full disk", process.Name)
+				}
+				if process.Running() {
+					if err := process.Empty(); err != nil {
+						return err
+					}
+				} else {
+					stage.restart(process, 0)
+				}
+			}
+			stage.Wait(stage.part(0.1))
+			return nil
+		}
+		if err := fill(stage.Primary(stage.Fleet.Sorters)); err != nil {
+			return err
+		}
+		if err := fill(stage.Primary(stage.Fleet.Postmasters)); err != nil {
+			return err
+		}
+		machine := random([]int{0, 1, 2})
+		if err := fill(stage.Fleet.Sorters[machine], stage.Fleet.Postmasters[machine]); err != nil {
+			return err
+		}
+		stage.returned()
+		return nil
+	}})
+	add(Scenario{"slow-disk", "a core machine's disk takes 400 ms longer for a sync, as backup and as primary; then it's well again", []int{1, 3, 7, 12}, func(stage *Stage) error {
+		machine := random([]int{0, 1, 2})
+		slow := []*fleet.Process{stage.Fleet.Sorters[machine], stage.Fleet.Postmasters[machine]}
+		again := func(linger time.Duration) error {
+			for _, process := range slow {
+				process.Stop(12 * time.Second)
+				if err := stage.Fleet.Slow(process, linger); err != nil {
+					return err
+				}
+				stage.restart(process, 0)
+			}
+			return fleet.Await(slow, 20*time.Second)
+		}
+		if err := again(400 * time.Millisecond); err != nil {
+			return err
+		}
+		stage.Say("%s and %s have slow disks", slow[0].Name, slow[1].Name)
+		for turn := range 4 {
+			// Whoever leads ends, so that the slow machine's turn comes.
+			group := [][]*fleet.Process{stage.Fleet.Sorters, stage.Fleet.Postmasters}[turn%2]
+			victim := stage.Primary(group)
+			if victim == slow[turn%2] {
+				stage.Say("%s leads", victim.Name)
+			} else {
+				victim.Kill()
+				stage.Say("%s was killed, %s leads", victim.Name, stage.Primary(group).Name)
+				stage.restart(victim, 0)
+			}
+			began := time.Now()
+			if _, err := stage.Operator.Apply(stage.variant(turn), "any", 40*time.Second); err != nil {
+				return err
+			}
+			stage.Say("acknowledged after %d ms", time.Since(began).Milliseconds())
+			stage.Wait(stage.part(0.2))
+		}
+		if err := again(0); err != nil {
+			return err
+		}
+		stage.returned()
+		return nil
+	}})
 	add(Scenario{"kill-core", "kill the whole core at once, some seconds later start it again", []int{1, 3, 7, 12}, func(stage *Stage) error {
 		stage.Wait(stage.part(0.4))
 		core := append(append([]*fleet.Process(nil), stage.Fleet.Sorters...), stage.Fleet.Postmasters...)
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -166,3 +166,33 @@
 		}
 	}
 }
+
+// TestSlowAndDown: of three core machines one has a slow disk and another is down. The two left are a majority, so every
+// write must come through, if late; the syncs are simulated, so the figures repeat.
+func TestSlowAndDown(t *testing.T) {
+	for _, sync := range []postmark.Micros{300 * postmark.Millisecond, 400 * postmark.Millisecond, 600 * postmark.Millisecond} {
+		for slow := range 2 {
+			t.Run(fmt.Sprintf("%d/%d", sync, slow), func(t *testing.T) {
+				t.Parallel()
+				down := fault{"slow one core machine and end another", func(mesh *Mesh) {
+					for _, node := range mesh.coreNodes(mesh.cores[slow]) {
+						node.Disk.Delay = sync
+					}
+					for _, node := range mesh.coreNodes(mesh.cores[1-slow]) {
+						mesh.World.Kill(node)
+					}
+				}}
+				nothing := fault{"nothing more", func(*Mesh) {}}
+				result := Run(Course{Name: "slow and down", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 2 * postmark.Second,
+					First: []fault{down}, Faults: []fault{nothing, applyOne}}, 1, Breakage{})
+				for _, finding := range result.Findings {
+					t.Error(finding)
+				}
+				t.Logf("%d of %d served, submissions p50 %d p99 %d", result.Served, result.Sent, result.Taken["submission"][len(result.Taken["submission"])/2], result.Taken["submission"][len(result.Taken["submission"])*99/100])
+				if result.Served*20 < result.Sent*19 {
+					t.Errorf("only %d of %d were served", result.Served, result.Sent)
+				}
+			})
+		}
+	}
+}
--- a/internal/sorter/counterfoil/counterfoil.go
+++ b/internal/sorter/counterfoil/counterfoil.go
@@ -91,6 +91,16 @@
 	return read.Epoch == fence.Epoch && read.Time <= fence.Time
 }
 
+// Granted is what a carrier that asks again was told before, if it was granted; its first answer was lost or late.
+func (table *Table) Granted(ask *wire.ClaimAsk) *wire.ClaimTell {
+	present := table.records[ask.Scope]
+	if present == nil || present.State != held || present.Try != ask.Try || present.Carrier != ask.Carrier ||
+		present.Incarnation != ask.Incarnation || voided(present, ask.Try) || !bytes.Equal(present.Digest, ask.Digest) {
+		return nil
+	}
+	return &wire.ClaimTell{Outcome: Granted, Holder: ask.Carrier, HolderIncarnation: ask.Incarnation, Try: ask.Try}
+}
+
 // Claim asks for the right to run.
 func (table *Table) Claim(ask *wire.ClaimAsk, now postmark.Micros) *wire.ClaimTell {
 	present := table.records[ask.Scope]
@@ -101,11 +111,10 @@
 		case present.State == held && !bytes.Equal(present.Digest, ask.Digest):
 			return &wire.ClaimTell{Outcome: OtherBody}
 		case present.State == held:
-			outcome := Held
-			if present.Try == ask.Try && present.Carrier == ask.Carrier && present.Incarnation == ask.Incarnation {
-				outcome = Granted // the same carrier asks again because the first answer was lost
+			if again := table.Granted(ask); again != nil {
+				return again
 			}
-			return &wire.ClaimTell{Outcome: outcome, Holder: present.Carrier, HolderIncarnation: present.Incarnation, Try: present.Try}
+			return &wire.ClaimTell{Outcome: Held, Holder: present.Carrier, HolderIncarnation: present.Incarnation, Try: present.Try}
 		case behind(present.Fence, ask.ReadAt):
 			return &wire.ClaimTell{Outcome: Fenced}
 		}
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -69,6 +69,9 @@
 	office.Handle(table, wire.Kind_sorter_poll, sorter.poll)
 	office.Handle(table, wire.Kind_sessions_tell, sorter.told)
 	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+		if tell := sorter.granted(ask); tell != nil {
+			return tell, nil
+		}
 		result, err := sorter.propose(&wire.SorterCommand{Claim: ask})
 		return result.GetClaim(), err
 	})
@@ -102,6 +105,15 @@
 	})
 }
 
+// granted tells a carrier that asks again what it was granted before. Where disks are slow, an ask may outlast its
+// asker's patience; the next one must not wait for a sync of its own.
+func (sorter *Sorter) granted(ask *wire.ClaimAsk) (tell *wire.ClaimTell) {
+	if !sorter.Member.Read(func(uint64, postmark.Micros) { tell = sorter.rack.Claims.Granted(ask) }) {
+		return nil
+	}
+	return tell
+}
+
 // lonely handles a trip that comes before any other carrier was heard to call the service. Others may call it and not
 // have told so yet, so the report waits until they have polled. If this process dies meanwhile, the reporter's next
 // trip makes up for it.
