Duties: backends do a duty one at a time, through their carrier's desk

Backends have such work (tallies, clean-ups), and only the core can grant it by a majority.

Ruled out: a carrier and its life as the doer: a backend whose carrier restarts would lose its duty while still doing it. The doer is the backend's instance. Ruled out too: a length that the table bounds silently: the doer counted on more than it got; the answer now tells it. An ask that comes late no longer shortens a later grant.

A transcript of the exchanges is approved.

--- a/internal/carrier/backdoor/backdoor.go
+++ b/internal/carrier/backdoor/backdoor.go
@@ -12,6 +12,7 @@
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/office"
+	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
 
@@ -27,6 +28,11 @@
 	BeatMicros int64  `json:"beat_micros"`
 }
 
+type dutyAsk struct {
+	Instance string `json:"instance"`
+	Length   int64  `json:"length_micros"`
+}
+
 type beat struct {
 	Condition string `json:"condition"`
 }
@@ -43,6 +49,8 @@
 	status := http.StatusBadRequest
 	if seal.IsRefused(err) {
 		status = http.StatusNotFound
+	} else if seal.IsLost(err) {
+		status = http.StatusServiceUnavailable
 	}
 	Write(writer, status, map[string]string{"error": err.Error()})
 }
@@ -88,6 +96,27 @@
 	router.Post("/backends/{instance}/leave", func(writer http.ResponseWriter, incoming *http.Request) {
 		answerBeat(writer, carrier.Hutch.Beat(chi.URLParam(incoming, "instance"), hutch.Leaving))
 	})
+	router.Post("/duties/{duty}", func(writer http.ResponseWriter, incoming *http.Request) {
+		ask := dutyAsk{}
+		if err := Read(writer, incoming, &ask); err != nil {
+			Complain(writer, err)
+			return
+		}
+		told, err := carrier.Rota.Ask(chi.URLParam(incoming, "duty"), ask.Instance, postmark.Micros(ask.Length))
+		if err != nil {
+			Complain(writer, err)
+			return
+		}
+		Write(writer, http.StatusOK, told)
+	})
+	router.Post("/duties/{duty}/release", func(writer http.ResponseWriter, incoming *http.Request) {
+		ask := dutyAsk{}
+		if err := Read(writer, incoming, &ask); err != nil {
+			Complain(writer, err)
+			return
+		}
+		answerBeat(writer, carrier.Rota.Release(chi.URLParam(incoming, "duty"), ask.Instance))
+	})
 	router.Get("/ready", func(writer http.ResponseWriter, _ *http.Request) {
 		ready, why := carrier.Ready()
 		code := http.StatusOK
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -13,6 +13,7 @@
 	"snowflow/internal/carrier/purse"
 	"snowflow/internal/carrier/restante"
 	"snowflow/internal/carrier/roll"
+	"snowflow/internal/carrier/rota"
 	"snowflow/internal/carrier/wicket"
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
@@ -45,6 +46,7 @@
 	Hutch       *hutch.Hutch
 	Wicket      *wicket.Wicket
 	Purse       *purse.Purse
+	Rota        *rota.Rota
 	Gate        *gate.Gate
 	Passage     *passage.Passage
 	leaving     atomic.Bool
@@ -59,6 +61,7 @@
 	carrier.Wicket = wicket.New(wicket.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Call: carrier.callPrimaryOnce})
 	carrier.Roll.Activity = carrier.Wicket.Activity
 	carrier.Roll.Guards = func(records []*wire.GuardRecord, reached bool) { carrier.Wicket.Polled(records, reached) }
+	carrier.Rota = rota.New(rota.Env{Place: env.Place, Carrier: env.Name, Present: carrier.Hutch.Present, CallPrimary: carrier.Roll.CallPrimary})
 	carrier.Purse = purse.New(env.Place, carrier.Roll.Share)
 	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk,
 		Hutch: carrier.Hutch, Shelf: restante.New(env.Place), Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -193,6 +193,14 @@
 	return hutch.objection(hutch.entries[instance], instance, service)
 }
 
+// Present tells whether an instance is registered here, beating and not leaving.
+func (hutch *Hutch) Present(instance string) bool {
+	hutch.lock.Lock()
+	defer hutch.lock.Unlock()
+	present := hutch.entries[instance]
+	return present != nil && hutch.objection(present, instance, present.Service) == nil
+}
+
 // Told lists the backends for the session.
 func (hutch *Hutch) Told() (backends []*wire.Backend) {
 	hutch.lock.Lock()
--- a/internal/depot/scenario/fleet_test.go
+++ b/internal/depot/scenario/fleet_test.go
@@ -115,6 +115,7 @@
 }{
 	{regexp.MustCompile(`"digest":"[0-9a-f]{64}"`), `"digest":"..."`},
 	{regexp.MustCompile(`"request":"[^"]*"`), `"request":"..."`},
+	{regexp.MustCompile(`"left_micros":[1-9][0-9]*`), `"left_micros":...`},
 	{regexp.MustCompile(`-[0-9a-f]{16}`), `-...`},
 	{regexp.MustCompile(`households-[0-9a-f]{8}|forms-[0-9a-f]{8}`), `instance`},
 	{regexp.MustCompile(`carrier-[0-9]`), `carrier`},
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -73,6 +73,7 @@
 	AnyTrip      bool // one carrier's trip opens a guard for all
 	NoDrain      bool // a planned stop ends at once
 	NoReturn     bool // the core stays down at the end
+	Stubborn     bool // who does a duty goes on past its tenure
 }
 
 type backend struct {
@@ -201,6 +202,7 @@
 			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}})
 		one.Gate.Unclaimed(mesh.breakage.NoClaims)
 		one.Desk.Untenured(mesh.breakage.NoTenure)
+		one.Rota.Stubborn(mesh.breakage.Stubborn)
 		one.Purse.Unlimited(mesh.breakage.NoBudget)
 		one.Register(table)
 		one.Start()
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -67,5 +67,8 @@
 // IsUnreachable tells whether a call's message certainly never reached the other process.
 func IsUnreachable(err error) bool { return errorx.IsOfType(err, Unreachable) }
 
+// IsLost tells whether a message may or may not have been delivered.
+func IsLost(err error) bool { return errorx.IsOfType(err, Lost) }
+
 // IsRefused tells whether the other process turned the call down.
 func IsRefused(err error) bool { return errorx.IsOfType(err, Refused) }
--- a/internal/sorter/duty/duty.go
+++ b/internal/sorter/duty/duty.go
@@ -8,8 +8,11 @@
 	"snowflow/internal/postmark"
 )
 
-// longest bounds a duty's tenure, so that a lost node can't hold one for ever.
-const longest = 30 * postmark.Second
+// A duty's tenure is no shorter and no longer, so that it outlasts a failover and a lost node can't hold it for ever.
+const (
+	shortest = 3 * postmark.Second
+	longest  = 30 * postmark.Second
+)
 
 // Table holds the duties. Invariant: a duty has one holder until its tenure ends on holder time or the holder gives it up.
 type Table struct{ records map[string]*wire.DutyRecord }
@@ -38,16 +41,20 @@
 // Ask grants, renews or gives up a duty.
 func (table *Table) Ask(ask *wire.DutyAsk, now postmark.Micros) *wire.DutyTell {
 	present := table.records[ask.Duty]
-	if present != nil && int64(now) < present.Until && (present.Carrier != ask.Carrier || present.Incarnation != ask.Incarnation) {
-		return &wire.DutyTell{Holder: present.Carrier}
+	if present != nil && int64(now) < present.Until && present.Instance != ask.Instance {
+		return &wire.DutyTell{Holder: present.Carrier, Instance: present.Instance}
 	}
 	if ask.Release {
 		delete(table.records, ask.Duty)
 		return &wire.DutyTell{}
 	}
-	length := min(max(postmark.Micros(ask.Length), postmark.Second), longest)
-	table.records[ask.Duty] = &wire.DutyRecord{Duty: ask.Duty, Carrier: ask.Carrier, Incarnation: ask.Incarnation, Until: int64(now + length)}
-	return &wire.DutyTell{Granted: true, Holder: ask.Carrier}
+	length := min(max(postmark.Micros(ask.Length), shortest), longest)
+	until := int64(now + length)
+	if present != nil && present.Instance == ask.Instance {
+		until = max(until, present.Until) // an older ask that comes late takes nothing back
+	}
+	table.records[ask.Duty] = &wire.DutyRecord{Duty: ask.Duty, Carrier: ask.Carrier, Instance: ask.Instance, Until: until}
+	return &wire.DutyTell{Granted: true, Holder: ask.Carrier, Instance: ask.Instance, Length: int64(length)}
 }
 
 // Sweep forgets duties whose tenure ended.
--- a/internal/sorter/rack/rack_test.go
+++ b/internal/sorter/rack/rack_test.go
@@ -63,8 +63,10 @@
 		command.Guard = &wire.GuardWriteAsk{Service: "forms", Verb: "decide", ExpectedSerial: number(2), Decision: words[3], Terms: terms}
 	case "ended": // carrier
 		command.Tick = &wire.Tick{Ended: []*wire.Holder{{Name: words[2]}}}
-	case "duty": // duty carrier seconds
-		command.Duty = &wire.DutyAsk{Duty: words[2], Carrier: words[3], Length: int64(number(4)) * int64(postmark.Second)}
+	case "duty": // duty carrier instance seconds
+		command.Duty = &wire.DutyAsk{Duty: words[2], Carrier: words[3], Instance: words[4], Length: int64(number(5)) * int64(postmark.Second)}
+	case "stop": // duty instance
+		command.Duty = &wire.DutyAsk{Duty: words[2], Instance: words[3], Release: true}
 	case "wait":
 	default:
 		t.Fatalf("no verb %q", words[1])
@@ -88,7 +90,7 @@
 		text += fmt.Sprintf(" freed %v", result.Settle.Done)
 	}
 	if result.Duty != nil {
-		text += fmt.Sprintf(" granted %v, %s has it", result.Duty.Granted, result.Duty.Holder)
+		text += fmt.Sprintf(" granted %v for %d s, %q at %q has it", result.Duty.Granted, result.Duty.Length/1e6, result.Duty.Instance, result.Duty.Holder)
 	}
 	if result.Lease != nil {
 		text += fmt.Sprintf(" granted %v", result.Lease.Granted)
