Roll: a moment of holder time is never named before it has come

Cause: a carrier adds the time since its last poll to the holder's moment that it was told, on a clock that may run faster than the holder's. Cut off from the holder for a minute, at 100 parts in a million, it named moments up to 5 ms that had not come. A request read then could pass for read after a fence that was set within those milliseconds, and run under a key that was refused as not run.

Ruled out: comparing the carriers' own clocks, which nothing may.

The cost is that a request read shortly after a fence by a carrier that hasn't polled since counts as read before it: fenced, not run.

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -200,6 +200,10 @@
 	return float64(allowance) / float64(roll.live)
 }
 
+// drift is the part of the time since the holder's moment was told that isn't counted: this clock may run faster than
+// the holder's, and a moment that has not come yet would pass a fence.
+const drift = 50
+
 // Moment is a moment of holder time that has certainly passed.
 func (roll *Roll) Moment() *wire.HolderMoment {
 	roll.lock.Lock()
@@ -208,7 +212,8 @@
 		return &wire.HolderMoment{}
 	}
 	moment := proto.Clone(roll.moment).(*wire.HolderMoment)
-	moment.Time += int64(roll.place.Now() - roll.momentAt)
+	since := roll.place.Now() - roll.momentAt
+	moment.Time += int64(since - since/drift)
 	return moment
 }
 
--- /dev/null
+++ b/internal/carrier/roll/roll_test.go
@@ -0,0 +1,41 @@
+package roll
+
+import (
+	"testing"
+
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// TestMomentHasPassed: a carrier that was long cut off from the holder, with a clock that runs faster than the holder's,
+// must not name a moment that the holder has not reached. The world's clock plays the holder's.
+func TestMomentHasPassed(t *testing.T) {
+	ahead := false
+	for seed := uint64(1); seed <= 8; seed++ {
+		simulated := world.New(seed)
+		ended := false
+		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+			known := New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} })
+			began, own := simulated.Now(), place.Now()
+			known.take(&wire.SorterPollTell{Primary: true, Epoch: 1, HolderTime: int64(began)}, own)
+			place.Sleep(postmark.Minute)
+			ahead = ahead || place.Now()-own > simulated.Now()-began
+			if moment := known.Moment(); moment.Time > int64(simulated.Now()) {
+				t.Errorf("seed %d: the moment is %d microseconds ahead of the holder", seed, moment.Time-int64(simulated.Now()))
+			}
+			ended = true
+			return office.Table{}, nil
+		}))
+		simulated.Run(simulated.Now() + 2*postmark.Minute)
+		simulated.Close()
+		if !ended {
+			t.Fatal(simulated.Panicked)
+		}
+	}
+	if !ahead {
+		t.Error("no clock ran faster than the holder's")
+	}
+}
