--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -3,7 +3,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 
 	"snowflow/internal/bulletin"
@@ -140,14 +141,7 @@
 	}
 }
 
-func (hutch *Hutch) instances() []string {
-	instances := make([]string, 0, len(hutch.entries))
-	for instance := range hutch.entries {
-		instances = append(instances, instance)
-	}
-	sort.Strings(instances)
-	return instances
-}
+func (hutch *Hutch) instances() []string { return slices.Sorted(maps.Keys(hutch.entries)) }
 
 // classShare is the most of a backend's places that reads, or run-once requests, may take. Neither can starve the other:
 // submissions call lookups of the same services, so each would wait for the other's places.
--- a/internal/clerk/doctor/doctor.go
+++ b/internal/clerk/doctor/doctor.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
-	"sort"
 	"time"
 
 	"snowflow/internal/parcel/wire"
@@ -142,25 +142,16 @@
 	return findings
 }
 
-func names[Value any](table map[string]Value) []string {
-	all := make([]string, 0, len(table))
-	for name := range table {
-		all = append(all, name)
-	}
-	sort.Strings(all)
-	return all
-}
-
 func seeds(mesh Mesh) (found []Finding) {
 	for _, desk := range mesh.Unreachable {
 		found = append(found, Finding{Level: Watch, What: "desk " + desk + " did not answer", Advice: "start that postmaster, or correct --desks if it moved"})
 	}
-	for _, name := range names(mesh.Overview.Missing) {
+	for _, name := range slices.Sorted(maps.Keys(mesh.Overview.Missing)) {
 		found = append(found, Finding{Level: Watch, What: name + " is known but did not answer",
 			Advice: "start it; with its disk lost, start it on an empty data folder under the same name"})
 	}
-	groups := map[string][]string{"postmaster": names(mesh.Postmasters), "sorter": names(mesh.Sorters)}
-	for _, group := range names(groups) {
+	groups := map[string][]string{"postmaster": slices.Sorted(maps.Keys(mesh.Postmasters)), "sorter": slices.Sorted(maps.Keys(mesh.Sorters))}
+	for _, group := range slices.Sorted(maps.Keys(groups)) {
 		for _, voter := range voters(mesh, group) {
 			if !slices.Contains(groups[group], voter) && mesh.Overview.Missing[group+" "+voter] == "" {
 				found = append(found, Finding{Level: Watch, What: fmt.Sprintf("voter %s of the %ss was never heard of", voter, group),
@@ -219,7 +210,7 @@
 		releases[session.Release] = append(releases[session.Release], session.Carrier)
 	}
 	if len(releases) > 1 {
-		for _, release := range names(releases) {
+		for _, release := range slices.Sorted(maps.Keys(releases)) {
 			found = append(found, Finding{Level: Watch, What: fmt.Sprintf("release %s runs at %v", release, releases[release]),
 				Advice: "fine during a roll-out; finish it, since only adjacent wire versions understand one another"})
 		}
@@ -274,7 +265,7 @@
 
 // answering is the sorter that answers, which alone shows guards.
 func answering(mesh Mesh) (sorter.Status, bool) {
-	for _, name := range names(mesh.Sorters) {
+	for _, name := range slices.Sorted(maps.Keys(mesh.Sorters)) {
 		if status := mesh.Sorters[name]; status.Core.Answering {
 			return status, true
 		}
@@ -287,7 +278,7 @@
 	if known {
 		return status.Carriers
 	}
-	for _, name := range names(mesh.Sorters) {
+	for _, name := range slices.Sorted(maps.Keys(mesh.Sorters)) {
 		return mesh.Sorters[name].Carriers
 	}
 	return nil
@@ -338,7 +329,7 @@
 			}
 		}
 	}
-	for _, service := range names(counts) {
+	for _, service := range slices.Sorted(maps.Keys(counts)) {
 		if counts[service] == 1 {
 			found = append(found, Finding{Level: Watch, What: service + " has a single backend", Advice: "start another one, on another machine"})
 		}
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -20,6 +20,7 @@
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/release"
+	"snowflow/internal/seal"
 	"snowflow/internal/strongbox"
 )
 
@@ -293,6 +294,22 @@
 	return request.result, request.err
 }
 
+// Submit proposes a command that is a message, and decodes its result.
+func (member *Member) Submit(command, result proto.Message) error {
+	content, err := proto.Marshal(command)
+	if err != nil {
+		return err
+	}
+	answer, err := member.Propose(content)
+	if errors.Is(err, ErrNotPrimary) {
+		return seal.Refused.New("not the primary")
+	}
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(answer, result)
+}
+
 // Answering tells whether this member may answer now.
 func (member *Member) Answering() bool {
 	member.lock.Lock()
--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -118,16 +118,6 @@
 	return fleet.Carriers
 }
 
-// Find gives a process by name.
-func (fleet *Fleet) Find(name string) *Process {
-	for _, process := range fleet.All() {
-		if process.Name == name {
-			return process
-		}
-	}
-	return nil
-}
-
 // Move gives a process that is down another host. Its seeds, and everybody else's, stay as they were.
 func (fleet *Fleet) Move(process *Process, machine int) error {
 	host := fleet.Host(machine)
--- a/internal/depot/layout/layout.go
+++ b/internal/depot/layout/layout.go
@@ -3,7 +3,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 )
 
 // Kind is one kind of traffic.
@@ -98,12 +99,7 @@
 func Find(name string) (Layout, error) {
 	found, known := All[name]
 	if !known {
-		names := []string{}
-		for name := range All {
-			names = append(names, name)
-		}
-		sort.Strings(names)
-		return Layout{}, fmt.Errorf("no layout %q; there are %v", name, names)
+		return Layout{}, fmt.Errorf("no layout %q; there are %v", name, slices.Sorted(maps.Keys(All)))
 	}
 	return found, nil
 }
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -454,19 +454,23 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"troubled", "one carrier's network to the others is slow and cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
+	add(Scenario{"troubled", "one carrier's network to the others is slow, then cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return fmt.Errorf("cuts need --relays")
 		}
 		victim := stage.Fleet.Carriers[1]
 		stage.Wait(stage.part(0.2))
 		stage.History.Mark("troubled "+victim.Name, stage.Clock.Now())
-		for _, other := range stage.Fleet.Carriers {
-			if other != victim {
-				stage.Fleet.Relays.Cut(victim.Host, other.Host)
+		trouble := func(bring func(other *fleet.Process)) {
+			for _, other := range stage.Fleet.Carriers {
+				if other != victim {
+					bring(other)
+				}
 			}
+			stage.Wait(stage.part(0.3))
 		}
-		stage.Wait(stage.part(0.6))
+		trouble(func(other *fleet.Process) { stage.Fleet.Relays.Delay(victim.Host, other.Host, 700*time.Millisecond) })
+		trouble(func(other *fleet.Process) { stage.Fleet.Relays.Cut(victim.Host, other.Host) })
 		stage.Fleet.Relays.Mend()
 		stage.History.Mark("untroubled", stage.Clock.Now())
 		stage.Wait(stage.part(0.2))
--- a/internal/depot/scenario/scenarios.go
+++ b/internal/depot/scenario/scenarios.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -28,13 +29,7 @@
 }
 
 // Names lists the scenarios.
-func Names() (names []string) {
-	for name := range All {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func Names() []string { return slices.Sorted(maps.Keys(All)) }
 
 // ErrFindings: the rehearsal ran, and the checkers found something or saw nothing.
 var ErrFindings = errors.New("the rehearsal failed")
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -402,9 +404,9 @@
 func (report Report) Text() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s, scenario %s, %.0f s\n", report.Layout, report.Scenario, report.Seconds)
-	for _, kind := range sorted(report.Kinds) {
+	for _, kind := range slices.Sorted(maps.Keys(report.Kinds)) {
 		fmt.Fprintf(&text, "  %-24s", kind)
-		for _, name := range sorted(report.Kinds[kind]) {
+		for _, name := range slices.Sorted(maps.Keys(report.Kinds[kind])) {
 			fmt.Fprintf(&text, "  %s: %d", name, report.Kinds[kind][name])
 		}
 		latency := report.Latency[kind]
@@ -420,7 +422,7 @@
 	if len(report.Return) > 0 {
 		fmt.Fprintf(&text, "  microseconds from the return to the first success: %v\n", report.Return)
 	}
-	for _, kind := range sorted(report.Rush) {
+	for _, kind := range slices.Sorted(maps.Keys(report.Rush)) {
 		fmt.Fprintf(&text, "  %s served a second: %.0f before, %.0f in the rush\n", kind, report.Rush[kind][0], report.Rush[kind][1])
 	}
 	fmt.Fprintf(&text, "  worst further per first tries in any 10 s: %v\n", report.Tries)
@@ -436,15 +438,6 @@
 	return text.String()
 }
 
-func sorted[Value any](table map[string]Value) []string {
-	names := make([]string, 0, len(table))
-	for name := range table {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // JSON prints the report for programs.
 func (report Report) JSON() string {
 	content, _ := json.MarshalIndent(report, "", "  ")
--- a/internal/franking/shape.go
+++ b/internal/franking/shape.go
@@ -4,7 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
 )
@@ -36,12 +37,7 @@
 		checker.fault(place, "must be an object")
 		return
 	}
-	names := make([]string, 0, len(members))
-	for name := range members {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(members)) {
 		field := message.Fields().ByJSONName(name)
 		if field == nil {
 			field = message.Fields().ByTextName(name)
--- a/internal/inspector/rules.go
+++ b/internal/inspector/rules.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"snowflow/internal/postmark"
@@ -248,12 +250,7 @@
 		services[run.Service] = append(services[run.Service], run)
 		seen++
 	}
-	names := make([]string, 0, len(services))
-	for name := range services {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(services)) {
 		worst, text := 0.0, ""
 		first, further, start := 0, 0, 0
 		runs := services[name]
@@ -400,12 +397,7 @@
 				}
 			}
 		}
-		kinds := make([]string, 0, len(sent))
-		for kind := range sent {
-			kinds = append(kinds, kind)
-		}
-		sort.Strings(kinds)
-		for _, kind := range kinds {
+		for _, kind := range slices.Sorted(maps.Keys(sent)) {
 			seen++
 			if at, known := first[kind]; !known || at > note.At+returnTime {
 				findings = append(findings, breach(12, "%s had no success within 15 s of the return at %d (first at %d)", kind, note.At, first[kind]))
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -6,7 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 
 	"snowflow/internal/carrier"
@@ -473,12 +474,7 @@
 	mesh.Outside.Go(func() {
 		for {
 			mesh.Outside.Sleep(100 * postmark.Millisecond)
-			names := make([]string, 0, len(mesh.sorters))
-			for name := range mesh.sorters {
-				names = append(names, name)
-			}
-			sort.Strings(names)
-			for _, name := range names {
+			for _, name := range slices.Sorted(maps.Keys(mesh.sorters)) {
 				if !mesh.World.Node(name).Up() || !mesh.sorters[name].Member.Answering() {
 					continue
 				}
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -4,7 +4,7 @@
 package office
 
 import (
-	"sort"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -129,8 +129,7 @@
 // Answers that come later are ignored. Names are visited in sorted order, so that simulated runs repeat.
 func Gather[Reply any](place Office, names []string, patience postmark.Micros, ask func(name string) (Reply, error),
 	enough func(replies map[string]Reply, failures int) bool) map[string]Reply {
-	ordered := append([]string(nil), names...)
-	sort.Strings(ordered)
+	ordered := slices.Sorted(slices.Values(names))
 	var lock sync.Mutex
 	replies := map[string]Reply{}
 	failures, closed := 0, false
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"sync"
 
-	"google.golang.org/protobuf/proto"
-
 	"snowflow/internal/bulletin"
 	"snowflow/internal/countersign"
 	"snowflow/internal/franking"
@@ -212,19 +210,12 @@
 		master.env.Place.Report(bulletin.DesiredRefused, map[string]any{"faults": tell.Faults})
 		return tell, nil
 	}
-	content, err := proto.Marshal(&wire.DesiredCommand{Apply: ask})
-	if err != nil {
-		return nil, err
-	}
-	answer, err := master.Member.Propose(content)
-	if errors.Is(err, countersign.ErrNotPrimary) {
-		return nil, seal.Refused.New("not the primary")
-	}
-	if err != nil {
+	tell := &wire.DesiredApplyTell{}
+	err := master.Member.Submit(&wire.DesiredCommand{Apply: ask}, tell)
+	if errors.Is(err, countersign.ErrUnknown) {
 		return nil, ErrUnacknowledged
 	}
-	tell := &wire.DesiredApplyTell{}
-	if err := proto.Unmarshal(answer, tell); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	if tell.Outcome != ledger.Accepted {
--- a/internal/sorter/directory/directory.go
+++ b/internal/sorter/directory/directory.go
@@ -3,6 +3,8 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 
@@ -106,14 +108,7 @@
 	return ended
 }
 
-func (directory *Directory) names() []string {
-	names := make([]string, 0, len(directory.sessions))
-	for name := range directory.sessions {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func (directory *Directory) names() []string { return slices.Sorted(maps.Keys(directory.sessions)) }
 
 // Heard lists the sessions that carriers told this sorter themselves, for telling the other sorters.
 func (directory *Directory) Heard() (sessions []*wire.Session) {
--- a/internal/sorter/pigeonhole/pigeonhole.go
+++ b/internal/sorter/pigeonhole/pigeonhole.go
@@ -3,7 +3,8 @@
 package pigeonhole
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -59,14 +60,7 @@
 	return records
 }
 
-func (table *Table) services() []string {
-	services := make([]string, 0, len(table.records))
-	for service := range table.records {
-		services = append(services, service)
-	}
-	sort.Strings(services)
-	return services
-}
+func (table *Table) services() []string { return slices.Sorted(maps.Keys(table.records)) }
 
 // Waiting tells whether time matters to any record.
 func (table *Table) Waiting() bool {
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -3,9 +3,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-
-	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/countersign"
@@ -135,19 +132,8 @@
 // propose has a command replicated. An error is told to the asker as a refusal, which leaves the outcome open unless
 // it was not taken at all.
 func (sorter *Sorter) propose(command *wire.SorterCommand) (*wire.SorterResult, error) {
-	content, err := proto.Marshal(command)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := sorter.Member.Propose(content)
-	if errors.Is(err, countersign.ErrNotPrimary) {
-		return nil, seal.Refused.New("not the primary")
-	}
-	if err != nil {
-		return nil, err
-	}
 	result := &wire.SorterResult{}
-	return result, proto.Unmarshal(answer, result)
+	return result, sorter.Member.Submit(command, result)
 }
 
 // poll takes a carrier's session and gives what it may have missed.
