Guard: writes and probe leases outlast a batch on a slow disk

Cause: a carrier gave a guard's write 0.7 s and a probe's lease 0.3 s, and fell back to its own window when they ran out. With one core machine's syncs at 400 ms and another machine down, every write takes 0.4 to 0.9 s, so the shared verdict was left 160 times in a minute, and each lease that came too late held its slot until its tenure ended.

Ruled out: the sorters' own time for it; they had granted what nobody waited for any more.

Change: 1.5 s for writes, which nobody waits for, and 1 s for a lease, which one caller waits for, at most until it degrades.

Conclusion: kept, with TestVerdictOnSlowDisk, which the old times fail.

--- a/internal/carrier/wicket/wicket.go
+++ b/internal/carrier/wicket/wicket.go
@@ -175,7 +175,7 @@
 	ticket.probe = fmt.Sprintf("%s-%016x", wicket.env.Carrier, wicket.env.Place.Random())
 	tell := &wire.ProbeLeaseTell{}
 	err := wicket.env.Call(wire.Kind_probe_lease, &wire.ProbeLeaseAsk{Service: breaker.service, Id: ticket.probe,
-		Carrier: wicket.env.Carrier, Incarnation: wicket.env.Incarnation}, tell, 300*postmark.Millisecond)
+		Carrier: wicket.env.Carrier, Incarnation: wicket.env.Incarnation}, tell, leasePatience)
 	if err != nil {
 		wicket.degrade(err)
 		ticket.probe = ""
@@ -393,13 +393,20 @@
 	}
 }
 
+// writePatience is how long a write may take, which nobody waits for, and leasePatience how long a probe's lease may,
+// which one caller does. Both outlast a batch that a slow disk syncs.
+const (
+	writePatience = 1500 * postmark.Millisecond
+	leasePatience = postmark.Second
+)
+
 func (wicket *Wicket) send(ask *wire.GuardWriteAsk) {
 	if wicket.isDegraded() {
 		wicket.env.Place.Report(bulletin.GuardWriteDropped, map[string]any{"service": ask.Service, "verb": ask.Verb, "degraded": true})
 		return
 	}
 	tell := &wire.GuardWriteTell{}
-	if err := wicket.env.Call(wire.Kind_guard_write, ask, tell, 700*postmark.Millisecond); err != nil {
+	if err := wicket.env.Call(wire.Kind_guard_write, ask, tell, writePatience); err != nil {
 		wicket.degrade(err)
 		return
 	}
@@ -414,7 +421,7 @@
 	decision := &wire.GuardWriteAsk{Service: ask.Service, Verb: "decide", ExpectedSerial: tell.Record.Serial, Decision: pigeonhole.Judge(tell.Record),
 		Carrier: wicket.env.Carrier, Incarnation: wicket.env.Incarnation, Terms: ask.Terms}
 	decided := &wire.GuardWriteTell{}
-	if err := wicket.env.Call(wire.Kind_guard_write, decision, decided, 700*postmark.Millisecond); err != nil {
+	if err := wicket.env.Call(wire.Kind_guard_write, decision, decided, writePatience); err != nil {
 		wicket.degrade(err)
 		return
 	}
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"snowflow/internal/bulletin"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -167,6 +168,39 @@
 	}
 }
 
+func slowAndDown(slow, down int, sync postmark.Micros) fault {
+	return fault{"slow one core machine and end another", func(mesh *Mesh) {
+		for _, node := range mesh.coreNodes(mesh.cores[slow]) {
+			node.Disk.Delay = sync
+		}
+		for _, node := range mesh.coreNodes(mesh.cores[down]) {
+			mesh.World.Kill(node)
+		}
+	}}
+}
+
+var nothing = fault{"nothing more", func(*Mesh) {}}
+
+// TestVerdictOnSlowDisk: services fail and recover while one core machine is slow and another down. Carriers must go by
+// the shared verdict still, not fall back to their own windows with every write or probe that waits for a sync.
+func TestVerdictOnSlowDisk(t *testing.T) {
+	t.Parallel()
+	result := Run(Course{Name: "slow verdicts", Sizes: small, Length: 60 * postmark.Second, Rate: 40, Every: 6 * postmark.Second, Rules: []int{10},
+		First: []fault{slowAndDown(0, 1, 400*postmark.Millisecond), serviceFails, nothing, serviceFails}, Faults: []fault{nothing, serviceFails}}, 1, Breakage{})
+	for _, finding := range result.Findings {
+		t.Error(finding)
+	}
+	degraded, changed := 0, 0
+	for _, line := range result.Log {
+		degraded += strings.Count(line, fmt.Sprintf(" %d {", bulletin.GuardDegraded))
+		changed += strings.Count(line, fmt.Sprintf(" %d {", bulletin.GuardChanged))
+	}
+	t.Logf("%d changes of a shared verdict learned, %d times degraded", changed, degraded)
+	if changed == 0 || degraded > 60 {
+		t.Errorf("%d changes of a shared verdict learned, %d times degraded", changed, degraded)
+	}
+}
+
 // TestSlowAndDown: of three core machines one has a slow disk and another is down. The two left are a majority, so every
 // write must come through, if late; the syncs are simulated, so the figures repeat.
 func TestSlowAndDown(t *testing.T) {
@@ -174,15 +208,7 @@
 		for slow := range 2 {
 			t.Run(fmt.Sprintf("%d/%d", sync, slow), func(t *testing.T) {
 				t.Parallel()
-				down := fault{"slow one core machine and end another", func(mesh *Mesh) {
-					for _, node := range mesh.coreNodes(mesh.cores[slow]) {
-						node.Disk.Delay = sync
-					}
-					for _, node := range mesh.coreNodes(mesh.cores[1-slow]) {
-						mesh.World.Kill(node)
-					}
-				}}
-				nothing := fault{"nothing more", func(*Mesh) {}}
+				down := slowAndDown(slow, 1-slow, sync)
 				result := Run(Course{Name: "slow and down", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 2 * postmark.Second,
 					First: []fault{down}, Faults: []fault{nothing, applyOne}}, 1, Breakage{})
 				for _, finding := range result.Findings {
