Clock: count the time in which a machine is suspended

Cause: Go's monotonic clock stands still while a machine is suspended or its virtual machine sleeps. A process that wakes then believes in tenures that everybody else saw end: a carrier serves by an old desired state, a primary answers beside its successor.

Found by asking what a freeze is that the clock doesn't see. Ruled out: comparing with the wall clock, which may jump; watching for gaps, which tells too late for the request in hand.

Change: Now reads CLOCK_BOOTTIME, by a system call that can't block.

--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -113,15 +113,15 @@
 		mesh.down(mesh.coreNodes(pick(mesh, mesh.cores)), mesh.span(200*postmark.Millisecond, 5*postmark.Second), mesh.World.PowerLoss)
 	}}
 	freezeCore = fault{"freeze a core process", func(mesh *Mesh) {
-		mesh.World.Freeze(pick(mesh, mesh.allCore()), mesh.span(300*postmark.Millisecond, 6*postmark.Second))
+		mesh.freeze(pick(mesh, mesh.allCore()), mesh.span(300*postmark.Millisecond, 6*postmark.Second))
 	}}
 	freezeLeader = fault{"freeze a primary", func(mesh *Mesh) {
 		if node := mesh.leader(pick(mesh, []string{"sorter", "postmaster"})); node != nil {
-			mesh.World.Freeze(node, mesh.span(300*postmark.Millisecond, 6*postmark.Second))
+			mesh.freeze(node, mesh.span(300*postmark.Millisecond, 6*postmark.Second))
 		}
 	}}
 	freezeCarrier = fault{"freeze a carrier", func(mesh *Mesh) {
-		mesh.World.Freeze(mesh.World.Node(pick(mesh, mesh.carriers)), mesh.span(300*postmark.Millisecond, 8*postmark.Second))
+		mesh.freeze(mesh.World.Node(pick(mesh, mesh.carriers)), mesh.span(300*postmark.Millisecond, 8*postmark.Second))
 	}}
 	cutCore = fault{"cut a core machine from another, one way or both", func(mesh *Mesh) {
 		one, other := pick(mesh, mesh.cores), pick(mesh, mesh.cores)
@@ -216,6 +216,14 @@
 	}}
 )
 
+func (mesh *Mesh) freeze(node *world.Node, span postmark.Micros) {
+	if mesh.breakage.StoppedClock {
+		mesh.World.Suspend(node, span)
+		return
+	}
+	mesh.World.Freeze(node, span)
+}
+
 // atAcknowledgement applies a desired state and has something happen at the moment in which its operator is told.
 func (mesh *Mesh) atAcknowledgement(happen func()) {
 	variant := mesh.World.Chance().IntN(1 << 20)
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -74,6 +74,7 @@
 	AnyTrip      bool // one carrier's trip opens a guard for all
 	NoDrain      bool // a planned stop ends at once
 	NoReturn     bool // the core stays down at the end
+	StoppedClock bool // clocks stand still while a process is frozen
 	Stubborn     bool // who does a duty goes on past its tenure
 }
 
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -93,6 +93,7 @@
 		{"leaving ignored", 4, "backends", Breakage{LeaveIgnored: true}},
 		{"identity not asked", 5, "backends", Breakage{NoIdentity: true}},
 		{"serving without a tenure", 6, "configurations", Breakage{NoTenure: true}},
+		{"clocks that stand still in a suspended machine", 6, "configurations", Breakage{StoppedClock: true}},
 		{"syncs that do nothing", 7, "acknowledged", Breakage{NoSync: true}},
 		{"tries without a budget", 8, "backends", Breakage{NoBudget: true}},
 		{"a planned stop that ends at once", 9, "drains", Breakage{NoDrain: true}},
--- a/internal/mailround/world/world.go
+++ b/internal/mailround/world/world.go
@@ -244,6 +244,12 @@
 // Freeze stops a node for a while; everything it would have done happens late.
 func (world *World) Freeze(node *Node, span postmark.Micros) { node.frozen = world.now + span }
 
+// Suspend freezes a node whose clock stands still meanwhile, as a clock that doesn't count suspended time would.
+func (world *World) Suspend(node *Node, span postmark.Micros) {
+	world.Freeze(node, span)
+	node.offset -= span
+}
+
 // Cut stops messages from one machine to another.
 func (world *World) Cut(from, into string) { world.cuts[[2]string{from, into}] = true }
 
--- a/internal/postmark/postmark.go
+++ b/internal/postmark/postmark.go
@@ -2,7 +2,11 @@
 // Nothing compares the readings of two machines.
 package postmark
 
-import "time"
+import (
+	"syscall"
+	"time"
+	"unsafe"
+)
 
 // Micros is a span or a reading of a monotonic clock, in whole microseconds.
 // A reading only has meaning within the process that took it.
@@ -23,11 +27,25 @@
 // Clock reads monotonic time.
 type Clock interface{ Now() Micros }
 
-// Machine is the clock of the real machine, counted from the moment it was made.
-type Machine struct{ origin time.Time }
+// Machine is the clock of the real machine, counted from the moment it was made. It goes on while the machine is suspended,
+// which Go's own monotonic clock doesn't: a process must not wake with a tenure that others saw end.
+type Machine struct{ origin Micros }
 
 // NewMachine starts a clock. It starts at an hour, so that subtracting spans early on stays positive.
-func NewMachine() *Machine { return &Machine{origin: time.Now().Add(-time.Hour)} }
-
-// Now reads the clock. time.Since uses the monotonic reading, so wall-clock jumps don't show.
-func (machine *Machine) Now() Micros { return Of(time.Since(machine.origin)) }
+func NewMachine() *Machine { return &Machine{origin: sinceBoot() - 60*Minute} }
+
+// Now reads the clock. Jumps of the wall clock don't show.
+func (machine *Machine) Now() Micros { return sinceBoot() - machine.origin }
+
+// bootClock is Linux's CLOCK_BOOTTIME.
+const bootClock = 7
+
+// sinceBoot is the time since the machine was started, suspended or not. The call can't block, so the scheduler need not
+// hear of it.
+func sinceBoot() Micros {
+	var now syscall.Timespec
+	if _, _, fault := syscall.RawSyscall(syscall.SYS_CLOCK_GETTIME, bootClock, uintptr(unsafe.Pointer(&now)), 0); fault != 0 {
+		panic("postmark: no clock: " + fault.Error()) // every Linux since 2.6.39 has it
+	}
+	return Micros(now.Nano() / 1000)
+}
