Peers: a long answer on its way is a sign of life of its connection

Cause: a call that runs out of patience drops its connection if nothing was heard on it since, so that the next call dials anew. Heard meant a whole frame, so a short ask beside an answer of megabytes over a slow way ended the connection, and the answer with it: a pass was lost that was coming in.

Found by reading. Ruled out: a connection of its own for long answers; the short ask would still not know.

Before: the new test's long answer ends as lost. After: it arrives whole; only silence drops a connection.

--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -101,7 +101,7 @@
 	link.connection = connection
 	link.heard.Store(int64(peers.machine.Now()))
 	close(link.dialled)
-	reader := bufio.NewReaderSize(connection, 64<<10)
+	reader := bufio.NewReaderSize(&ear{link: link, clock: peers.machine}, 64<<10)
 	for {
 		incoming, err := frame.Read(reader, frameLimit)
 		if err != nil {
@@ -112,7 +112,6 @@
 			return
 		}
 		link.counts.received.Add(uint64(len(incoming.Content) + 28))
-		link.heard.Store(int64(peers.machine.Now()))
 		link.lock.Lock()
 		waiter := link.pending[incoming.Number]
 		delete(link.pending, incoming.Number)
@@ -123,6 +122,20 @@
 	}
 }
 
+// ear reads a link's connection and notes when it heard something: a part of a long frame is a sign of life too.
+type ear struct {
+	link  *link
+	clock postmark.Clock
+}
+
+func (ear *ear) Read(into []byte) (int, error) {
+	count, err := ear.link.connection.Read(into)
+	if count > 0 {
+		ear.link.heard.Store(int64(ear.clock.Now()))
+	}
+	return count, err
+}
+
 // drop forgets a link and wakes all who wait on it.
 func (peers *Peers) drop(link *link) {
 	peers.lock.Lock()
--- a/internal/office/machine/peers_test.go
+++ b/internal/office/machine/peers_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"snowflow/internal/bulletin"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/frame"
@@ -97,3 +99,56 @@
 		}
 	}
 }
+
+// TestLongAnswerOutlivesShortAsk: while a long answer comes in, a short ask on the same connection runs out of patience.
+// The connection is alive, so the long answer must still arrive.
+func TestLongAnswerOutlivesShortAsk(t *testing.T) {
+	board, err := bulletin.NewBoard("test", "test", "error")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(board.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	coming, ranOut := make(chan struct{}), make(chan struct{})
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		ask, err := frame.Read(connection, 1<<20)
+		if err != nil {
+			return
+		}
+		answer, err := proto.Marshal(&wire.PassTell{Body: make([]byte, 8<<20)})
+		if err != nil {
+			return
+		}
+		rest := frame.Append(nil, frame.Frame{Kind: ask.Kind, Flags: frame.Reply, Number: ask.Number, Content: answer})
+		close(coming)
+		for piece := 1; len(rest) > 0; rest = rest[piece:] {
+			select {
+			case <-ranOut:
+				piece = len(rest)
+			default:
+			}
+			if _, err := connection.Write(rest[:piece]); err != nil {
+				return
+			}
+		}
+	}()
+	machine, address, tell := New(nil, board, nil), listener.Addr().String(), &wire.PassTell{}
+	long := make(chan error, 1)
+	go func() { long <- machine.Call(address, wire.Kind_pass, &wire.PassAsk{}, tell, postmark.Minute) }()
+	<-coming
+	if err := machine.Call(address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, 100*postmark.Millisecond); !seal.IsLost(err) {
+		t.Errorf("the short ask: %v", err)
+	}
+	close(ranOut)
+	if err := <-long; err != nil || len(tell.Body) != 8<<20 {
+		t.Errorf("the long answer: %v", err)
+	}
+}
