Passage: ask a quiet carrier for a sign of life, and settle its passes without one

Cause: a pass to a carrier that froze, or was cut off in mid-request, waited until the request's cutoff; reads then ended as 306 and submissions as open, though another backend was well. Only new requests avoided the quiet carrier.

Ruled out: a time limit for each try; a backend that takes longer than it, but less than the cutoff, would be run again and again. A carrier that gives a sign of life is only slow, and is waited for; that also stops slow backends from making their carrier look quiet.

Change: a carrier that owes answers and gave none for 0.7 s is asked something small, for half a second. Nothing heard at all ends the connection, as it did before for any call, and the passes on it are lost at once: reads are tried elsewhere, run-once ones voided first. The simulator now ends a silent connection with all its calls too, as the real office does.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -73,7 +73,7 @@
 
 // Start begins work.
 func (carrier *Carrier) Start() {
-	for _, task := range []func(){carrier.Desk.Follow, carrier.Roll.Follow, carrier.Wicket.Lane, carrier.sweep} {
+	for _, task := range []func(){carrier.Desk.Follow, carrier.Roll.Follow, carrier.Wicket.Lane, carrier.Passage.Watch, carrier.sweep} {
 		carrier.env.Place.Go(task)
 	}
 }
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -1,6 +1,8 @@
 package passage
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"snowflow/internal/carrier/roll"
@@ -34,8 +36,10 @@
 }
 
 type debt struct {
-	passes int
-	since  postmark.Micros
+	passes  int
+	since   postmark.Micros
+	address string
+	asked   bool // a sign of life was asked for and has not come
 }
 
 func newChooser(place office.Office, domain string, blind bool) *chooser {
@@ -69,6 +73,30 @@
 	return owed != nil && now-owed.since >= silence
 }
 
+// quiet lists the carriers that owe answers for too long and were not asked for a sign of life yet, and notes the ask.
+func (chooser *chooser) quiet() (found []*debt) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	now := chooser.place.Now()
+	for _, carrier := range slices.Sorted(maps.Keys(chooser.owing)) {
+		if owed := chooser.owing[carrier]; chooser.silent(carrier, now) && !owed.asked {
+			owed.asked = true
+			found = append(found, owed)
+		}
+	}
+	return found
+}
+
+// lives ends an ask for a sign of life. A carrier that gave one is only slow.
+func (chooser *chooser) lives(owed *debt, heard bool) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	owed.asked = false
+	if heard {
+		owed.since = chooser.place.Now()
+	}
+}
+
 func (chooser *chooser) shuns(name string, now postmark.Micros) bool {
 	until, present := chooser.avoided[name]
 	if present && now >= until {
@@ -102,7 +130,7 @@
 	chooser.inFlight[chosen.Instance]++
 	owed := chooser.owing[chosen.Carrier]
 	if owed == nil {
-		owed = &debt{since: now}
+		owed = &debt{since: now, address: chosen.Address}
 		chooser.owing[chosen.Carrier] = owed
 	}
 	owed.passes++
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -78,6 +78,24 @@
 	return passage
 }
 
+// signPatience is how long a quiet carrier may take for a sign of life.
+const signPatience = 500 * postmark.Millisecond
+
+// Watch asks carriers that owe answers and give none for a sign of life, for ever. An ask that hears nothing ends its
+// connection, and with it the passes that wait there, so they are settled and tried elsewhere long before their cutoff.
+func (passage *Passage) Watch() {
+	place := passage.env.Place
+	for {
+		place.Sleep(200 * postmark.Millisecond)
+		for _, owed := range passage.choices.quiet() {
+			place.Go(func() {
+				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, signPatience)
+				passage.choices.lives(owed, err == nil)
+			})
+		}
+	}
+}
+
 func (passage *Passage) count(service string) *atomic.Int64 {
 	if present, found := passage.counts.Load(service); found {
 		return present.(*atomic.Int64)
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -388,9 +388,9 @@
 		}
 		return nil
 	}})
-	add(Scenario{"freeze", "freeze carriers and primaries for some seconds; they wake and must not act on what they knew", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+	add(Scenario{"freeze", "freeze carriers and primaries for four or eight seconds; they wake and must not act on what they knew", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
 		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
-			victim := random(stage.Fleet.Carriers)
+			victim := stage.Fleet.Carriers[turn%len(stage.Fleet.Carriers)]
 			if turn%3 == 1 {
 				victim = stage.Primary(stage.Fleet.Sorters)
 			} else if turn%3 == 2 {
@@ -398,7 +398,7 @@
 			}
 			stage.Say("freezing %s", victim.Name)
 			victim.Signal(syscall.SIGSTOP)
-			stage.Wait(4 * time.Second)
+			stage.Wait([]time.Duration{4 * time.Second, 8 * time.Second}[turn%2]) // below and beyond the cutoff
 			victim.Signal(syscall.SIGCONT)
 			stage.Wait(3 * time.Second)
 		}
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -223,3 +223,33 @@
 		}
 	}
 }
+
+// TestQuietCarrier: a carrier with backends freezes for longer than any cutoff. Requests that other carriers passed to it
+// must be settled once it's found quiet, not held until their cutoff.
+func TestQuietCarrier(t *testing.T) {
+	t.Parallel()
+	var mesh *Mesh
+	frozen := fault{"freeze a carrier for long", func(mesh *Mesh) {
+		mesh.World.Freeze(mesh.World.Node(mesh.carriers[1]), 12*postmark.Second)
+	}}
+	result := Run(Course{Name: "quiet", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 6 * postmark.Second,
+		First: []fault{frozen}, Faults: []fault{nothing}, Prepare: func(built *Mesh) { mesh = built }}, 1, Breakage{})
+	for _, finding := range result.Findings {
+		t.Error(finding)
+	}
+	longest, passed := postmark.Micros(0), 0
+	for _, attempt := range mesh.History.Attempts {
+		if attempt.Caller == mesh.carriers[1] || attempt.Ended == 0 {
+			continue
+		}
+		passed++
+		longest = max(longest, attempt.Ended-attempt.Sent)
+		if attempt.Ended-attempt.Sent > 2500*postmark.Millisecond {
+			t.Errorf("%s took %d microseconds and ended with %d, cause %d", attempt.ID, attempt.Ended-attempt.Sent, attempt.Status, attempt.Cause)
+		}
+	}
+	t.Logf("%d requests at carriers that were well, the longest took %d microseconds", passed, longest)
+	if passed == 0 {
+		t.Error("there were none")
+	}
+}
--- a/internal/mailround/world/world.go
+++ b/internal/mailround/world/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -43,6 +44,8 @@
 	// Calls counts the calls of each node by their kind, and Bytes what they and their replies came to.
 	Calls map[string]map[wire.Kind]int
 	Bytes map[string]int
+	// links are the connections between processes, by caller and address.
+	links map[[2]string]*link
 	// digest mixes every event's time and task, to compare replays.
 	digest uint64
 }
@@ -106,7 +109,7 @@
 // New makes a world from a seed.
 func New(seed uint64) *World {
 	return &World{now: postmark.Minute, chance: rand.New(rand.NewPCG(seed, 0x736e6f77)), yielded: make(chan struct{}),
-		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, Calls: map[string]map[wire.Kind]int{}, Bytes: map[string]int{}, Lag: 2 * postmark.Millisecond}
+		nodes: map[string]*Node{}, links: map[[2]string]*link{}, cuts: map[[2]string]bool{}, Calls: map[string]map[wire.Kind]int{}, Bytes: map[string]int{}, Lag: 2 * postmark.Millisecond}
 }
 
 // Now is the observer's clock.
@@ -433,6 +436,25 @@
 	return span
 }
 
+// link is what the real office keeps for each address: when something was last heard, and the calls that wait. As there,
+// a call that hears nothing at all while its patience runs ends the connection, and with it the others.
+type link struct {
+	heard   postmark.Micros
+	pending []*outcome
+}
+
+func (world *World) link(from *Node, address string) *link {
+	key := [2]string{from.Name + "/" + fmt.Sprint(from.life), address}
+	if world.links[key] == nil {
+		world.links[key] = &link{heard: world.now}
+	}
+	return world.links[key]
+}
+
+func (link *link) end(result *outcome) {
+	link.pending = slices.DeleteFunc(link.pending, func(other *outcome) bool { return other == result })
+}
+
 // outcome of a call under way; decided once.
 type outcome struct {
 	signal office.Signal
@@ -504,14 +526,23 @@
 	world.carry(from, target, 0, func() { world.receive(from, target, result, work) }, func() {
 		result.decide(nil, seal.Lost.New("connection to %s ended", address))
 	})
+	connection, started := world.link(from, address), world.now
+	connection.pending = append(connection.pending, result)
+	defer connection.end(result)
 	if !result.done {
 		result.signal.Wait(patience)
 	}
-	if !result.done {
-		result.done = true
-		return nil, seal.Lost.New("no answer from %s", address)
+	if result.done {
+		connection.heard = world.now
+		return result.reply, result.err
+	}
+	result.done = true
+	if connection.heard < started {
+		for _, other := range slices.Clone(connection.pending) {
+			other.decide(nil, seal.Lost.New("connection to %s was silent", address))
+		}
 	}
-	return result.reply, result.err
+	return nil, seal.Lost.New("no answer from %s", address)
 }
 
 // receive runs a request's work as a task of the target.
