--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -9,8 +9,10 @@
 	"strings"
 	"testing"
 
+	"github.com/spf13/pflag"
 	"snowflow/internal/bulletin"
 	"snowflow/internal/depot/scenario"
+
 	"snowflow/internal/env"
 	"snowflow/internal/mailround/round"
 	"snowflow/internal/seal"
@@ -52,6 +54,20 @@
 	}
 }
 
+// TestExampleSettings: what operators are shown to start from is taken.
+func TestExampleSettings(t *testing.T) {
+	for program, fields := range map[string][]env.Field{"sorter": env.Core(), "postmaster": env.Core(), "carrier": env.Carrier()} {
+		flags := pflag.NewFlagSet(program, pflag.ContinueOnError)
+		env.Flags(flags, fields)
+		if err := flags.Set("env", "../../examples/env/"+program+"-1.json"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := env.Load(flags, fields); err != nil {
+			t.Errorf("%s: %v", program, err)
+		}
+	}
+}
+
 func TestScenariosAndCoursesAreListed(t *testing.T) {
 	page := read(t, "rules.md")
 	for name := range scenario.All {
