Events: quiet carriers (604), and identity mismatches (603), which were never told

Cause: reading the catalogue against the code. 603 stood in it and nothing reported it; a quiet carrier had no number at all. Change: the gate tells 602 and 603 by one table; the watch over quiet carriers tells 604.

--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -39,6 +39,7 @@
 	RequestRefused     = 601
 	AnswerBrokenSeen   = 602
 	IdentityMismatch   = 603
+	CarrierQuiet       = 604
 	DiskTornTail       = 701
 	DiskDamaged        = 702
 	DiskFull           = 703
@@ -90,6 +91,7 @@
 	RequestRefused:     {log.DebugLevel, "request refused"},
 	AnswerBrokenSeen:   {log.WarnLevel, "backend answer broken"},
 	IdentityMismatch:   {log.WarnLevel, "backend at this address is another instance"},
+	CarrierQuiet:       {log.WarnLevel, "a carrier that owes answers gave no sign of life"},
 	DiskTornTail:       {log.WarnLevel, "torn tail cut"},
 	DiskDamaged:        {log.ErrorLevel, "record file damaged, copy discarded"},
 	DiskFull:           {log.ErrorLevel, "disk full"},
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -130,6 +130,9 @@
 	},
 }
 
+// telling are the events of faults that operators should hear of, beyond the caller's refusal.
+var telling = map[seal.Cause]int{seal.AnswerBroken: bulletin.AnswerBrokenSeen, seal.BackendIdentity: bulletin.IdentityMismatch}
+
 // Pass handles one request from another carrier, or from this one.
 func (gate *Gate) Pass(ask *wire.PassAsk) (*wire.PassTell, error) {
 	gate.running.Inc()
@@ -187,8 +190,8 @@
 		if ask.Once && fault.NotRun() {
 			gate.free(ask)
 		}
-		if fault.Cause == seal.AnswerBroken {
-			gate.env.Place.Report(bulletin.AnswerBrokenSeen, map[string]any{"instance": backend.Instance, "detail": fault.Detail})
+		if number := telling[fault.Cause]; number > 0 {
+			gate.env.Place.Report(number, map[string]any{"instance": backend.Instance, "detail": fault.Detail})
 		}
 		return gate.refused(ask, fault), nil
 	}
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -90,6 +90,9 @@
 		for _, owed := range passage.choices.quiet() {
 			place.Go(func() {
 				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, signPatience)
+				if err != nil {
+					place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
+				}
 				passage.choices.lives(owed, err == nil)
 			})
 		}
