Membership: a sorter that just came back doesn't make carriers forget backends

Cause: a sorter starts with an empty directory and is told by carriers and its peers within a second. A carrier that polled it first, because the one it followed had just been killed, took that for news and knew no backend until its next poll.

Ruled out: a sorter that says nothing until it's told all; after a loss of power everywhere nobody would be told anything for 3 s.

Change: the poll's answer carries how long the sorter has been told; a carrier that knows backends keeps them rather than take what one younger than 3 s knows, and one that knows nobody takes what there is.

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -22,6 +22,9 @@
 // shareMemory is the window in which further tries are counted.
 const shareMemory = 10 * postmark.Second
 
+// grownUp is the age from which a sorter's directory is taken as whole: every carrier has polled, or its session has ended.
+const grownUp = 3 * postmark.Second
+
 // Candidate is one backend that may be chosen.
 type Candidate struct {
 	Carrier     string
@@ -146,7 +149,9 @@
 			roll.moment, roll.momentAt = &wire.HolderMoment{Epoch: tell.Epoch, Time: tell.HolderTime}, now
 		}
 	}
-	if !tell.DirectorySame {
+	// A sorter that has only just begun to be told may not know all; who is known stays known until it does.
+	young := tell.DirectorySource != roll.source && tell.DirectoryAge > 0 && postmark.Micros(tell.DirectoryAge) < grownUp
+	if !tell.DirectorySame && !(young && roll.directory.Live > 0) {
 		roll.source, roll.serial = tell.DirectorySource, tell.DirectorySerial
 		roll.directory = index(tell.Sessions)
 	}
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -8,8 +8,10 @@
 	"testing"
 
 	"snowflow/internal/bulletin"
+	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
 )
 
 // seeds gives the fixed seeds, or a range from the environment for longer runs.
@@ -253,3 +255,31 @@
 		t.Error("there were none")
 	}
 }
+
+// TestYoungSorter: sorters are killed one after another and come back with empty directories. A carrier that is told of
+// nobody by a sorter that has only just begun to be told must not forget the backends that it knows.
+func TestYoungSorter(t *testing.T) {
+	t.Parallel()
+	var mesh *Mesh
+	turn := 0
+	kill := fault{"kill the next sorter", func(mesh *Mesh) {
+		turn++
+		node := mesh.World.Node(fmt.Sprintf("sorter-%d", turn%3+1))
+		mesh.down([]*world.Node{node}, 100*postmark.Millisecond, mesh.World.Kill)
+	}}
+	result := Run(Course{Name: "young", Sizes: small, Length: 60 * postmark.Second, Rate: 60, Every: 3 * postmark.Second,
+		Faults: []fault{kill}, Prepare: func(built *Mesh) { mesh = built }}, 1, Breakage{})
+	for _, finding := range result.Findings {
+		t.Error(finding)
+	}
+	forgotten := 0
+	for _, attempt := range mesh.History.Attempts {
+		if attempt.Cause == int(seal.NoBackend) {
+			forgotten++
+		}
+	}
+	t.Logf("%d of %d served, %d refused for want of a backend, %d sorters killed", result.Served, result.Sent, forgotten, turn)
+	if forgotten > 0 || turn < 10 {
+		t.Errorf("%d refused for want of a backend, %d sorters killed", forgotten, turn)
+	}
+}
--- a/internal/sorter/directory/directory.go
+++ b/internal/sorter/directory/directory.go
@@ -30,6 +30,7 @@
 	sessions map[string]*entry
 	activity map[string]map[string]postmark.Micros
 	serial   uint64
+	born     postmark.Micros
 }
 
 type entry struct {
@@ -41,7 +42,7 @@
 
 // New makes a directory; source tells its serials from those of another life.
 func New(clock postmark.Clock, source uint64) *Directory {
-	return &Directory{clock: clock, source: source, sessions: map[string]*entry{}, activity: map[string]map[string]postmark.Micros{}, serial: 1}
+	return &Directory{clock: clock, source: source, born: clock.Now(), sessions: map[string]*entry{}, activity: map[string]map[string]postmark.Micros{}, serial: 1}
 }
 
 // Tell takes a session as heard age ago. It tells whether the session is new here.
@@ -142,6 +143,11 @@
 	return directory.source, directory.serial, false, sessions
 }
 
+// Age is how long this directory has been told of sessions; it's above zero.
+func (directory *Directory) Age() postmark.Micros {
+	return max(1, directory.clock.Now()-directory.born)
+}
+
 // Live counts the members.
 func (directory *Directory) Live() int {
 	directory.lock.Lock()
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -148,6 +148,7 @@
 	sorter.directory.Called(ask.Session.Carrier, ask.Activity)
 	tell := &wire.SorterPollTell{Carriers: uint32(sorter.directory.Live()), Primaries: sorter.env.Book.Primaries()}
 	tell.DirectorySource, tell.DirectorySerial, tell.DirectorySame, tell.Sessions = sorter.directory.View(ask.DirectorySource, ask.DirectorySerial)
+	tell.DirectoryAge = int64(sorter.directory.Age())
 	tell.Primary = sorter.Member.Read(func(epoch uint64, now postmark.Micros) {
 		tell.Epoch, tell.HolderTime = epoch, int64(now)
 		tell.Guards = sorter.rack.Guards.Records()
