Fences: the carrier that had a key fenced knows the fence's moment

Since a fiftieth of the time after the last poll isn't counted, a carrier could lag up to 20 ms behind the holder, and read the second request before the fence by its own reckoning. True, but a caller that is told to come back should find the door open.

Ruled out: a transcript that waits; the caller would still meet it.

Change: the answer to a void tells the fence's moment, and the carrier counts from there; of the time since, a thousandth isn't counted, ten times what clocks drift here. Another carrier may lag by its last poll's way still, and says not run, with Retry-After.

Before: 20 ms after a poll one second old. After: none at the same carrier, 1 ms at others.

--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -33,8 +33,8 @@
 		if _, known := scenario.All[options.Scenario]; !known {
 			return house.Misused(fmt.Errorf("no scenario %q; there are %v", options.Scenario, scenario.Names()))
 		}
-		if options.Length <= 0 || options.Factor <= 0 || options.Base < 1 || options.Base > 254 {
-			return house.Misused(errors.New("length and factor must be above zero, base from 1 to 254"))
+		if options.Length <= 0 || options.Factor <= 0 || options.Linger < 0 || options.Base < 1 || options.Base > 254 {
+			return house.Misused(errors.New("length and factor must be above zero, linger not below, base from 1 to 254"))
 		}
 		if options.Binaries == "" {
 			own, err := os.Executable()
@@ -75,6 +75,7 @@
 	flags.StringVar(&options.Older, "older", "", "folder of an earlier build's daemons, for the versions scenario")
 	flags.IntVar(&options.Base, "base", 77, "second part of the fleet's loopback numbers")
 	flags.BoolVar(&options.Relays, "relays", true, "put relays between the processes, for cuts and for counting bytes")
+	flags.DurationVar(&options.Linger, "linger", 0, "what each core disk takes longer for a sync")
 	flags.StringVar(&options.Choice, "choice", "near", "how carriers choose backends: near or blind")
 	flags.StringVar(&options.Level, "log", "info", "least level of events the daemons log")
 	flags.BoolVar(&asJSON, "json", false, "print the report as JSON")
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -323,6 +323,10 @@
 	if err != nil {
 		return ""
 	}
+	if tell.Fence != nil {
+		// The caller may come back at once, to this carrier: what it sends then was read after the fence.
+		passage.env.Roll.Learn(&wire.HolderMoment{Epoch: tell.Fence.Epoch, Time: tell.Fence.Time + 1})
+	}
 	return tell.Outcome
 }
 
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -187,6 +187,20 @@
 	return roll.directory
 }
 
+// Learn takes a moment of holder time that has passed, as an answer of the holder tells it.
+func (roll *Roll) Learn(passed *wire.HolderMoment) {
+	if passed == nil {
+		return
+	}
+	present := roll.Moment()
+	if passed.Epoch < present.Epoch || passed.Epoch == present.Epoch && passed.Time <= present.Time {
+		return
+	}
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	roll.moment, roll.momentAt = proto.Clone(passed).(*wire.HolderMoment), roll.place.Now()
+}
+
 // Member tells whether this carrier's session stands, as far as it can know.
 func (roll *Roll) Member() bool {
 	roll.lock.Lock()
@@ -207,7 +221,7 @@
 
 // drift is the part of the time since the holder's moment was told that isn't counted: this clock may run faster than
 // the holder's, and a moment that has not come yet would pass a fence.
-const drift = 50
+const drift = 1000
 
 // Moment is a moment of holder time that has certainly passed.
 func (roll *Roll) Moment() *wire.HolderMoment {
--- a/internal/carrier/roll/roll_test.go
+++ b/internal/carrier/roll/roll_test.go
@@ -39,3 +39,31 @@
 		t.Error("no clock ran faster than the holder's")
 	}
 }
+
+// TestFenceIsLearned: a carrier that had a key fenced is told the fence's moment. A caller that comes back to it at once is
+// read after the fence, however long ago the carrier polled.
+func TestFenceIsLearned(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	ended := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		known := New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} })
+		known.take(&wire.SorterPollTell{Primary: true, Epoch: 1, HolderTime: 1000}, place.Now())
+		place.Sleep(postmark.Second)
+		fence := &wire.HolderMoment{Epoch: 1, Time: int64(1000 + 2*postmark.Second)}
+		known.Learn(fence)
+		if moment := known.Moment(); moment.Time < fence.Time {
+			t.Errorf("the moment is %d, the fence was at %d", moment.Time, fence.Time)
+		}
+		known.Learn(&wire.HolderMoment{Epoch: 1, Time: 5})
+		if moment := known.Moment(); moment.Time < fence.Time {
+			t.Errorf("an older moment was taken: %d", moment.Time)
+		}
+		ended = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + postmark.Minute)
+	if !ended {
+		t.Fatal(simulated.Panicked)
+	}
+}
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -55,7 +55,8 @@
 	Base     int
 	Relays   bool
 	Level    string
-	Choice   string // near or blind
+	Choice   string        // near or blind
+	Linger   time.Duration // what each core disk takes longer for a sync
 }
 
 // Open starts the fleet, its backends and its first desired state.
@@ -73,6 +74,11 @@
 	if options.Level != "" {
 		stage.Fleet.Level = options.Level
 	}
+	for _, process := range append(append([]*fleet.Process(nil), stage.Fleet.Postmasters...), stage.Fleet.Sorters...) {
+		if err := stage.Fleet.Slow(process, options.Linger); err != nil {
+			return stage, err
+		}
+	}
 	if err := stage.Fleet.StartAll(); err != nil {
 		return stage, err
 	}
--- a/internal/sorter/counterfoil/counterfoil.go
+++ b/internal/sorter/counterfoil/counterfoil.go
@@ -140,6 +140,7 @@
 	}
 	if ask.Fence {
 		record.Fence = &wire.HolderMoment{Epoch: epoch, Time: int64(now)}
+		return &wire.VoidTell{Outcome: Voided, Fence: &wire.HolderMoment{Epoch: epoch, Time: int64(now)}}
 	}
 	return &wire.VoidTell{Outcome: Voided}
 }
