Membership: young sorters may follow one another while nobody is grown up

Cause: after a loss of power everywhere a carrier takes what a young sorter knows, and then refused what the next young one knew, since it knew somebody by then.

Change: what a carrier knows is only kept against a young sorter if it came from one that was grown up.

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -60,6 +60,7 @@
 	lock      sync.Mutex
 	directory *Directory
 	source    uint64
+	whole     bool // the directory is, or was once, that of a grown-up source
 	serial    uint64
 	beat      uint64
 	live      uint32 // the most carriers told of within shareMemory, so that parts don't grow while views differ
@@ -150,8 +151,13 @@
 		}
 	}
 	// A sorter that has only just begun to be told may not know all; who is known stays known until it does.
-	young := tell.DirectorySource != roll.source && tell.DirectoryAge > 0 && postmark.Micros(tell.DirectoryAge) < grownUp
-	if !tell.DirectorySame && !(young && roll.directory.Live > 0) {
+	young := tell.DirectoryAge > 0 && postmark.Micros(tell.DirectoryAge) < grownUp
+	other := tell.DirectorySource != roll.source
+	if !other && !young {
+		roll.whole = true
+	}
+	if !tell.DirectorySame && !(other && young && roll.whole) {
+		roll.whole = !young
 		roll.source, roll.serial = tell.DirectorySource, tell.DirectorySerial
 		roll.directory = index(tell.Sessions)
 	}
