Tree: no copy of a duty's tenure that nothing reads; five twins made one

The rota kept each tenure under a lock and offered to tell what was left of it, which nothing asked: the answer carries it, and its doer stops by it. The rule for names stood three times, dropping a backup twice, the list of all failures twice in the simulator's courses, the core's processes three times in depot, and a rehearsal read each carrier's processor time twice.

Change: the rota keeps nothing; env.Name is the one rule for names; dropBackup, Fleet.Core, cutApart and one list of failures serve both sides; one pass over the processes measures them; a directory counts as whole from the session's life, not from a number beside it.

Behaviour, bounds, texts and tests are as they were.

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -12,6 +12,7 @@
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
+	"snowflow/internal/sorter/directory"
 )
 
 const sorters = "sorter"
@@ -23,7 +24,7 @@
 const shareMemory = 10 * postmark.Second
 
 // grownUp is the age from which a sorter's directory is taken as whole: every carrier has polled, or its session has ended.
-const grownUp = 3 * postmark.Second
+const grownUp = directory.SessionLife
 
 // Candidate is one backend that may be chosen.
 type Candidate struct {
--- a/internal/carrier/rota/rota.go
+++ b/internal/carrier/rota/rota.go
@@ -2,11 +2,9 @@
 package rota
 
 import (
-	"regexp"
-	"sync"
-
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/env"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -20,8 +18,6 @@
 	drift = 50
 )
 
-var fitting = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Env is what a rota is made of.
 type Env struct {
 	Place   office.Office
@@ -32,22 +28,15 @@
 	CallPrimary func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
 }
 
-// Rota knows which duties the backends here hold.
-// Invariant: a tenure in held ends, on this clock, before the sorters' record of it does, since it counts from before the
-// ask and is shorter by the drift.
+// Rota asks for duties. It keeps nothing: a tenure is told to its doer, which stops by it.
+// Invariant: what is told ends, on this clock, before the sorters' record of it does, since it counts from before the ask
+// and is shorter by the drift.
 type Rota struct {
-	env  Env
-	lock sync.Mutex
-	held map[string]tenure
+	env Env
 	// stubborn counts tenures twice as long; only rehearsals of the checker set it.
 	stubborn bool
 }
 
-type tenure struct {
-	instance string
-	until    postmark.Micros
-}
-
 // Told is what a backend hears about a duty.
 type Told struct {
 	Granted bool            `json:"granted"`
@@ -57,14 +46,14 @@
 }
 
 // New makes a rota.
-func New(env Env) *Rota { return &Rota{env: env, held: map[string]tenure{}} }
+func New(made Env) *Rota { return &Rota{env: made} }
 
 // Stubborn makes doers go on past their tenure, to show that a checker sees what comes of it. No program sets it.
 func (rota *Rota) Stubborn(broken bool) { rota.stubborn = broken }
 
-// Ask asks for a duty, or for more time in it. An error leaves what was held before as it was.
+// Ask asks for a duty, or for more time in it. An error leaves what was granted before as it was.
 func (rota *Rota) Ask(duty, instance string, length postmark.Micros) (Told, error) {
-	if !fitting.MatchString(duty) {
+	if env.Name(duty) != nil {
 		return Told{}, seal.Invalid.New("a duty's name is a lower-case letter, then up to 62 letters, digits or hyphens")
 	}
 	if !rota.env.Present(instance) {
@@ -76,44 +65,19 @@
 	if err != nil {
 		return Told{}, seal.Lost.Wrap(err, "whether the duty was granted is not known")
 	}
-	rota.lock.Lock()
-	defer rota.lock.Unlock()
 	if !tell.Granted {
-		if rota.held[duty].instance == instance {
-			delete(rota.held, duty)
-		}
 		return Told{Holder: tell.Holder, Doer: tell.Instance}, nil
 	}
 	granted := postmark.Micros(tell.Length)
 	if rota.stubborn {
 		granted *= 2
 	}
-	rota.held[duty] = tenure{instance: instance, until: asked + granted - granted/drift}
-	return Told{Granted: true, Left: rota.left(duty, instance), Holder: rota.env.Carrier, Doer: instance}, nil
-}
-
-// Left is how long an instance may still do a duty; zero or less means that it must have stopped.
-func (rota *Rota) Left(duty, instance string) postmark.Micros {
-	rota.lock.Lock()
-	defer rota.lock.Unlock()
-	return rota.left(duty, instance)
-}
-
-func (rota *Rota) left(duty, instance string) postmark.Micros {
-	present, known := rota.held[duty]
-	if !known || present.instance != instance {
-		return 0
-	}
-	return present.until - rota.env.Place.Now()
+	left := asked + granted - granted/drift - rota.env.Place.Now()
+	return Told{Granted: true, Left: left, Holder: rota.env.Carrier, Doer: instance}, nil
 }
 
 // Release gives a duty up. The backend must have stopped; if the sorters can't be told, the tenure runs out.
 func (rota *Rota) Release(duty, instance string) error {
-	rota.lock.Lock()
-	if rota.held[duty].instance == instance {
-		delete(rota.held, duty)
-	}
-	rota.lock.Unlock()
 	err := rota.env.CallPrimary(wire.Kind_duty, &wire.DutyAsk{Duty: duty, Carrier: rota.env.Carrier, Instance: instance, Release: true}, &wire.DutyTell{}, patience)
 	if err != nil {
 		return seal.Lost.Wrap(err, "whether the duty was given up is not known")
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -229,10 +229,7 @@
 		if len(batch) == 0 && failures < 3 {
 			return
 		}
-		place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": remote.Error()})
-		member.lock.Lock()
-		member.lead.answering, member.lead.backup = false, nil
-		member.lock.Unlock()
+		member.dropBackup(backup, remote.Error())
 		// The batch is part of what the next backup is given; it's answered once that one is in step.
 		results := member.applyPending()
 		if member.settle(backup) {
@@ -306,11 +303,16 @@
 		member.handOver("own disk is slow")
 		return
 	}
-	member.env.Place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": "its disk is slow"})
+	member.dropBackup(backup, "its disk is slow")
+	member.settle(backup)
+}
+
+// dropBackup stops answering until another backup is in step.
+func (member *Member) dropBackup(backup *wire.Holder, why string) {
+	member.env.Place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": why})
 	member.lock.Lock()
+	defer member.lock.Unlock()
 	member.lead.answering, member.lead.backup = false, nil
-	member.lock.Unlock()
-	member.settle(backup)
 }
 
 // reachable asks a voter something small.
--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -107,9 +108,12 @@
 
 // All lists every process, the core first.
 func (fleet *Fleet) All() []*Process {
-	return append(append(append([]*Process(nil), fleet.Postmasters...), fleet.Sorters...), fleet.Carriers...)
+	return append(fleet.Core(), fleet.Carriers...)
 }
 
+// Core lists the core's processes.
+func (fleet *Fleet) Core() []*Process { return slices.Concat(fleet.Postmasters, fleet.Sorters) }
+
 // Doors lists the carriers that callers may use.
 func (fleet *Fleet) Doors() []*Process {
 	if fleet.Layout.Apart > 0 {
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -27,6 +27,12 @@
 	}
 }
 
+// cutApart cuts two machines from each other, both ways.
+func (stage *Stage) cutApart(one, other string) {
+	stage.Fleet.Relays.Cut(one, other)
+	stage.Fleet.Relays.Cut(other, one)
+}
+
 // returned marks the machines' return and lets traffic go on for the 15 s that service has to come back in.
 func (stage *Stage) returned() {
 	stage.History.Mark("returned", stage.Clock.Now())
@@ -225,7 +231,7 @@
 	}})
 	add(Scenario{"kill-core", "kill the whole core at once, some seconds later start it again", []int{1, 3, 7, 12}, func(stage *Stage) error {
 		stage.Wait(stage.part(0.4))
-		core := append(append([]*fleet.Process(nil), stage.Fleet.Sorters...), stage.Fleet.Postmasters...)
+		core := stage.Fleet.Core()
 		for _, process := range core {
 			process.Kill()
 		}
@@ -438,15 +444,13 @@
 		stage.Wait(stage.part(0.2))
 		one := stage.Fleet.Sorters[0].Host
 		for _, other := range stage.Fleet.Sorters[1:] {
-			stage.Fleet.Relays.Cut(one, other.Host)
-			stage.Fleet.Relays.Cut(other.Host, one)
+			stage.cutApart(one, other.Host)
 		}
 		stage.Wait(stage.part(0.3))
 		stage.Fleet.Relays.Mend()
 		for _, carrier := range stage.Fleet.Carriers {
 			for _, core := range stage.Fleet.Sorters {
-				stage.Fleet.Relays.Cut(carrier.Host, core.Host)
-				stage.Fleet.Relays.Cut(core.Host, carrier.Host)
+				stage.cutApart(carrier.Host, core.Host)
 			}
 		}
 		stage.Wait(stage.part(0.3))
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -74,7 +74,7 @@
 	if options.Level != "" {
 		stage.Fleet.Level = options.Level
 	}
-	for _, process := range append(append([]*fleet.Process(nil), stage.Fleet.Postmasters...), stage.Fleet.Sorters...) {
+	for _, process := range stage.Fleet.Core() {
 		if err := stage.Fleet.Slow(process, options.Linger); err != nil {
 			return stage, err
 		}
@@ -84,7 +84,7 @@
 	}
 	stage.Operator = standin.NewOperator(stage.Fleet, stage.Clock, stage.History)
 	stage.Callers = standin.NewCallers(stage.Fleet, stage.Clock, stage.History)
-	if err := fleet.Await(append(append([]*fleet.Process(nil), stage.Fleet.Postmasters...), stage.Fleet.Sorters...), 20*time.Second); err != nil {
+	if err := fleet.Await(stage.Fleet.Core(), 20*time.Second); err != nil {
 		return stage, err
 	}
 	for _, service := range chosen.Services {
@@ -289,24 +289,19 @@
 		sort.Slice(taken, func(one, other int) bool { return taken[one] < taken[other] })
 		report.Latency[kind] = [3]int64{taken[len(taken)/2], taken[len(taken)*99/100], taken[len(taken)-1]}
 	}
-	used := int64(0)
+	hops, apart := map[string]int64{}, stage.Fleet.Layout.Apart
 	for _, process := range stage.Fleet.All() {
 		spent := process.Processor() - stage.processor[process.Name]
 		report.Processor[process.Program] += spent
-		if process.Program == "carrier" {
-			used += spent
+		if index := slices.Index(stage.Fleet.Carriers, process); index >= apart {
+			hops["server's side"] += spent / int64(max(1, total))
+		} else if index >= 0 {
+			hops["caller's side"] += spent / int64(max(1, total))
 		}
 	}
-	report.PerAsk = used / int64(max(1, total))
-	if apart := stage.Fleet.Layout.Apart; apart > 0 {
-		report.Hops = map[string]int64{}
-		for index, process := range stage.Fleet.Carriers {
-			side := "caller's side"
-			if index >= apart {
-				side = "server's side"
-			}
-			report.Hops[side] += (process.Processor() - stage.processor[process.Name]) / int64(max(1, total))
-		}
+	report.PerAsk = report.Processor["carrier"] / int64(max(1, total))
+	if apart > 0 {
+		report.Hops = hops
 	}
 	stage.between(report.Bytes)
 	report.Rush = stage.rushed()
--- a/internal/franking/franking.go
+++ b/internal/franking/franking.go
@@ -5,13 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"regexp"
 	"sort"
 	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/env"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -42,8 +42,6 @@
 	return state, Check(state)
 }
 
-var wellNamed = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 var methods = map[string]bool{"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "*": true}
 
 // checker collects faults.
@@ -112,7 +110,7 @@
 }
 
 func (checker *checker) name(place, name string, seen map[string]string) {
-	if !wellNamed.MatchString(name) {
+	if env.Name(name) != nil {
 		checker.fault(place+".name", "%q must be a lower-case letter, then up to 62 letters, digits or hyphens", name)
 	}
 	if other, twice := seen[name]; twice {
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -251,16 +251,16 @@
 func add(course Course) { Courses[course.Name] = course }
 
 func init() {
+	all := []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
+		slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm, killEverything, moveCore}
 	add(Course{Name: "calm", Short: "no failure", Sizes: small, Length: 20 * postmark.Second, Rate: 30, Rules: []int{1, 3, 5, 6, 7, 8}, Every: postmark.Minute,
 		Faults: []fault{applyOne}})
 	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
-		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
-		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
-			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm, killEverything, moveCore}})
+		Rules:  []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
+		Faults: all})
 	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
-		Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
-		Faults: []fault{killCarrier, killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, freezeCarrier, cutCore, isolate, cutCarrier, cutCarriers,
-			slowDisk, fullDisk, failSync, manners, serviceFails, replaceBackend, reuseAddress, applyOne, applyRace, applyStorm, killEverything, moveCore}})
+		Rules:  []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
+		Faults: all})
 }
 
 func init() {
