Run once: one spelling for each resource, keys claimed on every class, doubt that sticks

Cause: a request was resolved and claimed by its path as decoded, and handed over as sent. The same submission spelled otherwise (doubled slash, dots, a slash at its end) had another scope, and under a configuration that had the path as read nobody claimed it. A read whose first try may have run was refused as not run when its last try had not.

Ruled out: the service as part of the scope (the key would run anew after a move), a refusal of every unusual spelling (callers behind libraries that escape more than needed would lose submissions), the key alone as scope (a correction may bring its submission's).

Change: postcode gives a target its one spelling, by which it's resolved, claimed and handed over; what readers differ about is refused. A key with a method other than GET and HEAD is claimed whatever the class. A trip remembers that a try may have run. Prefixes must be spelled that way, with and without a last slash once. Carriers adopt what a postmaster accepted without checking it again: a stricter build must not turn down an accepted state.

--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -33,11 +33,12 @@
 	counter := &Counter{carrier: carrier, clock: clock}
 	router := chi.NewRouter()
 	router.HandleFunc("/*", counter.take)
+	router.MethodNotAllowed(counter.take) // which methods there are is for the desired state to say
 	return router
 }
 
 func (counter *Counter) take(writer http.ResponseWriter, incoming *http.Request) {
-	request := &letter.Request{ID: incoming.Header.Get(letter.RequestHeader), Method: incoming.Method, Path: incoming.URL.Path,
+	request := &letter.Request{ID: incoming.Header.Get(letter.RequestHeader), Method: incoming.Method,
 		Target: incoming.URL.RequestURI(), Key: incoming.Header.Get(letter.KeyHeader)}
 	if request.ID == "" || len(request.ID) > 100 {
 		request.ID = uuid.NewString()
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -122,9 +122,9 @@
 		return false // never back to an older one
 	}
 	if tell.Serial > serial {
-		state, faults := franking.Parse(tell.Content)
-		if len(faults) > 0 {
-			desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "faults": len(faults)})
+		state, err := franking.Accepted(tell.Content)
+		if err != nil {
+			desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "error": err.Error()})
 			return false
 		}
 		fresh = franking.Compile(state, tell.Serial, franking.Digest(tell.Content))
--- a/internal/carrier/letter/letter.go
+++ b/internal/carrier/letter/letter.go
@@ -20,7 +20,6 @@
 type Request struct {
 	ID      string
 	Method  string
-	Path    string // without the query
 	Target  string // path and query, as it was sent
 	Headers []*wire.Header
 	Body    []byte
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 
 	"go.uber.org/atomic"
@@ -19,6 +20,7 @@
 	"snowflow/internal/franking"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postcode"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 	"snowflow/internal/sorter/counterfoil"
@@ -56,17 +58,24 @@
 	choices  *chooser
 }
 
-// Trip is one request's way. Invariant: View, Path, Service and Cutoff are set by the resolve policy and don't change.
+// Trip is one request's way.
+// Invariants: Method and Address are the request's in their one spelling; View, Path, Service and Cutoff are set by the
+// resolve policy, and only a repin changes them; Once never changes once resolved.
 type Trip struct {
 	Request *letter.Request
+	Method  string
+	Address postcode.Address
 	Began   postmark.Micros
 	Cutoff  postmark.Micros
 	View    *franking.View
 	Path    franking.Path
 	Service *franking.Service
+	Once    bool
 	Scope   string
 	Digest  []byte
 	Tries   int
+	// Doubt is set once some try may have run; from then on no refusal says not run.
+	Doubt bool
 	// Final is set once the verdict was checked against the claims.
 	Final bool
 }
@@ -129,7 +138,7 @@
 // Carry gives a request its one outcome: the backend's own complete answer, or a fault.
 func (passage *Passage) Carry(request *letter.Request) (answer *letter.Answer, fault *seal.Fault) {
 	passage.running.Inc()
-	trip := &Trip{Request: request, Began: passage.env.Place.Now(), Scope: scope(request)}
+	trip := &Trip{Request: request, Began: passage.env.Place.Now(), Method: strings.ToUpper(request.Method)}
 	trip.Cutoff = trip.Began + voidPatience // until the path's own limit is known
 	defer func() {
 		if passage.env.Finished != nil {
@@ -142,6 +151,11 @@
 			passage.idle.Fire()
 		}
 	}()
+	var err error
+	if trip.Address, err = postcode.Parse(request.Target); err != nil {
+		return nil, seal.New(seal.Unreadable, seal.NotRun, "%v", err)
+	}
+	trip.Scope = scope(trip)
 	for _, policy := range passage.policies {
 		if fault := policy.Enter(trip); fault != nil {
 			return nil, passage.final(trip, fault)
@@ -164,6 +178,7 @@
 		if fault == nil {
 			return answer, nil
 		}
+		trip.Doubt = trip.Doubt || !fault.NotRun()
 		retry := trip.Service.Retry
 		if !retriable || trip.Tries >= int(retry.GetMostTries()) {
 			return nil, fault
@@ -191,8 +206,8 @@
 	if !live {
 		return
 	}
-	path, found := view.Resolve(trip.Request.Method, trip.Request.Path)
-	if found && path.Once == trip.Path.Once && path.Service.Name == trip.Service.Name {
+	path, found := view.Resolve(trip.Method, trip.Address.Path)
+	if found && once(path, trip) == trip.Once && path.Service.Name == trip.Service.Name {
 		trip.View, trip.Path, trip.Service = view, path, path.Service
 	}
 }
@@ -226,11 +241,11 @@
 		return nil, seal.New(seal.CutoffReached, seal.NotRun, "the cutoff was reached before the pass"), false
 	}
 	ask := &wire.PassAsk{Id: fmt.Sprintf("%s.%d", trip.Request.ID, trip.Tries), Serial: trip.View.Serial, Service: trip.Service.Name,
-		Instance: candidate.Instance, Method: trip.Request.Method, Target: trip.Request.Target, Headers: trip.Request.Headers,
-		Body: trip.Request.Body, Once: trip.Path.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
+		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
+		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
 		AnswerLimit: trip.Service.Limits.GetAnswerBytes()}
-	if trip.Path.Once {
+	if trip.Once {
 		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
 	}
 	tell, err := passage.send(candidate, ask, remaining)
@@ -239,7 +254,7 @@
 	}
 	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
 		ticket.Done(wicket.Neutral)
-		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Path.Once
+		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once
 	}
 	if tell.Refused {
 		return passage.turnedDown(trip, ticket, candidate, tell)
@@ -282,7 +297,7 @@
 	if seal.IsUnreachable(cause) {
 		return nil, seal.New(seal.PassUnreachable, seal.NotRun, "%s: %v", candidate.Carrier, cause), true
 	}
-	if !trip.Path.Once {
+	if !trip.Once {
 		fault := seal.New(seal.PassLost, seal.MayHaveRun, "%s: %v", candidate.Carrier, cause)
 		if passage.env.Place.Now() >= trip.Cutoff {
 			fault = seal.New(seal.CutoffReached, seal.MayHaveRun, "%s gave no answer before the cutoff", candidate.Carrier)
@@ -308,7 +323,7 @@
 	if fault.Cause == seal.BackendDial || fault.Cause == seal.BackendIdentity || fault.Cause == seal.BackendLeaving || fault.Cause == seal.BackendUnknown {
 		passage.choices.shun(candidate.Instance)
 	}
-	retriable := fault.NotRun() || !trip.Path.Once
+	retriable := fault.NotRun() || !trip.Once
 	if fault.Cause == seal.KeyFenced || fault.Cause == seal.ClaimUnreachable {
 		retriable = false
 	}
@@ -330,18 +345,34 @@
 	return tell.Outcome
 }
 
-// scope names what may run once. The service is no part of it: a key must not run twice even when a new desired state
-// sends its path to another service. It's known before the path is resolved, so every refusal can speak of the key.
-func scope(request *letter.Request) string {
-	if request.Key == "" {
+// scope names what may run once: a key at a resource, however that is spelled. The service is no part of it: a key must not
+// run twice even when a new desired state sends its path to another service. It's known before the path is resolved, so
+// every refusal can speak of the key.
+func scope(trip *Trip) string {
+	if trip.Request.Key == "" {
 		return ""
 	}
-	return request.Path + "\n" + request.Key
+	return postcode.Resource(trip.Address.Path) + "\n" + trip.Request.Key
+}
+
+// harmless are the methods that promise to change nothing.
+var harmless = map[string]bool{"GET": true, "HEAD": true}
+
+// once tells whether a request may run only once: on a path of that class, and on any path when it carries a key and its
+// method may change something. The second keeps a key that ran under one desired state from running again under
+// another that has the path as read.
+func once(path franking.Path, trip *Trip) bool {
+	return path.Once || trip.Request.Key != "" && !harmless[trip.Method]
 }
 
 // final makes sure a verdict speaks of the key, not of one try: not run is only said of a run-once request once the
 // claims say the same and are fenced, so that nothing read before can run under the key later.
 func (passage *Passage) final(trip *Trip, fault *seal.Fault) *seal.Fault {
+	if trip.Doubt && fault.NotRun() {
+		doubtful := *fault
+		doubtful.Verdict = seal.MayHaveRun
+		return &doubtful
+	}
 	if trip.Final || trip.Scope == "" || !fault.NotRun() {
 		return fault
 	}
--- a/internal/carrier/passage/policies.go
+++ b/internal/carrier/passage/policies.go
@@ -58,11 +58,11 @@
 	if !live {
 		return seal.New(seal.TenureEnded, seal.NotRun, "the tenure to serve by serial %d has ended", view.Serial)
 	}
-	path, found := view.Resolve(trip.Request.Method, trip.Request.Path)
+	path, found := view.Resolve(trip.Method, trip.Address.Path)
 	if !found {
-		return seal.New(seal.UnknownPath, seal.NotRun, "no service has %s %s", trip.Request.Method, trip.Request.Path)
+		return seal.New(seal.UnknownPath, seal.NotRun, "no service has %s %s", trip.Method, trip.Address.Path)
 	}
-	trip.View, trip.Path, trip.Service = view, path, path.Service
+	trip.View, trip.Path, trip.Service, trip.Once = view, path, path.Service, once(path, trip)
 	limit := trip.Began + postmark.Micros(path.Service.Limits.GetCutoffMicros())
 	trip.Cutoff = limit
 	if trip.Request.Cutoff > 0 {
@@ -73,14 +73,14 @@
 
 // key asks a run-once request for its reference key and takes its digest.
 func (passage *Passage) key(trip *Trip) *seal.Fault {
-	if !trip.Path.Once {
+	if !trip.Once {
 		return nil
 	}
 	if trip.Request.Key == "" || len(trip.Request.Key) > 200 {
-		return seal.New(seal.NoKey, seal.NotRun, "%s needs a reference key of at most 200 bytes in %s", trip.Request.Path, letter.KeyHeader)
+		return seal.New(seal.NoKey, seal.NotRun, "%s needs a reference key of at most 200 bytes in %s", trip.Address.Path, letter.KeyHeader)
 	}
 	sum := sha256.New()
-	sum.Write([]byte(trip.Request.Method + " " + trip.Request.Target + "\n"))
+	sum.Write([]byte(trip.Method + " " + trip.Address.Target + "\n"))
 	sum.Write(trip.Request.Body)
 	trip.Digest = sum.Sum(nil)
 	return nil
--- a/internal/franking/franking.go
+++ b/internal/franking/franking.go
@@ -13,6 +13,7 @@
 
 	"snowflow/internal/env"
 	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postcode"
 	"snowflow/internal/postmark"
 )
 
@@ -42,6 +43,13 @@
 	return state, Check(state)
 }
 
+// Accepted reads a desired state that a postmaster has accepted. It isn't checked again: the postmaster's build may be an
+// earlier one that checked less, or a later one with fields that this build doesn't know.
+func Accepted(content []byte) (*wire.DesiredState, error) {
+	state := &wire.DesiredState{}
+	return state, protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(content, state)
+}
+
 var methods = map[string]bool{"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "*": true}
 
 // checker collects faults.
@@ -126,13 +134,17 @@
 	if !strings.HasPrefix(path.Prefix, "/") || strings.ContainsAny(path.Prefix, "?# ") || len(path.Prefix) > 500 {
 		checker.fault(place+".prefix", "%q must start with / and hold no ?, # or space", path.Prefix)
 	}
+	if spelled, err := postcode.Parse(path.Prefix); strings.HasPrefix(path.Prefix, "/") && (err != nil || spelled.Path != path.Prefix) {
+		checker.fault(place+".prefix", "%q must be spelled as requests are resolved: no escapes, doubled slashes or dot segments", path.Prefix)
+	}
 	if strings.HasPrefix(path.Prefix, "/.snowflow") {
 		checker.fault(place+".prefix", "/.snowflow is the mesh's own")
 	}
 	if path.Class == wire.Path_unset {
 		checker.fault(place+".class", "must be read or once")
 	}
-	key := path.Method + " " + path.Prefix
+	// With and without a slash at the end it's the same resources: they must not be of two classes.
+	key := path.Method + " " + postcode.Resource(path.Prefix)
 	if other, twice := seen[key]; twice {
 		checker.fault(place, "%s is already at %s", key, other)
 	}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -89,15 +89,26 @@
 	quiet    postmark.Micros // how long it listens before it registers
 }
 
-// Desired is the simulated mesh's configuration; variant makes contents differ.
+// Desired is the simulated mesh's configuration; variant makes contents differ. Among the variants, some have submissions as
+// reads, and some send them to the other service: neither may make a key run twice.
 func Desired(variant int) []byte {
+	class, forms, households := "once", "", `{"method":"GET","prefix":"/nothing","class":"read"}`
+	if variant%5 == 4 {
+		class = "read"
+	}
+	submissions := fmt.Sprintf(`{"method":"POST","prefix":"/households","class":"%s"}`, class)
+	if variant%7 == 6 {
+		forms = "," + submissions
+	} else {
+		households = submissions
+	}
 	return []byte(fmt.Sprintf(`{"note":"variant %d","groups":[{"name":"field",
 "guard":{"windowCalls":30,"minimumCalls":8,"failureRate":0.5,"waitOpenMicros":2000000,"permittedHalfOpen":4,"probeTenureMicros":3000000},
 "retry":{"mostTries":3,"budgetRatio":0.2,"allowance":10},
 "limits":{"cutoffMicros":4000000},
 "services":[
-{"name":"forms","paths":[{"method":"GET","prefix":"/forms","class":"read"}]},
-{"name":"households","paths":[{"method":"POST","prefix":"/households","class":"once"}]}]}]}`, variant))
+{"name":"forms","paths":[{"method":"GET","prefix":"/forms","class":"read"}%s]},
+{"name":"households","paths":[%s]}]}]}`, variant, forms, households))
 }
 
 // Build makes a mesh and starts its nodes.
@@ -359,6 +370,9 @@
 	})
 }
 
+var spellings = []string{"/households/%d", "/households/%d", "//households/%d", "/households//%d", "/households/./%d", "/%%68ouseholds/%d", "/forms/../households/%d",
+	"/households/%d/"}
+
 func (mesh *Mesh) call(number int, keyed bool) {
 	chance := mesh.World.Chance()
 	for again := 0; again < 4; again++ {
@@ -366,6 +380,10 @@
 		if keyed {
 			kind, method, path, key = "submission", "POST", fmt.Sprintf("/households/%d", number), fmt.Sprintf("key-%d", number)
 		}
+		if keyed && again > 0 {
+			// Whoever asks again may spell it otherwise: it's the same submission.
+			method, path = pick(mesh, []string{"POST", "POST", "post"}), fmt.Sprintf(pick(mesh, spellings), number)
+		}
 		caller := mesh.carriers[chance.IntN(len(mesh.carriers))]
 		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", kind, number, again), Key: key, Kind: kind, Caller: caller, Method: method, Path: path, Sent: mesh.World.Now()}
 		mesh.History.Send(attempt)
@@ -397,7 +415,7 @@
 			return nil, seal.Refused.New("the door is closed")
 		}
 		life, read = mesh.lives[attempt.Caller], true
-		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Path: attempt.Path, Target: attempt.Path, Key: attempt.Key,
+		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Target: attempt.Path, Key: attempt.Key,
 			ReadAt: life.Moment(), Headers: []*wire.Header{{Name: letter.KeyHeader, Value: attempt.Key}}}
 		if attempt.Caller == mesh.troubled {
 			request.Cutoff = life.Now() + 3*postmark.Millisecond
--- /dev/null
+++ b/internal/postcode/postcode.go
@@ -0,0 +1,66 @@
+// Package postcode gives every resource one spelling, so that a request is resolved, claimed and handed over by the same
+// path however its caller wrote it.
+package postcode
+
+import (
+	"net/url"
+	"strings"
+
+	"snowflow/internal/seal"
+)
+
+// Address is a request's target in its one spelling.
+// Invariants: Path starts with a slash and has no empty, "." or ".." segment; a decoded Path has exactly one Target,
+// leaving the query aside.
+type Address struct {
+	Path   string // decoded, without the query
+	Target string // as it goes out: escaped path and query
+}
+
+// Parse takes a target as it was sent. Escapes are resolved, doubled slashes and dot segments taken out. What different
+// readers would take for different resources is turned down: an escaped slash, a backslash, a control character.
+func Parse(target string) (Address, error) {
+	escaped, query, _ := strings.Cut(target, "?")
+	if !strings.HasPrefix(escaped, "/") {
+		return Address{}, seal.Invalid.New("a target must start with /")
+	}
+	segments := []string{}
+	trailing := false
+	for _, part := range strings.Split(escaped[1:], "/") {
+		segment, err := url.PathUnescape(part)
+		if err != nil {
+			return Address{}, seal.Invalid.New("unreadable escape in %q", part)
+		}
+		if strings.ContainsFunc(segment, ambiguous) {
+			return Address{}, seal.Invalid.New("%q holds a slash, a backslash or a control character", part)
+		}
+		trailing = segment == "" || segment == "." || segment == ".."
+		switch {
+		case segment == ".." && len(segments) > 0:
+			segments = segments[:len(segments)-1]
+		case !trailing:
+			segments = append(segments, segment)
+		}
+	}
+	path := "/" + strings.Join(segments, "/")
+	if trailing && len(segments) > 0 {
+		path += "/"
+	}
+	spelled := Address{Path: path, Target: (&url.URL{Path: path}).EscapedPath()}
+	if query != "" {
+		spelled.Target += "?" + query
+	}
+	return spelled, nil
+}
+
+func ambiguous(character rune) bool {
+	return character == '/' || character == '\\' || character < ' ' || character == 0x7f
+}
+
+// Resource is a path without what only some readers take for a difference: a slash at its end.
+func Resource(path string) string {
+	if trimmed := strings.TrimRight(path, "/"); trimmed != "" {
+		return trimmed
+	}
+	return "/"
+}
--- /dev/null
+++ b/internal/postcode/postcode_test.go
@@ -0,0 +1,31 @@
+package postcode_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"snowflow/internal/postcode"
+)
+
+// TestSpellings keeps a transcript of targets as sent, and what each is resolved, claimed and handed over as.
+func TestSpellings(t *testing.T) {
+	datadriven.RunTest(t, "testdata/spellings", func(t *testing.T, data *datadriven.TestData) string {
+		var text strings.Builder
+		for _, target := range strings.Split(data.Input, "\n") {
+			address, err := postcode.Parse(target)
+			if err != nil {
+				fmt.Fprintf(&text, "%s: refused, %v\n", target, err)
+				continue
+			}
+			// The one spelling of a spelling is itself.
+			if again, err := postcode.Parse(address.Target); err != nil || again != address {
+				t.Errorf("%s: %v, then %v %v", target, address, again, err)
+			}
+			fmt.Fprintf(&text, "%s: path %s, resource %s, sent as %s\n", target, address.Path, postcode.Resource(address.Path), address.Target)
+		}
+		return text.String()
+	})
+}
