--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -169,13 +169,14 @@
 	Passes      int64           `json:"passes_running"`
 	Backends    []*wire.Backend `json:"backends"`
 	Guards      []wicket.Shown  `json:"guards"`
+	Degraded    bool            `json:"guards_degraded"` // it goes by its own windows
 	Members     int             `json:"members_seen"`
 }
 
 // Status tells how this carrier stands.
 func (carrier *Carrier) Status() Status {
 	status := Status{Name: carrier.env.Name, Domain: carrier.env.Domain, Incarnation: carrier.incarnation, Running: carrier.Passage.Running(),
-		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Members: carrier.Roll.Directory().Live}
+		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Degraded: carrier.Wicket.Degraded(), Members: carrier.Roll.Directory().Live}
 	status.Ready, status.Why = carrier.Ready()
 	status.Serial, _ = carrier.Desk.Serial()
 	return status
--- a/internal/carrier/wicket/wicket.go
+++ b/internal/carrier/wicket/wicket.go
@@ -56,8 +56,13 @@
 	queued   int
 	closed   bool
 	idle     office.Signal
+	// unleased lets tries through while half open without a probe; only rehearsals of the checkers set it.
+	unleased bool
 }
 
+// Unleased leaves probes out, to show that a checker sees what comes of it. No program sets it.
+func (wicket *Wicket) Unleased(broken bool) { wicket.unleased = broken }
+
 // breaker is one service's.
 // Invariants: shared is only replaced by a record of the same or a higher serial; local is Closed whenever the shared
 // verdict is not, except while degraded; ids of probes are used once.
@@ -72,6 +77,8 @@
 	calls   uint64
 	failed  uint64
 	told    uint64
+	asked   uint64 // tries that wanted entry, and how many of them were told
+	reached uint64
 }
 
 // Ticket is one admitted try. Done must be called once.
@@ -122,7 +129,8 @@
 	return breakers
 }
 
-func (wicket *Wicket) isDegraded() bool {
+// Degraded tells whether this node goes by its own windows, for want of the shared verdict.
+func (wicket *Wicket) Degraded() bool {
 	wicket.lock.Lock()
 	defer wicket.lock.Unlock()
 	return wicket.degraded
@@ -141,6 +149,7 @@
 	ticket := &Ticket{wicket: wicket, breaker: breaker, service: service, started: wicket.env.Place.Now()}
 	breaker.lock.Lock()
 	breaker.terms = service.Terms()
+	breaker.asked++
 	control := breaker.control
 	state := pigeonhole.Closed
 	if breaker.shared != nil {
@@ -155,7 +164,7 @@
 		ticket.ignored = control != ControlMetricsOnly
 		return ticket, nil
 	}
-	if wicket.isDegraded() {
+	if wicket.Degraded() {
 		state = pigeonhole.Closed
 	}
 	if fault := admissions[state](wicket, breaker, ticket); fault != nil {
@@ -172,6 +181,9 @@
 
 // admitProbe is the one inline call.
 func (wicket *Wicket) admitProbe(breaker *breaker, ticket *Ticket) *seal.Fault {
+	if wicket.unleased {
+		return nil
+	}
 	ticket.probe = fmt.Sprintf("%s-%016x", wicket.env.Carrier, wicket.env.Place.Random())
 	tell := &wire.ProbeLeaseTell{}
 	err := wicket.env.Call(wire.Kind_probe_lease, &wire.ProbeLeaseAsk{Service: breaker.service, Id: ticket.probe,
@@ -233,11 +245,13 @@
 	guard := ticket.service.Guard
 	slow := took > postmark.Micros(guard.GetSlowMicros())
 	if ticket.probe != "" {
-		// Trouble of this node's own tells nothing, so its probe is left to go back when its tenure ends.
-		if outcome != Neutral {
-			wicket.write(&wire.GuardWriteAsk{Service: breaker.service, Verb: "probe", ExpectedSerial: ticket.serial,
-				Id: ticket.probe, Success: outcome == Success && !slow, Terms: ticket.service.Terms()})
+		// Trouble of this node's own tells nothing, so its probe goes back.
+		verb := "probe"
+		if outcome == Neutral {
+			verb = "return"
 		}
+		wicket.write(&wire.GuardWriteAsk{Service: breaker.service, Verb: verb, ExpectedSerial: ticket.serial,
+			Id: ticket.probe, Success: outcome == Success && !slow, Terms: ticket.service.Terms()})
 		return
 	}
 	breaker.lock.Lock()
@@ -401,7 +415,7 @@
 )
 
 func (wicket *Wicket) send(ask *wire.GuardWriteAsk) {
-	if wicket.isDegraded() {
+	if wicket.Degraded() {
 		wicket.env.Place.Report(bulletin.GuardWriteDropped, map[string]any{"service": ask.Service, "verb": ask.Verb, "degraded": true})
 		return
 	}
@@ -465,13 +479,13 @@
 	return nil
 }
 
-// Activity tells which services were called since it was last asked.
+// Activity tells which services were called, or wanted to be, since it was last asked.
 func (wicket *Wicket) Activity() (activity []*wire.Activity) {
 	for _, breaker := range wicket.all() {
 		breaker.lock.Lock()
-		if fresh := breaker.calls - breaker.told; fresh > 0 {
-			activity = append(activity, &wire.Activity{Service: breaker.service, Calls: fresh, Failures: breaker.failed})
-			breaker.told = breaker.calls
+		if calls, asked := breaker.calls-breaker.told, breaker.asked-breaker.reached; calls > 0 || asked > 0 {
+			activity = append(activity, &wire.Activity{Service: breaker.service, Calls: calls, Failures: breaker.failed, Asked: asked})
+			breaker.told, breaker.reached = breaker.calls, breaker.asked
 		}
 		breaker.lock.Unlock()
 	}
--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -35,9 +35,10 @@
 	lock    sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
-	// Stopping is set while a planned stop is under way or over.
-	Stopping bool
-	Started  time.Time
+	killed  bool // this life was ended without a warning
+	// Plan is told of each planned stop's begin; what it gives, of its end.
+	Plan    func(what string) func()
+	Started time.Time
 	// Linger is what its disk takes longer for each sync, from the next start on.
 	Linger time.Duration
 }
@@ -242,7 +243,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	process.command, process.ended, process.Stopping, process.Started = command, ended, false, time.Now()
+	process.command, process.ended, process.killed, process.Started = command, ended, false, time.Now()
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
@@ -261,8 +262,15 @@
 	return nil
 }
 
-// Signal sends a signal, to this process alone.
+// Signal sends a signal, to this process alone. One that kills counts as an end without a warning.
 func (process *Process) Signal(signal syscall.Signal) {
+	process.lock.Lock()
+	process.killed = process.killed || signal == syscall.SIGKILL
+	process.lock.Unlock()
+	process.send(signal)
+}
+
+func (process *Process) send(signal syscall.Signal) {
 	process.lock.Lock()
 	defer process.lock.Unlock()
 	if process.command != nil && process.command.Process != nil {
@@ -270,31 +278,37 @@
 	}
 }
 
-// Kill ends it at once and waits.
+// Kill ends it at once, without a warning, and waits.
 func (process *Process) Kill() {
-	process.Signal(syscall.SIGCONT)
 	process.Signal(syscall.SIGKILL)
+	process.end()
+}
+
+func (process *Process) end() {
+	process.send(syscall.SIGCONT)
+	process.send(syscall.SIGKILL)
 	process.Wait(10 * time.Second)
 }
 
-// Stop begins a planned stop and waits for its end, at most patience.
+// Stop begins a planned stop and waits for its end, at most patience; then it's killed, and what that drops was dropped by
+// a planned stop.
 func (process *Process) Stop(patience time.Duration) bool {
-	process.lock.Lock()
-	process.Stopping = true
-	process.lock.Unlock()
+	if process.Plan != nil {
+		defer process.Plan("planned stop of " + process.Name)()
+	}
 	process.Signal(syscall.SIGTERM)
 	if process.Wait(patience) {
 		return true
 	}
-	process.Kill()
+	process.end()
 	return false
 }
 
-// IsStopping tells whether a planned stop began.
-func (process *Process) IsStopping() bool {
+// Killed tells whether this life was ended, or cut short, without a warning.
+func (process *Process) Killed() bool {
 	process.lock.Lock()
 	defer process.lock.Unlock()
-	return process.Stopping
+	return process.killed
 }
 
 // Wait waits for the process's end.
@@ -313,6 +327,13 @@
 	}
 }
 
+// Age is how long ago it was started last.
+func (process *Process) Age() time.Duration {
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	return time.Since(process.Started)
+}
+
 // Running tells whether it runs.
 func (process *Process) Running() bool {
 	process.lock.Lock()
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"snowflow/examples"
+	"snowflow/internal/carrier"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/layout"
 	"snowflow/internal/depot/standin"
@@ -38,6 +39,7 @@
 	ports     map[string]int
 	processor map[string]int64
 	cleanups  []func()
+	astray    bool // by the watcher's last look
 	watching  chan struct{}
 }
 
@@ -74,6 +76,12 @@
 	if options.Level != "" {
 		stage.Fleet.Level = options.Level
 	}
+	for _, process := range stage.Fleet.All() {
+		process.Plan = func(what string) func() {
+			over := stage.History.Plan(what, stage.Clock.Now())
+			return func() { over(stage.Clock.Now()) }
+		}
+	}
 	for _, process := range stage.Fleet.Core() {
 		if err := stage.Fleet.Slow(process, options.Linger); err != nil {
 			return stage, err
@@ -187,9 +195,8 @@
 	return group[0]
 }
 
-// Watch keeps reading the shared records from the sorters that answer, for rule 10.
+// Watch keeps reading the shared records from the sorters that answer, for rule 10, and what carriers serve by, for rule 6.
 func (stage *Stage) Watch() {
-	permitted := map[string]int{}
 	go func() {
 		for {
 			select {
@@ -203,17 +210,30 @@
 					continue
 				}
 				for _, record := range status.Guards {
-					if record.Terms != nil {
-						permitted[record.Service] = int(record.Terms.Permitted)
-					}
-					stage.History.See(inspector.GuardSeen{Service: record.Service, State: record.State, Serial: record.Serial, Budget: int(record.Budget),
-						Probes: len(record.Probes), Tallies: len(record.Tallies), Permitted: permitted[record.Service], At: stage.Clock.Now(), Source: process.Name})
+					stage.History.See(inspector.Look(record, stage.Clock.Now(), process.Name, stage.astray))
 				}
 			}
+			stage.astray = stage.adopted()
 		}
 	}()
 }
 
+// adopted notes what every carrier serves by, and tells whether some carrier is away or goes by its own windows.
+func (stage *Stage) adopted() (astray bool) {
+	for _, process := range stage.Fleet.Carriers {
+		var status carrier.Status
+		if !process.Running() || process.Age() < 5*time.Second || stage.Operator.Get(process, "/status", &status) != nil {
+			astray = true
+			continue
+		}
+		if status.Ready {
+			stage.History.Adopt(process.Name, status.Serial, stage.Clock.Now())
+		}
+		astray = astray || !status.Ready || status.Degraded
+	}
+	return astray
+}
+
 // Wait lets the traffic go on for a while.
 func (stage *Stage) Wait(span time.Duration) { time.Sleep(span) }
 
--- a/internal/depot/standin/backend.go
+++ b/internal/depot/standin/backend.go
@@ -167,8 +167,12 @@
 		manner = mixed[rand.IntN(len(mixed))]
 	}
 	attempt, try := split(incoming.Header.Get(letter.RequestHeader))
+	answer := backend.body(attempt, body)
 	run := inspector.Run{Attempt: attempt, Try: try, Key: incoming.Header.Get(letter.KeyHeader), Service: backend.Service.Name, Instance: backend.Instance,
 		Method: incoming.Method, Path: incoming.URL.Path, At: backend.clock.Now(), Executed: manner != NotExecuted}
+	if manners[manner] == nil {
+		run.Sum = Sum(answer)
+	}
 	backend.history.Ran(run)
 	served := backend.Served.Inc()
 	if misbehave := manners[manner]; misbehave != nil {
@@ -187,7 +191,6 @@
 		defer func() { <-backend.places }()
 	}
 	time.Sleep(time.Duration(work/2+rand.IntN(work+1)) * time.Microsecond)
-	answer := backend.body(attempt, body)
 	backend.headers(writer.Header(), attempt, answer)
 	writer.WriteHeader(http.StatusOK)
 	_, _ = writer.Write(answer)
--- a/internal/depot/standin/caller.go
+++ b/internal/depot/standin/caller.go
@@ -173,14 +173,12 @@
 		_ = response.Body.Close()
 	}
 	ended := clock.Now()
-	stopping := carrier.IsStopping()
+	killed := carrier.Killed()
 	history.End(func() {
-		attempt.Ended, attempt.Planned = ended, stopping
+		attempt.Ended = ended
 		if err != nil {
-			attempt.Transport = "lost"
-			if wrote.Load() && !reused.Load() && stopping && carrier.Running() {
-				attempt.Transport = "dropped"
-			}
+			// On a connection that was used before the carrier may have ended it before it read anything.
+			attempt.Transport, attempt.Read = "lost", wrote.Load() && !reused.Load() && !killed && ended-attempt.Sent < postmark.Of(client.Timeout)
 			return
 		}
 		attempt.Status = response.StatusCode
@@ -188,7 +186,8 @@
 		attempt.Serial, _ = strconv.ParseUint(response.Header.Get(letter.SerialHeader), 10, 64)
 		attempt.Instance = response.Header.Get(MarkHeader)
 		attempt.Echo = response.Header.Get(EchoHeader)
-		attempt.Whole = response.Header.Get(SumHeader) == Sum(content)
+		attempt.Sum = Sum(content)
+		attempt.Whole = response.Header.Get(SumHeader) == attempt.Sum
 		if attempt.Echo == "" {
 			var refusal counter.Refusal
 			if json.Unmarshal(content, &refusal) == nil && refusal.Cause > 0 {
--- a/internal/depot/standin/operator.go
+++ b/internal/depot/standin/operator.go
@@ -36,6 +36,7 @@
 	if state != nil && len(faults) == 0 {
 		operator.allow(content)
 	}
+	defer func(over func(postmark.Micros)) { over(operator.Clock.Now()) }(operator.History.Plan("a change of the desired state", operator.Clock.Now()))
 	request := fmt.Sprintf("apply-%d", rand.Uint64())
 	cutoff := time.Now().Add(patience)
 	for turn := rand.IntN(len(operator.Fleet.Postmasters)); ; turn++ {
@@ -59,7 +60,7 @@
 	kinds := append(operator.Fleet.Layout.Kinds, operator.Fleet.Layout.LookupKinds()...)
 	for _, kind := range kinds {
 		if path, found := view.Resolve(kind.Method, strings.TrimSuffix(kind.Path, "/")+"/1"); found {
-			operator.History.Allow(kind.Name, path.Service.Name)
+			operator.History.Allow(kind.Name, path.Service.Name, operator.Clock.Now())
 		}
 	}
 }
--- a/internal/inspector/history.go
+++ b/internal/inspector/history.go
@@ -5,6 +5,7 @@
 import (
 	"sync"
 
+	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
 
@@ -25,10 +26,13 @@
 	Serial    uint64
 	Echo      string // the attempt id that the answer names
 	Whole     bool   // the answer's own seal matched
+	Sum       string // of the answer's content as it arrived
 	Instance  string
 	Transport string // the error of an attempt that ended without an answer
 	RetryTold bool   // a Retry-After came along
-	Planned   bool   // the carrier it was sent to was in a planned stop at some time of it
+	// Read is true when the carrier had certainly read it, and was not ended but by a planned stop. Where no answer came to
+	// such a one, it was dropped.
+	Read bool
 }
 
 // Run is one request as a backend saw it.
@@ -41,7 +45,8 @@
 	Method   string
 	Path     string
 	At       postmark.Micros
-	Executed bool // false when the backend said it did not execute it
+	Executed bool   // false when the backend said it did not execute it
+	Sum      string // of the answer's content, empty when it gave none whole
 }
 
 // Left is a backend's word that it is leaving.
@@ -65,6 +70,19 @@
 	Digest string
 }
 
+// Adopted is the desired state by which a carrier serves, as an observer saw it.
+type Adopted struct {
+	Carrier string
+	Serial  uint64
+	At      postmark.Micros
+}
+
+// Planned is a span in which some process stops as planned or a configuration changes. Until is zero while it lasts.
+type Planned struct {
+	What        string
+	From, Until postmark.Micros
+}
+
 // Note is a moment that a scenario marks, for instance the machines' return.
 type Note struct {
 	What string
@@ -77,11 +95,34 @@
 	State     string
 	Serial    uint64
 	Budget    int
-	Probes    int
+	Probes    []string // ids of leased probes
 	Tallies   int
+	Granted   int // in this round, and how many of them went back
+	Returned  int
 	Permitted int
+	Entered   postmark.Micros // holder time
+	Expires   postmark.Micros // holder time
+	Wait      postmark.Micros
+	Tenure    postmark.Micros
 	At        postmark.Micros
 	Source    string
+	// Astray is true while some carrier may go by a verdict of its own: out of reach, frozen or just started.
+	Astray bool
+}
+
+// Look makes of a record what an observer notes of it.
+func Look(record *wire.GuardRecord, at postmark.Micros, source string, astray bool) GuardSeen {
+	terms := record.Terms
+	seen := GuardSeen{Service: record.Service, State: record.State, Serial: record.Serial, Budget: int(record.Budget), Tallies: len(record.Tallies),
+		Permitted: int(max(1, terms.GetPermitted())), Entered: postmark.Micros(record.Entered), Expires: postmark.Micros(record.Expires), Wait: postmark.Micros(terms.GetWaitOpen()),
+		Tenure: postmark.Micros(terms.GetProbeTenure()), At: at, Source: source, Astray: astray}
+	for _, probe := range record.Probes {
+		seen.Probes = append(seen.Probes, probe.Id)
+	}
+	for _, share := range record.Shares {
+		seen.Granted, seen.Returned = seen.Granted+int(share.Granted), seen.Returned+int(share.Returned)
+	}
+	return seen
 }
 
 // History is everything that was seen.
@@ -95,8 +136,11 @@
 	Read     bool // the history was read back at the end
 	Notes    []Note
 	Guards   []GuardSeen
-	// Allowed tells which services a method and path may run on, by any configuration there was.
-	Allowed map[string]map[string]bool
+	Adopted  []Adopted
+	Plans    []*Planned
+	// Allowed tells since when a kind of traffic may run on a service: from when a configuration that sends it there was
+	// first handed in.
+	Allowed map[string]map[string]postmark.Micros
 	// Allowance is the sum of what a service's further tries may come to beyond the ratio.
 	Allowance int
 }
@@ -150,15 +194,37 @@
 	history.Guards = append(history.Guards, seen)
 }
 
-// Allow notes that a configuration sends a method and path prefix to a service.
-func (history *History) Allow(kind, service string) {
+// Adopt notes the desired state that a carrier serves by.
+func (history *History) Adopt(carrier string, serial uint64, at postmark.Micros) {
+	history.lock.Lock()
+	defer history.lock.Unlock()
+	history.Adopted = append(history.Adopted, Adopted{carrier, serial, at})
+}
+
+// Plan notes that something planned begins; what it gives ends it.
+func (history *History) Plan(what string, from postmark.Micros) func(until postmark.Micros) {
+	history.lock.Lock()
+	defer history.lock.Unlock()
+	fresh := &Planned{What: what, From: from}
+	history.Plans = append(history.Plans, fresh)
+	return func(until postmark.Micros) {
+		history.lock.Lock()
+		defer history.lock.Unlock()
+		fresh.Until = until
+	}
+}
+
+// Allow notes that a configuration handed in at a moment sends a kind of traffic to a service.
+func (history *History) Allow(kind, service string, at postmark.Micros) {
 	history.lock.Lock()
 	defer history.lock.Unlock()
 	if history.Allowed == nil {
-		history.Allowed = map[string]map[string]bool{}
+		history.Allowed = map[string]map[string]postmark.Micros{}
 	}
 	if history.Allowed[kind] == nil {
-		history.Allowed[kind] = map[string]bool{}
+		history.Allowed[kind] = map[string]postmark.Micros{}
+	}
+	if since, known := history.Allowed[kind][service]; !known || at < since {
+		history.Allowed[kind][service] = at
 	}
-	history.Allowed[kind][service] = true
 }
--- a/internal/inspector/rules.go
+++ b/internal/inspector/rules.go
@@ -96,8 +96,8 @@
 	return ordered
 }
 
-// notRunIsTrue: an attempt that was refused as not run has no run, before or after; and its key had none yet when the
-// refusal was sent, within the time that claims are kept.
+// notRunIsTrue: an attempt that was refused as not run, read or submission, has no run, before or after; and its key had
+// none yet when it was sent, within the time that claims are kept.
 func notRunIsTrue(history *History) (findings []Finding, seen int) {
 	byAttempt, byKey := map[string]Run{}, map[string][]Run{}
 	for _, run := range history.Runs {
@@ -114,7 +114,7 @@
 			continue
 		}
 		seen++
-		if run, ran := byAttempt[attempt.ID]; ran && attempt.Key != "" {
+		if run, ran := byAttempt[attempt.ID]; ran {
 			findings = append(findings, breach(2, "%s was refused as not run (cause %d) at %d, but ran at %d on %s", attempt.ID, attempt.Cause, attempt.Ended, run.At, run.Instance))
 			continue
 		}
@@ -127,26 +127,33 @@
 	return findings, seen
 }
 
-// ownAnswers: a success is whole, and the answer to the request that got it, and was run by a backend.
+// ownAnswers: a success is whole, and content for content the answer that a backend gave to a run of this very request, or,
+// for a key, to a run under it.
 func ownAnswers(history *History) (findings []Finding, seen int) {
-	ran := map[string]bool{}
-	byKey := map[string]bool{}
+	runs := map[string][]Run{}
 	for _, run := range history.Runs {
-		ran[run.Attempt] = true
-		byKey[run.Key] = true
+		if run.Executed {
+			runs[run.Attempt] = append(runs[run.Attempt], run)
+		}
 	}
 	for _, attempt := range history.Attempts {
 		if attempt.Mesh || attempt.Status < 200 || attempt.Status > 299 {
 			continue
 		}
 		seen++
+		echoed := runs[attempt.Echo]
+		given := slices.ContainsFunc(echoed, func(run Run) bool { return run.Sum != "" && run.Sum == attempt.Sum })
 		switch {
 		case !attempt.Whole:
 			findings = append(findings, breach(3, "%s got a success that is not whole", attempt.ID))
 		case attempt.Key == "" && attempt.Echo != attempt.ID:
 			findings = append(findings, breach(3, "%s got the answer to %s", attempt.ID, attempt.Echo))
-		case attempt.Key == "" && !ran[attempt.ID] || attempt.Key != "" && !byKey[attempt.Key]:
-			findings = append(findings, breach(3, "%s got a success, but no backend ran it", attempt.ID))
+		case len(echoed) == 0:
+			findings = append(findings, breach(3, "%s got a success, but no backend executed %s", attempt.ID, attempt.Echo))
+		case attempt.Key != "" && echoed[0].Key != attempt.Key:
+			findings = append(findings, breach(3, "%s with key %s got the answer to %s with key %s", attempt.ID, attempt.Key, attempt.Echo, echoed[0].Key))
+		case !given:
+			findings = append(findings, breach(3, "%s got an answer that no backend gave to %s", attempt.ID, attempt.Echo))
 		}
 	}
 	return findings, seen
@@ -168,27 +175,29 @@
 	return findings, len(lefts)
 }
 
-// onlyWhereSent: a request only runs on services that some configuration sent its kind to.
+// onlyWhereSent: a request only runs on services that some configuration, handed in by then, sent its kind to; and
+// nothing runs that nobody sent.
 func onlyWhereSent(history *History) (findings []Finding, seen int) {
 	kinds := map[string]string{}
 	for _, attempt := range history.Attempts {
 		kinds[attempt.ID] = attempt.Kind
 	}
 	for _, run := range history.Runs {
+		seen++
 		kind, known := kinds[run.Attempt]
 		if !known {
+			findings = append(findings, breach(5, "%s ran on %s at %d, and nobody sent it", run.Attempt, run.Service, run.At))
 			continue
 		}
-		seen++
-		if !history.Allowed[kind][run.Service] {
-			findings = append(findings, breach(5, "%s of kind %s ran on %s", run.Attempt, kind, run.Service))
+		if since, allowed := history.Allowed[kind][run.Service]; !allowed || run.At < since {
+			findings = append(findings, breach(5, "%s of kind %s ran on %s at %d, where no configuration had sent it", run.Attempt, kind, run.Service, run.At))
 		}
 	}
 	return findings, seen
 }
 
 // noOlder: what is sent more than 2 s after an acknowledgement is handled by that configuration or a newer one; and no
-// carrier falls back.
+// carrier serves by an older one than it did before, over its restarts too.
 func noOlder(history *History) (findings []Finding, seen int) {
 	acks := []Applied{}
 	for _, applied := range history.Applies {
@@ -214,6 +223,13 @@
 			findings = append(findings, breach(6, "%s was sent at %d and handled by serial %d; %d was acknowledged more than 2 s before", attempt.ID, attempt.Sent, attempt.Serial, wanted))
 		}
 	}
+	highest := map[string]uint64{}
+	for _, adopted := range history.Adopted {
+		if adopted.Serial < highest[adopted.Carrier] {
+			findings = append(findings, breach(6, "%s served by serial %d at %d, and by %d before", adopted.Carrier, adopted.Serial, adopted.At, highest[adopted.Carrier]))
+		}
+		highest[adopted.Carrier] = max(highest[adopted.Carrier], adopted.Serial)
+	}
 	return findings, seen
 }
 
@@ -305,103 +321,18 @@
 	return worst
 }
 
-// readIsAnswered: an attempt sent to a carrier in a planned stop is answered, or was never taken.
+// readIsAnswered: while something planned is under way anywhere, a stop of any process or a change, what was read is answered.
 func readIsAnswered(history *History) (findings []Finding, seen int) {
 	for _, attempt := range history.Attempts {
-		if !attempt.Planned {
+		index := slices.IndexFunc(history.Plans, func(plan *Planned) bool {
+			return (attempt.Ended == 0 || attempt.Ended >= plan.From) && (plan.Until == 0 || attempt.Sent <= plan.Until)
+		})
+		if index < 0 {
 			continue
 		}
 		seen++
-		if attempt.Transport == "dropped" {
-			findings = append(findings, breach(9, "%s was read by %s and dropped without an answer in a planned stop", attempt.ID, attempt.Caller))
-		}
-	}
-	return findings, seen
-}
-
-// guardsKept: a record's serial never falls, its slots always add up, and a verdict only changes with its serial.
-func guardsKept(history *History) (findings []Finding, seen int) {
-	type memory struct {
-		serial uint64
-		state  string
-	}
-	last := map[string]memory{}
-	for _, record := range history.Guards {
-		seen++
-		if record.State == "half_open" && record.Budget+record.Probes+record.Tallies != record.Permitted {
-			findings = append(findings, breach(10, "%s at %d: budget %d + probes %d + tallies %d is not %d", record.Service, record.At, record.Budget, record.Probes, record.Tallies, record.Permitted))
-		}
-		earlier, known := last[record.Service]
-		if known && record.Serial < earlier.serial {
-			findings = append(findings, breach(10, "%s fell from serial %d to %d at %d (seen at %s)", record.Service, earlier.serial, record.Serial, record.At, record.Source))
-		}
-		if known && record.Serial == earlier.serial && record.State != earlier.state {
-			findings = append(findings, breach(10, "%s is %s and %s under serial %d", record.Service, earlier.state, record.State, record.Serial))
-		}
-		if !known || record.Serial >= earlier.serial {
-			last[record.Service] = memory{record.Serial, record.State}
-		}
-	}
-	return findings, seen
-}
-
-// nobodySilenced: while a scenario has only one caller's network in trouble, no other caller is refused by a guard.
-func nobodySilenced(history *History) (findings []Finding, seen int) {
-	var from, until postmark.Micros
-	troubled := ""
-	for _, note := range history.Notes {
-		if len(note.What) > 9 && note.What[:9] == "troubled " {
-			from, troubled = note.At, note.What[9:]
-		}
-		if note.What == "untroubled" {
-			until = note.At
-		}
-	}
-	if troubled == "" {
-		return nil, 0
-	}
-	refused := 0
-	for _, attempt := range history.Attempts {
-		if attempt.Caller == troubled || attempt.Sent < from || (until > 0 && attempt.Sent > until) {
-			continue
-		}
-		seen++
-		if attempt.Mesh && (attempt.Cause == 301 || attempt.Cause == 302) {
-			refused++
-		}
-	}
-	if refused > 0 {
-		findings = append(findings, breach(11, "%d requests of other callers were refused by a guard while only %s was in trouble", refused, troubled))
-	}
-	return findings, seen
-}
-
-// backInTime: within 15 s of a noted return each kind of traffic that is sent has a success.
-func backInTime(history *History) (findings []Finding, seen int) {
-	for _, note := range history.Notes {
-		if note.What != "returned" {
-			continue
-		}
-		first := map[string]postmark.Micros{}
-		sent := map[string]bool{}
-		for _, attempt := range history.Attempts {
-			if attempt.Sent < note.At {
-				continue
-			}
-			if attempt.Sent <= note.At+returnTime-promise {
-				sent[attempt.Kind] = true
-			}
-			if !attempt.Mesh && attempt.Status >= 200 && attempt.Status < 300 && attempt.Ended > 0 {
-				if at, known := first[attempt.Kind]; !known || attempt.Ended < at {
-					first[attempt.Kind] = attempt.Ended
-				}
-			}
-		}
-		for _, kind := range slices.Sorted(maps.Keys(sent)) {
-			seen++
-			if at, known := first[kind]; !known || at > note.At+returnTime {
-				findings = append(findings, breach(12, "%s had no success within 15 s of the return at %d (first at %d)", kind, note.At, first[kind]))
-			}
+		if attempt.Read && attempt.Status == 0 {
+			findings = append(findings, breach(9, "%s was read by %s and dropped without an answer during: %s", attempt.ID, attempt.Caller, history.Plans[index].What))
 		}
 	}
 	return findings, seen
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -1,6 +1,7 @@
 package round
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -25,6 +26,8 @@
 	Every postmark.Micros
 	// Prepare may set the mesh up further before traffic starts.
 	Prepare func(mesh *Mesh)
+	// Content makes the desired states, Desired if left out.
+	Content func(variant int) []byte
 	// Sync is how long the core's disks take for one sync, 200 microseconds if left out.
 	Sync postmark.Micros
 }
@@ -168,7 +171,7 @@
 		for _, one := range found {
 			one.manner = manner
 		}
-		mesh.later(mesh.span(5*postmark.Second, 9*postmark.Second), func() {
+		mesh.later(mesh.span(7*postmark.Second, 10*postmark.Second), func() {
 			for _, one := range found {
 				one.manner = ""
 			}
@@ -265,14 +268,56 @@
 
 func init() {
 	add(Course{Name: "troubled", Short: "one caller's network in trouble, all others well", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 4 * postmark.Second,
-		Rules: []int{1, 3, 11}, Prepare: func(mesh *Mesh) {
-			mesh.troubled = mesh.carriers[0]
-			mesh.History.Mark("troubled "+mesh.troubled, mesh.World.Now())
-		}, Faults: []fault{{"cut the troubled carrier from others, one way or both", func(mesh *Mesh) {
-			mesh.cutFor(mesh.troubled, pick(mesh, mesh.carriers), mesh.World.Chance().IntN(2) == 0, mesh.span(500*postmark.Millisecond, 6*postmark.Second))
-		}}, applyOne}})
+		Rules: []int{1, 3, 11}, Prepare: troubles(0, "late"), Faults: []fault{cutTroubled, applyOne}})
+	add(Course{Name: "trials", Short: "a service fails and recovers again and again while two of eight callers' networks are in trouble", Sizes: Sizes{Cores: 3, Carriers: 8, Zones: 2, Backends: 3},
+		Length: 60 * postmark.Second, Rate: 80, Every: 12 * postmark.Second,
+		Rules: []int{1, 3, 8, 10, 11}, Prepare: troubles(6, "slow", "slow"), Content: slowCounts, First: []fault{serviceFailsNoted, nothing, nothing}, Faults: []fault{serviceFailsNoted, nothing}})
 }
 
+// slowCounts is a desired state by which slow calls trip a guard too.
+func slowCounts(variant int) []byte {
+	return bytes.Replace(Desired(variant), []byte(`"failureRate"`), []byte(`"slowRate":0.5,"slowMicros":700000,"failureRate"`), 1)
+}
+
+// troubles puts some callers' networks in trouble, from one caller on, each in its way: late ones give up before any answer
+// can come, slow ones get every answer late, as over a line that delays.
+func troubles(first int, ways ...string) func(mesh *Mesh) {
+	return func(mesh *Mesh) {
+		for index, way := range ways {
+			name := mesh.carriers[first+index]
+			mesh.troubled[name] = way
+			for _, other := range mesh.carriers {
+				if mesh.troubled[name] == "slow" && other != name {
+					mesh.World.Delay(name, other, 500*postmark.Millisecond)
+					mesh.World.Delay(other, name, 500*postmark.Millisecond)
+				}
+			}
+			mesh.History.Mark("troubled "+name, mesh.World.Now())
+		}
+	}
+}
+
+var nothing = fault{"nothing more", func(*Mesh) {}}
+
+var (
+	cutTroubled = fault{"cut the troubled carrier from others, one way or both", func(mesh *Mesh) {
+		mesh.cutFor(mesh.carriers[0], pick(mesh, mesh.carriers), mesh.World.Chance().IntN(2) == 0, mesh.span(500*postmark.Millisecond, 6*postmark.Second))
+	}}
+	serviceFailsNoted = fault{"make a whole service fail, and note when it's well again", func(mesh *Mesh) {
+		found := mesh.live(pick(mesh, []string{"forms", "households"}))
+		for _, one := range found {
+			one.manner = "failing"
+		}
+		mesh.History.Mark("failing", mesh.World.Now())
+		mesh.later(8*postmark.Second, func() {
+			for _, one := range found {
+				one.manner = ""
+			}
+			mesh.History.Mark("recovered", mesh.World.Now())
+		})
+	}}
+)
+
 var (
 	killEverything = fault{"power off everything", func(mesh *Mesh) {
 		nodes := mesh.allCore()
@@ -306,7 +351,7 @@
 			return
 		}
 		mesh.stopping[name] = true
-		life := mesh.lives[name]
+		life, over := mesh.lives[name], mesh.History.Plan("planned stop of "+name, mesh.World.Now())
 		mesh.Outside.Go(func() {
 			_, _ = mesh.Outside.Transact(node.Address, 20*postmark.Second, func(*world.Node) ([]byte, error) {
 				if !mesh.breakage.NoDrain {
@@ -316,6 +361,7 @@
 			})
 			mesh.World.At(mesh.World.Now(), func() {
 				mesh.World.Kill(node)
+				over(mesh.World.Now())
 				mesh.later(200*postmark.Millisecond, func() {
 					mesh.stopping[name], mesh.shut[name] = false, false
 					mesh.World.Start(node)
@@ -328,6 +374,7 @@
 		if node == nil {
 			return
 		}
+		over := mesh.History.Plan("planned stop of "+node.Name, mesh.World.Now())
 		mesh.Outside.Go(func() {
 			_, _ = mesh.Outside.Transact(node.Address, 5*postmark.Second, func(*world.Node) ([]byte, error) {
 				if one := mesh.sorters[node.Name]; one != nil {
@@ -339,6 +386,7 @@
 			})
 			mesh.World.At(mesh.World.Now(), func() {
 				mesh.World.Kill(node)
+				over(mesh.World.Now())
 				mesh.later(300*postmark.Millisecond, func() { mesh.World.Start(node) })
 			})
 		})
@@ -376,7 +424,7 @@
 )
 
 func init() {
-	add(Course{Name: "core", Short: "the core's failures alone: kills, power, disks, cuts, freezes, planned stops", Sizes: small, Length: 50 * postmark.Second, Rate: 25, Every: 3 * postmark.Second,
+	add(Course{Name: "core", Short: "the core's failures alone: kills, power, disks, cuts, freezes, planned stops", Sizes: small, Length: 50 * postmark.Second, Rate: 40, Every: 3 * postmark.Second,
 		Rules: []int{1, 3, 6, 7, 10, 12}, First: []fault{serviceFails, applyOne, killLeader},
 		Faults: []fault{killCore, killLeader, killAllCore, powerLoss, freezeCore, freezeLeader, cutCore, slowDisk, fullDisk, failSync, loseDisk, damageDisk, handOver, applyOne, applyRace, moveCore}})
 	add(Course{Name: "acknowledged", Short: "power of the whole core, or one machine's disk, lost at the moment of an acknowledgement", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 9 * postmark.Second,
@@ -425,7 +473,11 @@
 	for _, node := range mesh.allCore() {
 		node.Disk.Delay = mesh.sync
 	}
-	mesh.Outside.Go(func() { mesh.apply(Desired(0), false, 0, 20*postmark.Second) })
+	content := course.Content
+	if content == nil {
+		content = Desired
+	}
+	mesh.Outside.Go(func() { mesh.apply(content(0), false, 0, 20*postmark.Second) })
 	mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
 	if course.Prepare != nil {
 		course.Prepare(mesh)
@@ -497,5 +549,7 @@
 	for _, one := range mesh.backends {
 		one.manner = ""
 	}
+	mesh.troubled = nil
+	mesh.History.Mark("untroubled", mesh.World.Now())
 	mesh.History.Mark("returned", mesh.World.Now())
 }
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -37,6 +37,7 @@
 	cores       []string // machines
 	carriers    []string // nodes
 	lives       map[string]*carrier.Carrier
+	begun       map[string]postmark.Micros // when each life of a carrier began, by its own clock
 	masters     map[string]*postmaster.Postmaster
 	sorters     map[string]*sorter.Sorter
 	backends    []*backend
@@ -44,12 +45,12 @@
 	number      int
 	serving     bool
 	latest      uint64
-	onlyPlanned bool            // carriers are only ended by planned stops in this run
-	stopping    map[string]bool // carriers in a planned stop
-	shut        map[string]bool // carriers whose callers' door is closed
-	sync        postmark.Micros // the core disks' ordinary time for a sync
-	lossFrom    postmark.Micros // no disk is lost before
-	troubled    string          // the carrier whose callers give up too early, as over a bad network
+	onlyPlanned bool              // carriers are only ended by planned stops in this run
+	stopping    map[string]bool   // carriers in a planned stop
+	shut        map[string]bool   // carriers whose callers' door is closed
+	sync        postmark.Micros   // the core disks' ordinary time for a sync
+	lossFrom    postmark.Micros   // no disk is lost before
+	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
 	breakage    Breakage
 	log         []string
@@ -63,19 +64,19 @@
 
 // Breakage turns a part of the mesh off, to show that the checkers see it.
 type Breakage struct {
-	NoClaims     bool // run-once requests are not claimed
-	LeaveIgnored bool // backends' leaving isn't noted
-	NoIdentity   bool // backends aren't asked who they are
-	NoTenure     bool // carriers serve without a live tenure
-	NoSync       bool // syncs do nothing
-	TrustShort   bool // short answers pass for whole
-	LeakSlots    bool // slots of a round are lost
-	NoBudget     bool // further tries are not bounded
-	AnyTrip      bool // one carrier's trip opens a guard for all
-	NoDrain      bool // a planned stop ends at once
-	NoReturn     bool // the core stays down at the end
-	StoppedClock bool // clocks stand still while a process is frozen
-	Stubborn     bool // who does a duty goes on past its tenure
+	Unleased     bool   // carriers let calls through while half open without leasing a probe
+	NoClaims     bool   // run-once requests are not claimed
+	LeaveIgnored bool   // backends' leaving isn't noted
+	NoIdentity   bool   // backends aren't asked who they are
+	NoTenure     bool   // carriers serve without a live tenure
+	NoSync       bool   // syncs do nothing
+	TrustShort   bool   // short answers pass for whole
+	Guards       string // what is wrong with the guards' table, one of pigeonhole's words
+	NoBudget     bool   // further tries are not bounded
+	NoDrain      bool   // a planned stop ends at once
+	NoReturn     bool   // the core stays down at the end
+	StoppedClock bool   // clocks stand still while a process is frozen
+	Stubborn     bool   // who does a duty goes on past its tenure
 }
 
 type backend struct {
@@ -113,7 +114,7 @@
 
 // Build makes a mesh and starts its nodes.
 func Build(seed uint64, sizes Sizes, breakage Breakage) *Mesh {
-	mesh := &Mesh{World: world.New(seed), History: &inspector.History{Allowance: 10 + 2}, sizes: sizes, lives: map[string]*carrier.Carrier{},
+	mesh := &Mesh{World: world.New(seed), History: &inspector.History{Allowance: 10 + 2}, sizes: sizes, lives: map[string]*carrier.Carrier{}, begun: map[string]postmark.Micros{}, troubled: map[string]string{},
 		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, stopping: map[string]bool{}, shut: map[string]bool{}, breakage: breakage}
 	mesh.World.Trace = func(at postmark.Micros, node string, number int, fields map[string]any) {
 		if number == 601 {
@@ -181,7 +182,7 @@
 		if group == "sorter" {
 			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust,
 				Prepare: func(state *rack.Rack) {
-					state.Guards.Leaky, state.Guards.AnyTrip = mesh.breakage.LeakSlots, mesh.breakage.AnyTrip
+					state.Guards.Broken = mesh.breakage.Guards
 				}})
 			if err != nil {
 				return nil, err
@@ -217,9 +218,10 @@
 		one.Desk.Untenured(mesh.breakage.NoTenure)
 		one.Rota.Stubborn(mesh.breakage.Stubborn)
 		one.Purse.Unlimited(mesh.breakage.NoBudget)
+		one.Wicket.Unleased(mesh.breakage.Unleased)
 		one.Register(table)
 		one.Start()
-		mesh.lives[name] = one
+		mesh.lives[name], mesh.begun[name] = one, place.Now()
 		return table, nil
 	})
 }
@@ -328,8 +330,13 @@
 	if manner == "mixed" {
 		manner = []string{"", "", "failing", "losing", "short", "not_executed"}[chance.IntN(6)]
 	}
-	mesh.History.Ran(inspector.Run{Attempt: order.ID[:position], Try: try, Key: letter.Header(order.Headers, letter.KeyHeader), Service: found.service,
+	body := []byte(order.ID[:position] + " answered by " + found.instance)
+	given := map[string]string{"": sum(body), "slow": sum(body)}[manner]
+	mesh.History.Ran(inspector.Run{Sum: given, Attempt: order.ID[:position], Try: try, Key: letter.Header(order.Headers, letter.KeyHeader), Service: found.service,
 		Instance: found.instance, Method: order.Method, Path: order.Target, At: mesh.World.Now(), Executed: manner != "not_executed"})
+	if found.service == "households" && chance.IntN(4) == 0 {
+		mesh.lookup(order, found)
+	}
 	if manner == "slow" {
 		courier.place.Sleep(6 * postmark.Second)
 	}
@@ -337,7 +344,6 @@
 	if courier.place.Now() >= order.Cutoff {
 		return nil, seal.New(seal.AnswerLate, seal.MayHaveRun, "late")
 	}
-	body := []byte(order.ID[:position] + " answered")
 	answer := &letter.Answer{Status: 200, Body: body, Headers: []*wire.Header{{Name: "Sum", Value: sum(body)}, {Name: "Echo", Value: order.ID[:position]}}}
 	switch {
 	case manner == "losing" || !found.up:
@@ -354,6 +360,20 @@
 	return answer, nil
 }
 
+// lookup is a backend's own call through the carrier beside it: mostly a quick read, at times the very submission that it
+// is running, which must not run again on that path either.
+func (mesh *Mesh) lookup(order gate.Order, from *backend) {
+	mesh.number++
+	attempt := &inspector.Attempt{ID: fmt.Sprintf("lookup-%d", mesh.number), Kind: "lookup", Caller: from.carrier, Method: "GET", Path: fmt.Sprintf("/forms/%d", mesh.number), Sent: mesh.World.Now()}
+	if mesh.World.Chance().IntN(4) == 0 {
+		attempt.Kind, attempt.Method, attempt.Path, attempt.Key = "submission", order.Method, order.Target, letter.Header(order.Headers, letter.KeyHeader)
+	}
+	mesh.Outside.Go(func() {
+		mesh.History.Send(attempt)
+		mesh.send(attempt)
+	})
+}
+
 func sum(content []byte) string { return fmt.Sprint(crc32.ChecksumIEEE(content)) }
 
 // ---- callers ----
@@ -384,7 +404,10 @@
 			// Whoever asks again may spell it otherwise: it's the same submission.
 			method, path = pick(mesh, []string{"POST", "POST", "post"}), fmt.Sprintf(pick(mesh, spellings), number)
 		}
-		caller := mesh.carriers[chance.IntN(len(mesh.carriers))]
+		caller := pick(mesh, mesh.carriers)
+		if eager := slices.Sorted(maps.Keys(mesh.troubled)); len(eager) > 1 && chance.IntN(4) > 0 {
+			caller = pick(mesh, eager) // whoever is in trouble asks and asks
+		}
 		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", kind, number, again), Key: key, Kind: kind, Caller: caller, Method: method, Path: path, Sent: mesh.World.Now()}
 		mesh.History.Send(attempt)
 		mesh.send(attempt)
@@ -400,6 +423,7 @@
 	Serial  uint64
 	Echo    string
 	Whole   bool
+	Sum     string
 	Mesh    bool
 	Cause   uint32
 	NotRun  bool
@@ -409,7 +433,7 @@
 
 func (mesh *Mesh) send(attempt *inspector.Attempt) {
 	node := mesh.World.Node(attempt.Caller)
-	life, read, stopping := mesh.lives[attempt.Caller], false, mesh.stopping[attempt.Caller]
+	life, read := mesh.lives[attempt.Caller], false
 	content, err := mesh.Outside.Transact(node.Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
 		if mesh.shut[attempt.Caller] {
 			return nil, seal.Refused.New("the door is closed")
@@ -417,28 +441,24 @@
 		life, read = mesh.lives[attempt.Caller], true
 		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Target: attempt.Path, Key: attempt.Key,
 			ReadAt: life.Moment(), Headers: []*wire.Header{{Name: letter.KeyHeader, Value: attempt.Key}}}
-		if attempt.Caller == mesh.troubled {
+		if mesh.troubled[attempt.Caller] == "late" {
 			request.Cutoff = life.Now() + 3*postmark.Millisecond
 		}
 		answer, fault := life.Passage.Carry(request)
 		if fault != nil {
 			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter > 0})
 		}
-		return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body)})
+		return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body), Sum: sum(answer.Body)})
 	})
 	attempt.Ended = mesh.World.Now()
-	attempt.Planned = stopping || mesh.stopping[attempt.Caller]
+	attempt.Read = read && mesh.onlyPlanned
 	if err != nil {
 		attempt.Transport = "lost"
-		// The carrier had read it, and was killed by nobody before its planned stop was over.
-		if read && attempt.Planned && mesh.onlyPlanned {
-			attempt.Transport = "dropped"
-		}
 		return
 	}
 	var reply told
 	_ = json.Unmarshal(content, &reply)
-	attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole = int(reply.Status), reply.Serial, reply.Echo, reply.Whole
+	attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole, attempt.Sum = int(reply.Status), reply.Serial, reply.Echo, reply.Whole, reply.Sum
 	attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry
 }
 
@@ -449,13 +469,14 @@
 	state, faults := franking.Parse(content)
 	if state != nil && len(faults) == 0 {
 		view := franking.Compile(state, 0, "")
-		for kind, sample := range map[string][2]string{"form": {"GET", "/forms/1"}, "submission": {"POST", "/households/1"}} {
+		for kind, sample := range map[string][2]string{"form": {"GET", "/forms/1"}, "lookup": {"GET", "/forms/1"}, "submission": {"POST", "/households/1"}} {
 			if path, found := view.Resolve(sample[0], sample[1]); found {
-				mesh.History.Allow(kind, path.Service.Name)
+				mesh.History.Allow(kind, path.Service.Name, mesh.World.Now())
 			}
 		}
 	}
 	ask := &wire.DesiredApplyAsk{Content: content, AnySerial: any, ExpectedSerial: expected, Request: fmt.Sprintf("apply-%x", mesh.Outside.Random())}
+	defer func(over func(postmark.Micros)) { over(mesh.World.Now()) }(mesh.History.Plan("a change of the desired state", mesh.World.Now()))
 	cutoff := mesh.World.Now() + patience
 	for mesh.World.Now() < cutoff {
 		leader := mesh.book.Leader(postmaster.Group)
@@ -498,10 +519,22 @@
 					continue
 				}
 				for _, record := range mesh.sorters[name].Guards() {
-					mesh.History.See(inspector.GuardSeen{Service: record.Service, State: record.State, Serial: record.Serial, Budget: int(record.Budget),
-						Probes: len(record.Probes), Tallies: len(record.Tallies), Permitted: int(record.Terms.GetPermitted()), At: mesh.World.Now(), Source: name})
+					mesh.History.See(inspector.Look(record, mesh.World.Now(), name, mesh.astray()))
+				}
+			}
+			for _, name := range mesh.carriers {
+				if view, live := mesh.lives[name].Desk.Current(); live && mesh.World.Node(name).Up() {
+					mesh.History.Adopt(name, view.Serial, mesh.World.Now())
 				}
 			}
 		}
 	})
 }
+
+// astray tells whether some carrier may go by a verdict of its own now.
+func (mesh *Mesh) astray() bool {
+	return slices.ContainsFunc(mesh.carriers, func(name string) bool {
+		node, life := mesh.World.Node(name), mesh.lives[name]
+		return !node.Up() || mesh.World.Frozen(node) || life.Wicket.Degraded() || life.Now()-mesh.begun[name] < 5*postmark.Second
+	})
+}
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -12,6 +12,7 @@
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
+	"snowflow/internal/sorter/pigeonhole"
 )
 
 // seeds gives the fixed seeds, or a range from the environment for longer runs.
@@ -56,6 +57,7 @@
 func TestEverything(t *testing.T)     { play(t, "everything", 1, 2, 2074) }
 func TestFour(t *testing.T)           { play(t, "four", 1, 2017) }
 func TestTroubled(t *testing.T)       { play(t, "troubled", 21) }
+func TestTrials(t *testing.T)         { play(t, "trials", 1) }
 func TestCore(t *testing.T)           { play(t, "core", 1, 2) }
 func TestConfigurations(t *testing.T) { play(t, "configurations", 1) }
 func TestBackends(t *testing.T)       { play(t, "backends", 1) }
@@ -99,8 +101,13 @@
 		{"syncs that do nothing", 7, "acknowledged", Breakage{NoSync: true}},
 		{"tries without a budget", 8, "backends", Breakage{NoBudget: true}},
 		{"a planned stop that ends at once", 9, "drains", Breakage{NoDrain: true}},
-		{"slots that leak", 10, "guards", Breakage{LeakSlots: true}},
-		{"every trip opens for all", 11, "troubled", Breakage{AnyTrip: true}},
+		{"slots that leak", 10, "guards", Breakage{Guards: pigeonhole.Leaky}},
+		{"every trip opens for all", 11, "troubled", Breakage{Guards: pigeonhole.AnyTrip}},
+		{"one carrier may take a round and reopen alone", 11, "trials", Breakage{Guards: pigeonhole.Greedy}},
+		{"closed without a trial", 10, "guards", Breakage{Guards: pigeonhole.Hasty}},
+		{"a wait cut short", 10, "guards", Breakage{Guards: pigeonhole.Impatient}},
+		{"probes that never go back", 10, "guards", Breakage{Guards: pigeonhole.Clinging}},
+		{"calls in a trial without a probe", 10, "trials", Breakage{Unleased: true}},
 		{"a core that stays away", 12, "core", Breakage{NoReturn: true}},
 	}
 	for _, one := range broken {
@@ -182,8 +189,6 @@
 	}}
 }
 
-var nothing = fault{"nothing more", func(*Mesh) {}}
-
 // TestVerdictOnSlowDisk: services fail and recover while one core machine is slow and another down. Carriers must go by
 // the shared verdict still, not fall back to their own windows with every write or probe that waits for a sync.
 func TestVerdictOnSlowDisk(t *testing.T) {
--- a/internal/mailround/world/world.go
+++ b/internal/mailround/world/world.go
@@ -31,6 +31,7 @@
 	yielded  chan struct{}
 	nodes    map[string]*Node
 	cuts     map[[2]string]bool
+	delays   map[[2]string]postmark.Micros
 	// Lag bounds a message's ordinary time on the way.
 	Lag postmark.Micros
 	// Trace is told every report of every node, if set.
@@ -109,7 +110,7 @@
 // New makes a world from a seed.
 func New(seed uint64) *World {
 	return &World{now: postmark.Minute, chance: rand.New(rand.NewPCG(seed, 0x736e6f77)), yielded: make(chan struct{}),
-		nodes: map[string]*Node{}, links: map[[2]string]*link{}, cuts: map[[2]string]bool{}, Calls: map[string]map[wire.Kind]int{}, Bytes: map[string]int{}, Lag: 2 * postmark.Millisecond}
+		nodes: map[string]*Node{}, links: map[[2]string]*link{}, delays: map[[2]string]postmark.Micros{}, cuts: map[[2]string]bool{}, Calls: map[string]map[wire.Kind]int{}, Bytes: map[string]int{}, Lag: 2 * postmark.Millisecond}
 }
 
 // Now is the observer's clock.
@@ -256,8 +257,10 @@
 // Cut stops messages from one machine to another.
 func (world *World) Cut(from, into string) { world.cuts[[2]string{from, into}] = true }
 
-// Mend ends all cuts.
-func (world *World) Mend() { world.cuts = map[[2]string]bool{} }
+// Mend ends all cuts and delays.
+func (world *World) Mend() {
+	world.cuts, world.delays = map[[2]string]bool{}, map[[2]string]postmark.Micros{}
+}
 
 func (world *World) isCut(from, into string) bool { return world.cuts[[2]string{from, into}] }
 
@@ -587,7 +590,12 @@
 		}
 		deliver()
 	}
-	world.push(world.now+world.way(from), nil, 0, arrive)
+	world.push(world.now+world.way(from)+world.delays[[2]string{from.Machine, into.Machine}], nil, 0, arrive)
+}
+
+// Delay makes messages from one machine to another take longer.
+func (world *World) Delay(from, into string, span postmark.Micros) {
+	world.delays[[2]string{from, into}] = span
 }
 
 func (world *World) at(address string) *Node {
@@ -621,5 +629,8 @@
 	delete(world.cuts, [2]string{other, one})
 }
 
+// Frozen tells whether a node stands still.
+func (world *World) Frozen(node *Node) bool { return node.frozen > world.now }
+
 // Thaw ends a freeze.
 func (world *World) Thaw(node *Node) { node.frozen = min(node.frozen, world.now) }
--- a/internal/sorter/directory/directory.go
+++ b/internal/sorter/directory/directory.go
@@ -28,11 +28,34 @@
 	source   uint64
 	lock     sync.Mutex
 	sessions map[string]*entry
-	activity map[string]map[string]postmark.Micros
+	activity lately // whose calls ended
+	demand   lately // whose tries wanted entry
 	serial   uint64
 	born     postmark.Micros
 }
 
+// lately holds, by service, when a carrier last did something.
+type lately map[string]map[string]postmark.Micros
+
+func (lately lately) note(service, carrier string, now postmark.Micros) {
+	if lately[service] == nil {
+		lately[service] = map[string]postmark.Micros{}
+	}
+	lately[service][carrier] = now
+}
+
+func (lately lately) list(service string, now postmark.Micros) (carriers []string) {
+	for carrier, called := range lately[service] {
+		if now-called >= activeLife {
+			delete(lately[service], carrier)
+			continue
+		}
+		carriers = append(carriers, carrier)
+	}
+	sort.Strings(carriers)
+	return carriers
+}
+
 type entry struct {
 	session *wire.Session
 	heard   postmark.Micros
@@ -42,7 +65,7 @@
 
 // New makes a directory; source tells its serials from those of another life.
 func New(clock postmark.Clock, source uint64) *Directory {
-	return &Directory{clock: clock, source: source, born: clock.Now(), sessions: map[string]*entry{}, activity: map[string]map[string]postmark.Micros{}, serial: 1}
+	return &Directory{clock: clock, source: source, born: clock.Now(), sessions: map[string]*entry{}, activity: lately{}, demand: lately{}, serial: 1}
 }
 
 // Tell takes a session as heard age ago. It tells whether the session is new here.
@@ -150,32 +173,21 @@
 
 // Live counts the members.
 func (directory *Directory) Live() int {
-	directory.lock.Lock()
-	defer directory.lock.Unlock()
-	count := 0
-	for _, present := range directory.sessions {
-		if !present.ended && !present.session.Leaving {
-			count++
-		}
-	}
-	return count
+	return len(directory.Members())
 }
 
 // activeLife is how long a call keeps its carrier counted as active on a service.
 const activeLife = 10 * postmark.Second
 
-// Called notes that a carrier called a service.
+// Called notes that a carrier called services, or wanted to.
 func (directory *Directory) Called(carrier string, services []*wire.Activity) {
 	directory.lock.Lock()
 	defer directory.lock.Unlock()
 	for _, activity := range services {
-		if activity.Calls == 0 {
-			continue
-		}
-		if directory.activity[activity.Service] == nil {
-			directory.activity[activity.Service] = map[string]postmark.Micros{}
+		directory.demand.note(activity.Service, carrier, directory.clock.Now())
+		if activity.Calls > 0 {
+			directory.activity.note(activity.Service, carrier, directory.clock.Now())
 		}
-		directory.activity[activity.Service][carrier] = directory.clock.Now()
 	}
 }
 
@@ -183,15 +195,25 @@
 func (directory *Directory) Active(service string) (carriers []string) {
 	directory.lock.Lock()
 	defer directory.lock.Unlock()
-	now := directory.clock.Now()
-	for carrier, called := range directory.activity[service] {
-		if now-called >= activeLife {
-			delete(directory.activity[service], carrier)
-			continue
+	return directory.activity.list(service, directory.clock.Now())
+}
+
+// Demand lists the carriers that lately wanted entry to a service, let in or not.
+func (directory *Directory) Demand(service string) []string {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	return directory.demand.list(service, directory.clock.Now())
+}
+
+// Members lists the carriers that are there and not leaving.
+func (directory *Directory) Members() (carriers []string) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	for _, name := range directory.names() {
+		if present := directory.sessions[name]; !present.ended && !present.session.Leaving {
+			carriers = append(carriers, name)
 		}
-		carriers = append(carriers, carrier)
 	}
-	sort.Strings(carriers)
 	return carriers
 }
 
--- a/internal/sorter/pigeonhole/pigeonhole.go
+++ b/internal/sorter/pigeonhole/pigeonhole.go
@@ -24,6 +24,8 @@
 	reportLife = 10 * postmark.Second
 	// decisionLife is how long a complete round waits for its last prober's decision before the holder decides itself.
 	decisionLife = 2 * postmark.Second
+	// leftOver is how old a round must be before callers may take what others of their share left.
+	leftOver = postmark.Second
 )
 
 // Table holds the records.
@@ -32,14 +34,24 @@
 //   - the serial rises with every change of state and never falls, even when the record expires;
 //   - while half open: budget + probes + tallies == permitted, so no slot is lost or made;
 //   - an id is in probes or in tallies, never in both; only ids that were leased are ever tallied;
+//   - the shares' granted less returned are probes + tallies; shares are only kept while half open;
 //   - reports are only kept while closed.
 type Table struct {
 	records map[string]*wire.GuardRecord
-	// Leaky loses the slots of ended carriers, and AnyTrip opens on a single report; only rehearsals of the checkers
-	// set them.
-	Leaky, AnyTrip bool
+	// Broken names the one thing that is wrong with this table; only rehearsals of the checkers set it.
+	Broken string
 }
 
+// What may be wrong with a table, to show that a checker sees it.
+const (
+	Leaky     = "leaky"     // slots that went back are lost
+	AnyTrip   = "any_trip"  // one carrier's trip opens for all
+	Greedy    = "greedy"    // no shares: one carrier may take a whole round, and reopens alone
+	Hasty     = "hasty"     // after the wait it closes without a trial
+	Impatient = "impatient" // a quarter of the wait is enough
+	Clinging  = "clinging"  // probes never go back
+)
+
 // New makes an empty table.
 func New() *Table { return &Table{records: map[string]*wire.GuardRecord{}} }
 
@@ -91,27 +103,59 @@
 	}
 }
 
+// enter changes the state. Whose probes failed a round are its suspects until the next one is over.
 func enter(record *wire.GuardRecord, state string, now postmark.Micros) {
+	if record.State != Open {
+		record.Suspects = nil
+	}
+	if record.State == HalfOpen && state == Open {
+		record.Suspects = carriersOf(failures(record))
+	}
 	record.State, record.Entered = state, int64(now)
 	record.Serial++
-	record.Budget, record.Probes, record.Tallies, record.RoundComplete, record.Reports = 0, nil, nil, 0, nil
+	record.Budget, record.Probes, record.Tallies, record.RoundComplete, record.Reports, record.Shares = 0, nil, nil, 0, nil, nil
 	if state == HalfOpen {
 		record.Budget = max(1, record.Terms.Permitted)
 	}
 }
 
+// failures are the tallies of a round's failed probes.
+func failures(record *wire.GuardRecord) (failed []*wire.ProbeTally) {
+	for _, entry := range record.Tallies {
+		if !entry.Success {
+			failed = append(failed, entry)
+		}
+	}
+	return failed
+}
+
+// carriersOf lists the carriers of tallies, each once.
+func carriersOf(tallies []*wire.ProbeTally) []string {
+	names := map[string]bool{}
+	for _, entry := range tallies {
+		names[entry.Carrier] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 type verb func(record *wire.GuardRecord, ask *wire.GuardWriteAsk, now postmark.Micros) bool
 
-var verbs = map[string]verb{"trip": trip, "probe": tally, "decide": decide}
+var verbs = map[string]verb{"trip": trip, "probe": tally, "return": giveBack, "decide": decide}
 
 // Write carries out a fenced write. A serial that doesn't match changes nothing; either way the present record comes back.
 func (table *Table) Write(ask *wire.GuardWriteAsk, now postmark.Micros) *wire.GuardWriteTell {
 	record := table.record(ask.Service, ask.Terms, now)
 	tell := &wire.GuardWriteTell{}
 	if carryOut := verbs[ask.Verb]; carryOut != nil && ask.ExpectedSerial == record.Serial {
-		if table.AnyTrip {
+		if table.Broken == AnyTrip {
 			ask.Active = nil
 		}
+		if table.Broken == Clinging && ask.Verb == "return" {
+			carryOut = verbs["trip"] // which a half-open record turns down
+		}
+		if table.Broken == Greedy && ask.Verb == "decide" && overRate(record) {
+			ask.Decision = Open
+		}
 		if tell.Applied = carryOut(record, ask, now); tell.Applied {
 			touch(record, now)
 		}
@@ -151,23 +195,57 @@
 
 // tally counts a leased probe's outcome, once.
 func tally(record *wire.GuardRecord, ask *wire.GuardWriteAsk, now postmark.Micros) bool {
+	if !takeBack(record, ask) {
+		return false
+	}
+	record.Tallies = append(record.Tallies, &wire.ProbeTally{Id: ask.Id, Success: ask.Success, Carrier: ask.Carrier})
+	if len(record.Tallies) >= int(max(1, record.Terms.Permitted)) {
+		record.RoundComplete = int64(now)
+	}
+	return true
+}
+
+// giveBack returns a leased probe that told nothing of the service.
+func giveBack(record *wire.GuardRecord, ask *wire.GuardWriteAsk, _ postmark.Micros) bool {
+	if !takeBack(record, ask) {
+		return false
+	}
+	returned(record, ask.Carrier)
+	return true
+}
+
+// takeBack ends the tenure of a probe, if its holder asks.
+func takeBack(record *wire.GuardRecord, ask *wire.GuardWriteAsk) bool {
 	if record.State != HalfOpen {
 		return false
 	}
 	for index, probe := range record.Probes {
-		if probe.Id != ask.Id || probe.Carrier != ask.Carrier || probe.Incarnation != ask.Incarnation {
-			continue
-		}
-		record.Probes = append(record.Probes[:index:index], record.Probes[index+1:]...)
-		record.Tallies = append(record.Tallies, &wire.ProbeTally{Id: ask.Id, Success: ask.Success})
-		if len(record.Tallies) >= int(max(1, record.Terms.Permitted)) {
-			record.RoundComplete = int64(now)
+		if probe.Id == ask.Id && probe.Carrier == ask.Carrier && probe.Incarnation == ask.Incarnation {
+			record.Probes = append(record.Probes[:index:index], record.Probes[index+1:]...)
+			return true
 		}
-		return true
 	}
 	return false
 }
 
+// returned puts a carrier's slot back into the budget.
+func returned(record *wire.GuardRecord, carrier string) {
+	record.Budget++
+	share(record, carrier).Returned++
+}
+
+// share finds what a carrier had of the round under way.
+func share(record *wire.GuardRecord, carrier string) *wire.ProbeShare {
+	for _, present := range record.Shares {
+		if present.Carrier == carrier {
+			return present
+		}
+	}
+	fresh := &wire.ProbeShare{Carrier: carrier}
+	record.Shares = append(record.Shares, fresh)
+	return fresh
+}
+
 func decide(record *wire.GuardRecord, ask *wire.GuardWriteAsk, now postmark.Micros) bool {
 	if record.State != HalfOpen || record.RoundComplete == 0 || (ask.Decision != Closed && ask.Decision != Open) {
 		return false
@@ -176,32 +254,37 @@
 	return true
 }
 
-// Judge applies the thresholds to a complete round. The last prober and the holder both use it.
+// Judge applies the thresholds to a complete round. The last prober and the holder both use it. As with a trip, one carrier
+// alone doesn't open the record for others who took part and fared well.
 func Judge(record *wire.GuardRecord) string {
-	failures := 0
-	for _, entry := range record.Tallies {
-		if !entry.Success {
-			failures++
-		}
+	failed := failures(record)
+	if len(record.Tallies) == 0 {
+		return Open
 	}
-	if len(record.Tallies) == 0 || float64(failures) >= record.Terms.FailureRate*float64(len(record.Tallies)) {
+	if overRate(record) && len(carriersOf(failed)) >= min(2, len(carriersOf(record.Tallies))) {
 		return Open
 	}
 	return Closed
 }
 
+// overRate tells whether a round's failures reach the threshold, whoever saw them.
+func overRate(record *wire.GuardRecord) bool {
+	return float64(len(failures(record))) >= record.Terms.FailureRate*float64(len(record.Tallies))
+}
+
 // Lease takes one probe out of the budget. Asking again with the same id gives the same probe, not another.
 func (table *Table) Lease(ask *wire.ProbeLeaseAsk, now postmark.Micros) *wire.ProbeLeaseTell {
 	record := table.records[ask.Service]
+	tell := &wire.ProbeLeaseTell{}
 	if record == nil {
-		return &wire.ProbeLeaseTell{}
+		return tell
 	}
-	tell := &wire.ProbeLeaseTell{}
 	for _, probe := range record.Probes {
 		tell.Granted = tell.Granted || probe.Id == ask.Id
 	}
-	if !tell.Granted && record.State == HalfOpen && record.Budget > 0 {
+	if !tell.Granted && (mayLease(record, ask, now) || table.Broken == Greedy && record.State == HalfOpen && record.Budget > 0) {
 		record.Budget--
+		share(record, ask.Carrier).Granted++
 		record.Probes = append(record.Probes, &wire.ProbeTenure{Id: ask.Id, Carrier: ask.Carrier, Incarnation: ask.Incarnation,
 			Until: int64(now) + record.Terms.ProbeTenure})
 		touch(record, now)
@@ -211,6 +294,50 @@
 	return tell
 }
 
+// Denied answers an ask for a probe that the present record can't grant, so that nothing has to be written for it. It gives
+// nothing where one might be granted.
+func (table *Table) Denied(ask *wire.ProbeLeaseAsk, now postmark.Micros) *wire.ProbeLeaseTell {
+	record := table.records[ask.Service]
+	if record == nil {
+		return &wire.ProbeLeaseTell{}
+	}
+	if mayLease(record, ask, now) || table.Broken == Greedy || slices.ContainsFunc(record.Probes, func(probe *wire.ProbeTenure) bool { return probe.Id == ask.Id }) {
+		return nil
+	}
+	return &wire.ProbeLeaseTell{Record: proto.Clone(record).(*wire.GuardRecord)}
+}
+
+// mayLease tells whether a carrier may have a probe. While others want entry too, it has a share of the round. What is left
+// of others' shares goes, after a while, to those whose own probes told something; and if nobody ends the round, to all. Those
+// whose probes failed the round before let the others go first: what is true of the service the others will see too.
+func mayLease(record *wire.GuardRecord, ask *wire.ProbeLeaseAsk, now postmark.Micros) bool {
+	if record.State != HalfOpen || record.Budget == 0 {
+		return false
+	}
+	active := map[string]bool{ask.Carrier: true}
+	for _, carrier := range ask.Active {
+		active[carrier] = true
+	}
+	age, wanting := int64(now)-record.Entered, len(active)
+	if wanting == 1 || age >= 2*record.Terms.ProbeTenure {
+		return true
+	}
+	for _, carrier := range record.Suspects {
+		delete(active, carrier)
+	}
+	if slices.Contains(record.Suspects, ask.Carrier) && len(active) > 0 && age < record.Terms.ProbeTenure {
+		return false
+	}
+	own := &wire.ProbeShare{}
+	for _, present := range record.Shares {
+		if present.Carrier == ask.Carrier {
+			own = present
+		}
+	}
+	part := (max(1, record.Terms.Permitted) + uint32(wanting) - 1) / uint32(wanting)
+	return own.Granted < part || own.Returned == 0 && age >= int64(leftOver)
+}
+
 // Sweep lets time do its part: waits end, probes whose tenure ran out or whose holder is gone go back, complete rounds
 // that nobody decided are decided, and untouched records expire.
 func (table *Table) Sweep(ended []*wire.Holder, now postmark.Micros) {
@@ -219,14 +346,34 @@
 		gone[holder.Name] = holder.Incarnation
 	}
 	for _, service := range table.services() {
-		sweep(table.records[service], gone, now)
-		if table.Leaky {
-			leak(table.records[service])
+		record := table.records[service]
+		sweeps := sweeps
+		if broken := brokenSweeps[table.Broken]; broken != nil {
+			sweeps = broken
+		}
+		sweep(record, sweeps, gone, now)
+		if table.Broken == Leaky && record.State == HalfOpen && len(record.Tallies) > 0 && record.Budget > 0 {
+			record.Budget--
 		}
 	}
 }
 
-func sweep(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros) {
+type sweepTable map[string]func(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros)
+
+// brokenSweeps are what rehearsals of the checkers put in place of sweeps.
+var brokenSweeps = map[string]sweepTable{
+	Hasty: {Closed: sweepClosed, HalfOpen: sweepHalfOpen, Open: func(record *wire.GuardRecord, _ map[string]uint64, now postmark.Micros) {
+		if int64(now)-record.Entered >= record.Terms.WaitOpen {
+			enter(record, Closed, now)
+		}
+	}},
+	Impatient: {Closed: sweepClosed, HalfOpen: sweepHalfOpen, Open: func(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros) {
+		sweepOpen(record, gone, now+postmark.Micros(record.Terms.WaitOpen*3/4))
+	}},
+	Clinging: {Closed: sweepClosed, Open: sweepOpen, HalfOpen: sweepClosed},
+}
+
+func sweep(record *wire.GuardRecord, sweeps sweepTable, gone map[string]uint64, now postmark.Micros) {
 	if record.Terms == nil {
 		return
 	}
@@ -244,34 +391,29 @@
 	sweeps[record.State](record, gone, now)
 }
 
-// leak drops what a probe that went back had given back.
-func leak(record *wire.GuardRecord) {
-	if record.State == HalfOpen && len(record.Tallies) > 0 && record.Budget > 0 {
-		record.Budget--
+var sweeps = sweepTable{Closed: sweepClosed, Open: sweepOpen, HalfOpen: sweepHalfOpen}
+
+func sweepClosed(*wire.GuardRecord, map[string]uint64, postmark.Micros) {}
+
+func sweepOpen(record *wire.GuardRecord, _ map[string]uint64, now postmark.Micros) {
+	if int64(now)-record.Entered >= record.Terms.WaitOpen {
+		enter(record, HalfOpen, now)
+		touch(record, now)
 	}
 }
 
-var sweeps = map[string]func(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros){
-	Closed: func(*wire.GuardRecord, map[string]uint64, postmark.Micros) {},
-	Open: func(record *wire.GuardRecord, _ map[string]uint64, now postmark.Micros) {
-		if int64(now)-record.Entered >= record.Terms.WaitOpen {
-			enter(record, HalfOpen, now)
-			touch(record, now)
-		}
-	},
-	HalfOpen: func(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros) {
-		held := []*wire.ProbeTenure{}
-		for _, probe := range record.Probes {
-			if incarnation, ended := gone[probe.Carrier]; int64(now) >= probe.Until || (ended && incarnation == probe.Incarnation) {
-				record.Budget++
-				continue
-			}
-			held = append(held, probe)
-		}
-		record.Probes = held
-		if record.RoundComplete != 0 && int64(now)-record.RoundComplete >= int64(decisionLife) {
-			enter(record, Judge(record), now)
-			touch(record, now)
+func sweepHalfOpen(record *wire.GuardRecord, gone map[string]uint64, now postmark.Micros) {
+	held := []*wire.ProbeTenure{}
+	for _, probe := range record.Probes {
+		if incarnation, ended := gone[probe.Carrier]; int64(now) >= probe.Until || (ended && incarnation == probe.Incarnation) {
+			returned(record, probe.Carrier)
+			continue
 		}
-	},
+		held = append(held, probe)
+	}
+	record.Probes = held
+	if record.RoundComplete != 0 && int64(now)-record.RoundComplete >= int64(decisionLife) {
+		enter(record, Judge(record), now)
+		touch(record, now)
+	}
 }
--- a/internal/sorter/rack/rack_test.go
+++ b/internal/sorter/rack/rack_test.go
@@ -36,7 +36,7 @@
 var terms = &wire.GuardTerms{WaitOpen: int64(5 * postmark.Second), Permitted: 2, FailureRate: 0.5, ProbeTenure: int64(3 * postmark.Second), StateTtl: int64(300 * postmark.Second)}
 
 // play carries out "SECOND VERB ARGUMENTS...".
-func play(t *testing.T, state *rack.Rack, words []string) string {
+func play(t *testing.T, state *rack.Rack, words []string) (text string) {
 	var second float64
 	if _, err := fmt.Sscan(words[0], &second); err != nil {
 		t.Fatal(err)
@@ -55,8 +55,17 @@
 		command.Settle = &wire.SettleAsk{Scope: words[2], Try: words[3]}
 	case "trip": // carrier serial active...
 		command.Guard = &wire.GuardWriteAsk{Service: "forms", Verb: "trip", Carrier: words[2], ExpectedSerial: number(3), Active: words[4:], Terms: terms}
-	case "lease": // carrier id
-		command.Lease = &wire.ProbeLeaseAsk{Service: "forms", Carrier: words[2], Id: words[3]}
+	case "lease": // carrier id active...
+		command.Lease = &wire.ProbeLeaseAsk{Service: "forms", Carrier: words[2], Id: words[3], Active: words[4:]}
+		// A primary that turns an ask down without a write must not turn down what the write would grant, nor the reverse.
+		denied := state.Guards.Denied(command.Lease, postmark.Micros(second*1e6))
+		defer func() {
+			if granted := strings.Contains(text, "granted true"); granted == (denied != nil) {
+				t.Errorf("%v: granted %v, denied beforehand %v", words, granted, denied != nil)
+			}
+		}()
+	case "return": // carrier id serial
+		command.Guard = &wire.GuardWriteAsk{Service: "forms", Verb: "return", Carrier: words[2], Id: words[3], ExpectedSerial: number(4), Terms: terms}
 	case "probe": // carrier id serial good|bad
 		command.Guard = &wire.GuardWriteAsk{Service: "forms", Verb: "probe", Carrier: words[2], Id: words[3], ExpectedSerial: number(4), Success: words[5] == "good", Terms: terms}
 	case "decide": // serial state
@@ -79,7 +88,7 @@
 	if err := proto.Unmarshal(state.Apply(7, postmark.Micros(second*1e6), content), result); err != nil {
 		t.Fatal(err)
 	}
-	text := strings.Join(words, " ") + " ->"
+	text = strings.Join(words, " ") + " ->"
 	if result.Claim != nil {
 		text += " " + result.Claim.Outcome
 	}
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/json"
 
+	"go.uber.org/atomic"
+
 	"snowflow/internal/bulletin"
 	"snowflow/internal/countersign"
 	"snowflow/internal/gazetteer"
@@ -36,6 +38,7 @@
 	Member    *countersign.Member
 	rack      *rack.Rack
 	directory *directory.Directory
+	led       atomic.Int64 // when this process last began to answer as primary
 }
 
 // Open reads the disk.
@@ -44,7 +47,8 @@
 	if env.Prepare != nil {
 		env.Prepare(sorter.rack)
 	}
-	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Machine: sorter.rack}
+	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Machine: sorter.rack,
+		Settled: func(uint64, postmark.Micros) { sorter.led.Store(int64(env.Place.Now())) }}
 	if env.Adjust != nil {
 		env.Adjust(&core)
 	}
@@ -81,6 +85,10 @@
 		return result.GetSettle(), err
 	})
 	office.Handle(table, wire.Kind_probe_lease, func(ask *wire.ProbeLeaseAsk) (*wire.ProbeLeaseTell, error) {
+		ask.Active = sorter.wanting(ask.Service)
+		if tell := sorter.denied(ask); tell != nil {
+			return tell, nil
+		}
 		result, err := sorter.propose(&wire.SorterCommand{Lease: ask})
 		return result.GetLease(), err
 	})
@@ -111,12 +119,33 @@
 	return tell
 }
 
+// heardAll is how long after its start as primary a sorter has heard from every carrier: a poll and a half.
+const heardAll = 1500 * postmark.Millisecond
+
+// wanting lists the carriers among which a round of probes is shared. A primary that has only just begun counts every
+// member, since it hasn't heard yet who calls what.
+func (sorter *Sorter) wanting(service string) []string {
+	carriers := sorter.directory.Demand(service)
+	if sorter.env.Place.Now()-postmark.Micros(sorter.led.Load()) < heardAll {
+		carriers = append(carriers, sorter.directory.Members()...)
+	}
+	return carriers
+}
+
+// denied turns an ask for a probe down without a write, if the record as it stands can't grant one.
+func (sorter *Sorter) denied(ask *wire.ProbeLeaseAsk) (tell *wire.ProbeLeaseTell) {
+	if !sorter.Member.Read(func(_ uint64, now postmark.Micros) { tell = sorter.rack.Guards.Denied(ask, now) }) {
+		return nil
+	}
+	return tell
+}
+
 // lonely handles a trip that comes before any other carrier was heard to call the service. Others may call it and not
 // have told so yet, so the report waits until they have polled. If this process dies meanwhile, the reporter's next
 // trip makes up for it.
 func (sorter *Sorter) lonely(ask *wire.GuardWriteAsk) *wire.GuardWriteTell {
 	sorter.env.Place.Go(func() {
-		sorter.env.Place.Sleep(1500 * postmark.Millisecond)
+		sorter.env.Place.Sleep(heardAll)
 		ask.Active = sorter.directory.Active(ask.Service)
 		_, _ = sorter.propose(&wire.SorterCommand{Guard: ask})
 	})
