Stops: whatever is under way has its true verdict before the platform's kill

Cause: a planned stop waited up to 8 s for what it had read, and what was left then was dropped with its connections; platforms kill 3 to 5 s after their warning. Replies to other carriers could be cut off by the process's end.

Ruled out: cutting every request's cutoff at the stop (what waits in a call keeps the patience it began with), closing all connections (the other side learns nothing of whether it ran), a longer grace (the kill decides).

Change: requests and passes run as errands that can be given up at one moment. Given up before its hand-over a read is not run, and won't be, since the hand-over asks first; everything else may have run. That moment is 0.3 s before the grace's end, and the grace is 2.5 s. The spread time counts from the warning. The process waits until its replies are written. The board publishes one event after another.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"strconv"
 	"sync"
@@ -30,13 +31,18 @@
 
 // NewBoard starts a board that logs to standard error.
 func NewBoard(program, name, level string) (*Board, error) {
+	return newBoard(program, name, level, os.Stderr)
+}
+
+func newBoard(program, name, level string, output io.Writer) (*Board, error) {
 	threshold, err := log.ParseLevel(level)
 	if err != nil {
 		return nil, err
 	}
 	board := &Board{
-		channel: gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: 1024}, watermill.NopLogger{}),
-		logger:  &log.Logger{Handler: jsonhandler.New(os.Stderr), Level: threshold},
+		// One at a time: otherwise events overtake one another, and closing the channel throws away those still on their way.
+		channel: gochannel.NewGoChannel(gochannel.Config{BlockPublishUntilSubscriberAck: true}, watermill.NopLogger{}),
+		logger:  &log.Logger{Handler: jsonhandler.New(output), Level: threshold},
 		counts:  map[int]uint64{}, posts: make(chan *message.Message, 4096), done: make(chan struct{}),
 	}
 	entries, err := board.channel.Subscribe(context.Background(), topic)
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -133,27 +133,41 @@
 // Incarnation names this life.
 func (carrier *Carrier) Incarnation() uint64 { return carrier.incarnation }
 
+// Grace is how long a planned stop may take unless it's set otherwise: half a second less than the least that platforms
+// wait between their warning and the kill.
+const Grace = 2500 * postmark.Millisecond
+
 // The parts of a drain: others are told at once, and are given spreadTime to stop choosing this carrier.
 const spreadTime = 1500 * postmark.Millisecond
 
+// lastWords is the end of the grace, in which whatever is still under way is given up and told so.
+const lastWords = 300 * postmark.Millisecond
+
 // Drain stops taking callers' requests, answers everything that was read, and drains the lane. It ends within grace.
 // shut closes the callers' door, once they have had time to go elsewhere; what was read before, refusals too, is
 // answered after it.
 func (carrier *Carrier) Drain(grace postmark.Micros, shut func()) bool {
 	place := carrier.env.Place
 	cutoff := place.Now() + grace
+	last := cutoff - min(grace/5, lastWords)
 	place.Report(bulletin.ProcessDraining, map[string]any{"running": carrier.Passage.Running() + carrier.Gate.Running()})
 	carrier.leaving.Store(true)
 	carrier.Passage.Refuse()
 	carrier.Roll.Soon()
-	answered := carrier.Passage.Drain(cutoff - place.Now())
-	place.Sleep(min(max(cutoff-place.Now()-postmark.Second, 0), spreadTime))
+	began := place.Now()
+	carrier.Passage.Drain(last - place.Now())
+	place.Sleep(min(spreadTime-(place.Now()-began), last-place.Now()-lastWords))
 	carrier.Gate.Refuse()
 	shut()
+	whole := carrier.Gate.Drain(last - place.Now())
+	whole = carrier.Passage.Drain(last-place.Now()) && whole
+	// Whoever still waits is told now what is known, while this process can still tell it.
+	carrier.Passage.GiveUp()
+	carrier.Gate.GiveUp()
+	answered := carrier.Passage.Drain(cutoff - place.Now())
 	answered = carrier.Gate.Drain(cutoff-place.Now()) && answered
-	answered = carrier.Passage.Drain(cutoff-place.Now()) && answered
 	carrier.Wicket.Close(min(max(cutoff-place.Now(), 0), postmark.Second))
-	place.Report(bulletin.ProcessDrained, map[string]any{"answered": answered})
+	place.Report(bulletin.ProcessDrained, map[string]any{"answered": answered, "whole": whole})
 	return answered
 }
 
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -8,6 +8,7 @@
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/desk"
 	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
 	"snowflow/internal/carrier/restante"
 	"snowflow/internal/office"
@@ -69,13 +70,14 @@
 	running atomic.Int64
 	closed  atomic.Bool
 	idle    office.Signal
+	last    *lastpost.Post
 	// unclaimed leaves the claim out; only rehearsals of the checkers set it.
 	unclaimed bool
 }
 
 // New makes a gate.
 func New(env Env) *Gate {
-	return &Gate{env: env, idle: env.Place.NewSignal()}
+	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place)}
 }
 
 // Register adds the handlers.
@@ -141,21 +143,37 @@
 			gate.idle.Fire()
 		}
 	}()
+	var tell *wire.PassTell
+	outcome := gate.last.Run(func(errand *lastpost.Errand) { tell = gate.pass(ask, errand) })
+	if outcome == lastpost.Done {
+		return tell, nil
+	}
+	verdict := seal.MayHaveRun
+	if outcome == lastpost.Unstarted && !ask.Once {
+		verdict = seal.NotRun
+	}
+	return gate.refused(ask, seal.New(seal.StoppedUnderWay, verdict, "carrier %s stops, and can't wait any longer", gate.env.Carrier)), nil
+}
+
+// GiveUp answers every pass still under way now.
+func (gate *Gate) GiveUp() { gate.last.GiveUp() }
+
+func (gate *Gate) pass(ask *wire.PassAsk, errand *lastpost.Errand) *wire.PassTell {
 	cutoff := gate.env.Place.Now() + postmark.Micros(ask.Remaining)
 	for _, check := range checks {
 		if fault := check(gate, ask); fault != nil {
-			return gate.refused(ask, fault), nil
+			return gate.refused(ask, fault)
 		}
 	}
 	// The view may have changed since the checks; from here on this one counts.
 	view, _ := gate.env.Desk.Current()
 	service := view.Services[ask.Service]
 	if service == nil {
-		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial)), nil
+		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial))
 	}
 	backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, service.Limits.GetInFlightPerBackend(), ask.Once)
 	if fault != nil {
-		return gate.refused(ask, fault), nil
+		return gate.refused(ask, fault)
 	}
 	defer leave()
 	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
@@ -167,10 +185,10 @@
 			if fault.Cause == seal.ClaimUnreachable {
 				gate.env.Place.Go(func() { gate.free(ask) })
 			}
-			return gate.refused(ask, fault), nil
+			return gate.refused(ask, fault)
 		}
 		if earlier != nil {
-			return answered(ask.Id, earlier), nil
+			return answered(ask.Id, earlier)
 		}
 	}
 	order.Still = func() *seal.Fault {
@@ -180,7 +198,13 @@
 		if _, live := gate.env.Desk.Current(); !live {
 			return seal.New(seal.TenureEnded, seal.NotRun, "carrier %s has no tenure to serve", gate.env.Carrier)
 		}
-		return gate.env.Hutch.Still(backend.Instance, backend.Service)
+		if fault := gate.env.Hutch.Still(backend.Instance, backend.Service); fault != nil {
+			return fault
+		}
+		if !errand.Start() {
+			return seal.New(seal.StoppedUnderWay, seal.NotRun, "given up before the hand-over")
+		}
+		return nil
 	}
 	answer, fault := gate.env.Delivery.Deliver(order)
 	if fault == nil && letter.Header(answer.Headers, letter.NotExecutedHeader) != "" {
@@ -193,13 +217,13 @@
 		if number := telling[fault.Cause]; number > 0 {
 			gate.env.Place.Report(number, map[string]any{"instance": backend.Instance, "detail": fault.Detail})
 		}
-		return gate.refused(ask, fault), nil
+		return gate.refused(ask, fault)
 	}
 	answer.Instance = backend.Instance
 	if ask.Once {
 		gate.env.Shelf.Put(ask.Scope, ask.Digest, answer)
 	}
-	return answered(ask.Id, answer), nil
+	return answered(ask.Id, answer)
 }
 
 // claimFaults are what the outcomes of a claim other than granted and held come to.
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -13,6 +13,7 @@
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/desk"
 	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
 	"snowflow/internal/carrier/purse"
 	"snowflow/internal/carrier/roll"
@@ -54,6 +55,7 @@
 	draining atomic.Bool
 	running  atomic.Int64
 	idle     office.Signal
+	last     *lastpost.Post
 	counts   sync.Map // service name to *atomic.Int64
 	choices  *chooser
 }
@@ -75,14 +77,15 @@
 	Digest  []byte
 	Tries   int
 	// Doubt is set once some try may have run; from then on no refusal says not run.
-	Doubt bool
+	Doubt  bool
+	errand *lastpost.Errand
 	// Final is set once the verdict was checked against the claims.
 	Final bool
 }
 
 // New makes a passage.
 func New(env Env) *Passage {
-	passage := &Passage{env: env, idle: env.Place.NewSignal(), choices: newChooser(env.Place, env.Domain, env.Blind)}
+	passage := &Passage{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), choices: newChooser(env.Place, env.Domain, env.Blind)}
 	passage.policies = passage.Policies()
 	return passage
 }
@@ -135,15 +138,13 @@
 	return true
 }
 
+// GiveUp gives every request still under way its final outcome now.
+func (passage *Passage) GiveUp() { passage.last.GiveUp() }
+
 // Carry gives a request its one outcome: the backend's own complete answer, or a fault.
 func (passage *Passage) Carry(request *letter.Request) (answer *letter.Answer, fault *seal.Fault) {
 	passage.running.Inc()
-	trip := &Trip{Request: request, Began: passage.env.Place.Now(), Method: strings.ToUpper(request.Method)}
-	trip.Cutoff = trip.Began + voidPatience // until the path's own limit is known
 	defer func() {
-		if passage.env.Finished != nil {
-			passage.env.Finished(trip, answer, fault)
-		}
 		if fault != nil {
 			passage.env.Place.Report(bulletin.RequestRefused, map[string]any{"request": request.ID, "cause": int(fault.Cause), "verdict": string(fault.Verdict), "detail": fault.Detail})
 		}
@@ -151,6 +152,27 @@
 			passage.idle.Fire()
 		}
 	}()
+	var carried *letter.Answer
+	var failed *seal.Fault
+	outcome := passage.last.Run(func(errand *lastpost.Errand) { carried, failed = passage.carry(request, errand) })
+	if outcome == lastpost.Done {
+		return carried, failed
+	}
+	fault = seal.New(seal.StoppedUnderWay, seal.MayHaveRun, "carrier %s stops, and can't wait any longer", passage.env.Carrier)
+	if outcome == lastpost.Unstarted && request.Key == "" {
+		fault.Verdict = seal.NotRun
+	}
+	return nil, fault
+}
+
+func (passage *Passage) carry(request *letter.Request, errand *lastpost.Errand) (answer *letter.Answer, fault *seal.Fault) {
+	trip := &Trip{Request: request, errand: errand, Began: passage.env.Place.Now(), Method: strings.ToUpper(request.Method)}
+	trip.Cutoff = trip.Began + voidPatience // until the path's own limit is known
+	defer func() {
+		if passage.env.Finished != nil {
+			passage.env.Finished(trip, answer, fault)
+		}
+	}()
 	var err error
 	if trip.Address, err = postcode.Parse(request.Target); err != nil {
 		return nil, seal.New(seal.Unreadable, seal.NotRun, "%v", err)
@@ -248,6 +270,10 @@
 	if trip.Once {
 		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
 	}
+	if !trip.errand.Start() {
+		ticket.Done(wicket.Neutral)
+		return nil, seal.New(seal.StoppedUnderWay, seal.NotRun, "given up before the pass"), false
+	}
 	tell, err := passage.send(candidate, ask, remaining)
 	if err != nil {
 		return passage.lost(trip, ticket, candidate, ask, err)
--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -58,8 +58,8 @@
 }
 
 // New lays out a fleet. base is the second part of its loopback numbers, so that fleets don't meet.
-func New(chosen layout.Layout, folder, binaries string, base int, relays bool, choice string) (*Fleet, error) {
-	fleet := &Fleet{Layout: chosen, Folder: folder, Binaries: binaries, Level: "info", Choice: choice, base: base}
+func New(chosen layout.Layout, folder, binaries string, base int, relays bool, choice, level string) (*Fleet, error) {
+	fleet := &Fleet{Layout: chosen, Folder: folder, Binaries: binaries, Level: level, Choice: choice, base: base}
 	if relays {
 		fleet.Relays = relay.NewHub()
 	}
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -270,6 +270,31 @@
 		stage.returned()
 		return nil
 	}})
+	add(Scenario{"hurried", "warn carriers under full traffic with slow backends, and kill them 3, 4 and 5 s later", []int{1, 3, 9, 12}, func(stage *Stage) error {
+		for _, backend := range stage.Backends {
+			backend.Work(2_500_000)
+		}
+		stage.Wait(stage.part(0.2))
+		for turn, warning := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second} {
+			victim := stage.Fleet.Carriers[turn%len(stage.Fleet.Carriers)]
+			began := time.Now()
+			go func() {
+				time.Sleep(500 * time.Millisecond)
+				victim.Signal(syscall.SIGTERM) // a second signal changes nothing
+			}()
+			ended := victim.Stop(warning)
+			stage.Say("%s was warned, and ended by itself: %v, after %d ms", victim.Name, ended, time.Since(began).Milliseconds())
+			stage.restart(victim, 0)
+			if err := fleet.Await([]*fleet.Process{victim}, 20*time.Second); err != nil {
+				return err
+			}
+		}
+		for _, backend := range stage.Backends {
+			backend.Work(backend.Service.Work)
+		}
+		stage.returned()
+		return nil
+	}})
 	add(Scenario{"versions", "roll every machine from an earlier build to this one, serving all the while", []int{1, 3, 7, 9, 12}, func(stage *Stage) error {
 		if stage.Options.Older == "" {
 			return fmt.Errorf("the versions scenario needs --older, a folder of an earlier build's daemons")
--- a/internal/depot/scenario/fleet_test.go
+++ b/internal/depot/scenario/fleet_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -10,11 +11,13 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
 
+	"snowflow/internal/bulletin"
 	"snowflow/internal/depot/standin"
 )
 
@@ -227,6 +230,47 @@
 	}
 }
 
+// TestStopTwice: a second warning changes nothing, and a successor that comes too early is told so and leaves the first alone.
+func TestStopTwice(t *testing.T) {
+	folder := binaries(t)
+	arguments := []string{"--name", "carrier-1", "--domain", "north", "--listen", "127.232.0.1:7300", "--desk", "127.232.0.1:7301", "--callers", "127.232.0.1:7302",
+		"--seeds", "127.232.0.1:7100,127.232.0.2:7100,127.232.0.3:7100"}
+	first := exec.Command(filepath.Join(folder, "carrier"), arguments...)
+	told, err := first.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Process.Kill() }()
+	lines := bufio.NewScanner(told)
+	await := func(event int) {
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), fmt.Sprintf(`"event":%d,`, event)) {
+				return
+			}
+		}
+		t.Fatalf("event %d never came: %v", event, lines.Err())
+	}
+	await(bulletin.ProcessStarted)
+	for range 2 {
+		_ = first.Process.Signal(syscall.SIGTERM)
+	}
+	await(bulletin.ProcessDraining)
+	output, err := exec.Command(filepath.Join(folder, "carrier"), arguments...).CombinedOutput()
+	if failed, isExit := err.(*exec.ExitError); !isExit || failed.ExitCode() != 1 || !strings.Contains(string(output), "address already in use") {
+		t.Errorf("the successor: %v\n%s", err, output)
+	}
+	await(bulletin.ProcessDrained)
+	for lines.Scan() {
+		continue
+	}
+	if err := first.Wait(); err != nil {
+		t.Errorf("the first one ended with %v", err)
+	}
+}
+
 // TestSecondProcessIsTurnedAway: a data folder belongs to one process.
 func TestSecondProcessIsTurnedAway(t *testing.T) {
 	stage := options(t, "steady", 231)
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -69,13 +70,10 @@
 	}
 	stage := &Stage{Clock: postmark.NewMachine(), History: &inspector.History{}, Say: say, Options: options, ports: map[string]int{},
 		processor: map[string]int64{}, watching: make(chan struct{})}
-	if stage.Fleet, err = fleet.New(chosen, options.Folder, options.Binaries, options.Base, options.Relays, options.Choice); err != nil {
+	if stage.Fleet, err = fleet.New(chosen, options.Folder, options.Binaries, options.Base, options.Relays, options.Choice, cmp.Or(options.Level, "info")); err != nil {
 		return nil, err
 	}
 	stage.cleanups = append(stage.cleanups, stage.Fleet.End)
-	if options.Level != "" {
-		stage.Fleet.Level = options.Level
-	}
 	for _, process := range stage.Fleet.All() {
 		process.Plan = func(what string) func() {
 			over := stage.History.Plan(what, stage.Clock.Now())
--- a/internal/depot/standin/backend.go
+++ b/internal/depot/standin/backend.go
@@ -66,6 +66,9 @@
 	backend.places = make(chan struct{}, workers)
 }
 
+// Work gives the backend's work another length.
+func (backend *Backend) Work(microseconds int) { backend.work.Store(int64(microseconds)) }
+
 // NewBackend starts an instance at an address beside a carrier.
 func NewBackend(service layout.Service, address string, beside *fleet.Process, clock postmark.Clock, history *inspector.History) (*Backend, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -251,6 +251,6 @@
 		Field{Name: "callers", Help: "HTTP address for callers", Check: Address},
 		Field{Name: "choice", Help: "near prefers backends of the own zone while the load stays even; blind doesn't look at zones", Default: "near", Check: OneOf("near", "blind")},
 		Field{Name: "desk", Help: "HTTP address for this machine's backends, the platform and operators", Check: Address},
-		Field{Name: "grace", Help: "how long a planned stop may take", Default: "8s", Check: Span},
+		Field{Name: "grace", Help: "how long a planned stop may take", Default: "2.5s", Check: Span},
 	)
 }
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -167,7 +167,7 @@
 		return suture.ErrDoNotRestart
 	})
 	house.Defer(func() {
-		limit, cancel := context.WithTimeout(context.Background(), time.Second)
+		limit, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
 		defer cancel()
 		_ = server.Shutdown(limit)
 		_ = server.Close()
@@ -204,9 +204,11 @@
 	signal.Notify(house.stops, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-house.stops:
+		// A second signal changes nothing: it waits unread while the first is heeded.
 		if house.Drain != nil {
 			house.Drain()
 		}
+		house.Place.Settle(200 * postmark.Millisecond)
 		return nil
 	case why := <-house.faults:
 		return errors.New(why)
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -344,6 +344,14 @@
 			mesh.cutFor(victim, core, true, span)
 		}
 	}}
+	slowBackends = fault{"make half of all backends slow", func(mesh *Mesh) {
+		for index, one := range mesh.live("") {
+			if index%2 == 0 {
+				one.manner = "slow"
+				mesh.later(10*postmark.Second, func() { one.manner = "" })
+			}
+		}
+	}}
 	drainCarrier = fault{"stop a carrier as planned", func(mesh *Mesh) {
 		name := pick(mesh, mesh.carriers)
 		node := mesh.World.Node(name)
@@ -352,21 +360,29 @@
 		}
 		mesh.stopping[name] = true
 		life, over := mesh.lives[name], mesh.History.Plan("planned stop of "+name, mesh.World.Now())
+		ended := false
+		end := func() {
+			if ended {
+				return
+			}
+			ended = true
+			mesh.World.Kill(node)
+			over(mesh.World.Now())
+			mesh.later(200*postmark.Millisecond, func() {
+				mesh.stopping[name], mesh.shut[name] = false, false
+				mesh.World.Start(node)
+			})
+		}
+		// The platform kills what hasn't ended a few seconds after its warning.
+		mesh.later(pick(mesh, []postmark.Micros{3, 4, 5})*postmark.Second, end)
 		mesh.Outside.Go(func() {
 			_, _ = mesh.Outside.Transact(node.Address, 20*postmark.Second, func(*world.Node) ([]byte, error) {
 				if !mesh.breakage.NoDrain {
-					life.Drain(8*postmark.Second, func() { mesh.shut[name] = true })
+					life.Drain(mesh.grace, func() { mesh.shut[name] = true })
 				}
 				return nil, nil
 			})
-			mesh.World.At(mesh.World.Now(), func() {
-				mesh.World.Kill(node)
-				over(mesh.World.Now())
-				mesh.later(200*postmark.Millisecond, func() {
-					mesh.stopping[name], mesh.shut[name] = false, false
-					mesh.World.Start(node)
-				})
-			})
+			mesh.World.At(mesh.World.Now(), end)
 		})
 	}}
 	handOver = fault{"stop a primary as planned", func(mesh *Mesh) {
@@ -440,8 +456,8 @@
 		Rules: []int{1, 2, 3, 4, 5, 8}, First: []fault{replaceBackend, reuseAddress, serviceFails},
 		Faults: []fault{replaceBackend, reuseAddress, manners, manners, serviceFails, cutCarriers, killCarrier}})
 	add(Course{Name: "drains", Short: "planned stops of carriers and primaries under traffic", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 3 * postmark.Second,
-		Rules: []int{1, 3, 9}, Prepare: func(mesh *Mesh) { mesh.onlyPlanned = true }, First: []fault{drainCarrier, handOver},
-		Faults: []fault{drainCarrier, drainCarrier, handOver, applyOne}})
+		Rules: []int{1, 3, 9}, Prepare: func(mesh *Mesh) { mesh.onlyPlanned = true }, First: []fault{slowBackends, drainCarrier, handOver},
+		Faults: []fault{drainCarrier, drainCarrier, handOver, applyOne, slowBackends}})
 	add(Course{Name: "guards", Short: "services fail and recover while callers and the record's holder die", Sizes: small, Length: 50 * postmark.Second, Rate: 40, Every: 2 * postmark.Second,
 		Rules: []int{2, 8, 10}, First: []fault{serviceFails},
 		Faults: []fault{serviceFails, serviceFails, killCarrier, killLeader, freezeCarrier, freezeLeader, powerLoss, cutCarrier}})
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -52,6 +52,7 @@
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
+	grace       postmark.Micros // what a carrier's planned stop may take
 	breakage    Breakage
 	log         []string
 }
@@ -115,7 +116,7 @@
 // Build makes a mesh and starts its nodes.
 func Build(seed uint64, sizes Sizes, breakage Breakage) *Mesh {
 	mesh := &Mesh{World: world.New(seed), History: &inspector.History{Allowance: 10 + 2}, sizes: sizes, lives: map[string]*carrier.Carrier{}, begun: map[string]postmark.Micros{}, troubled: map[string]string{},
-		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, stopping: map[string]bool{}, shut: map[string]bool{}, breakage: breakage}
+		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, stopping: map[string]bool{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
 	mesh.World.Trace = func(at postmark.Micros, node string, number int, fields map[string]any) {
 		if number == 601 {
 			return
@@ -338,7 +339,7 @@
 		mesh.lookup(order, found)
 	}
 	if manner == "slow" {
-		courier.place.Sleep(6 * postmark.Second)
+		courier.place.Sleep(min(6*postmark.Second, order.Cutoff-courier.place.Now())) // as a connection's own limit would end it
 	}
 	pause()
 	if courier.place.Now() >= order.Cutoff {
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -29,7 +29,8 @@
 	lock    sync.Mutex
 	links   map[string]*link
 	counts  map[string]*traffic
-	from    net.Addr // the own number that connections go out from; nil leaves it to the system
+	busy    atomic.Int64 // requests of others whose reply isn't written yet
+	from    net.Addr     // the own number that connections go out from; nil leaves it to the system
 }
 
 type traffic struct{ sent, received atomic.Uint64 }
@@ -227,6 +228,13 @@
 	}
 }
 
+// Settle waits, at most patience, until every request of others has its reply written.
+func (peers *Peers) Settle(patience postmark.Micros) {
+	for cutoff := peers.machine.Now() + patience; peers.busy.Load() > 0 && peers.machine.Now() < cutoff; {
+		peers.machine.Sleep(2 * postmark.Millisecond)
+	}
+}
+
 // Serve answers requests on a listener until it's closed.
 func (peers *Peers) Serve(listener net.Listener, table office.Table) error {
 	for {
@@ -259,7 +267,9 @@
 			}
 			return
 		}
+		peers.busy.Inc()
 		go func() {
+			defer peers.busy.Dec()
 			outgoing := frame.Frame{Kind: incoming.Kind, Flags: frame.Reply, Number: incoming.Number}
 			reply, err := table[incoming.Kind](incoming.Content)
 			if err == nil {
--- a/internal/seal/causes.go
+++ b/internal/seal/causes.go
@@ -12,6 +12,7 @@
 	NotReady         Cause = 201
 	TenureEnded      Cause = 202
 	Draining         Cause = 203
+	StoppedUnderWay  Cause = 204
 	GuardOpen        Cause = 301
 	NoProbe          Cause = 302
 	NoBackend        Cause = 303
@@ -55,6 +56,7 @@
 	NotReady:         {"not_ready", 503, soon, false},
 	TenureEnded:      {"desired_state_tenure_ended", 503, 2 * soon, false},
 	Draining:         {"draining", 503, soon, false},
+	StoppedUnderWay:  {"stopped_under_way", 503, soon, false},
 	GuardOpen:        {"guard_open", 503, 5 * soon, false},
 	NoProbe:          {"no_probe_left", 503, soon, false},
 	NoBackend:        {"no_backend", 503, 2 * soon, false},
