--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -438,7 +438,7 @@
 	}})
 	add(Scenario{"isolate", "cut single machines off, one way and both, carriers and core", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
-			return fmt.Errorf("cuts need --relays")
+			return errNoRelays
 		}
 		all := stage.Fleet.All()
 		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
@@ -464,7 +464,7 @@
 	}})
 	add(Scenario{"split", "split the core from itself and from the carriers", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
-			return fmt.Errorf("cuts need --relays")
+			return errNoRelays
 		}
 		stage.Wait(stage.part(0.2))
 		one := stage.Fleet.Sorters[0].Host
@@ -485,7 +485,7 @@
 	}})
 	add(Scenario{"troubled", "one carrier's network to the others is slow, then cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
-			return fmt.Errorf("cuts need --relays")
+			return errNoRelays
 		}
 		victim := stage.Fleet.Carriers[1]
 		stage.Wait(stage.part(0.2))
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -40,7 +40,8 @@
 	ports     map[string]int
 	processor map[string]int64
 	cleanups  []func()
-	astray    bool // by the watcher's last look
+	findings  []string // what a scenario itself found
+	astray    bool     // by the watcher's last look
 	watching  chan struct{}
 }
 
@@ -119,6 +120,11 @@
 	return stage, nil
 }
 
+// Find notes something that a scenario itself found wrong.
+func (stage *Stage) Find(format string, arguments ...any) {
+	stage.findings = append(stage.findings, fmt.Sprintf(format, arguments...))
+}
+
 // AddBackend starts an instance of a service beside a carrier.
 func (stage *Stage) AddBackend(service layout.Service, carrier int) (*standin.Backend, error) {
 	beside := stage.Fleet.Carriers[carrier]
@@ -285,6 +291,7 @@
 	report := Report{Layout: stage.Fleet.Layout.Name, Scenario: stage.Options.Scenario, Seconds: time.Since(began).Seconds(),
 		Kinds: map[string]map[string]int{}, Latency: map[string][3]int64{}, Seen: seen, Findings: []string{}, Tries: inspector.WorstTries(stage.History),
 		Processor: map[string]int64{}, Bytes: map[string]uint64{}}
+	report.Findings = append(report.Findings, stage.findings...)
 	for _, finding := range findings {
 		report.Findings = append(report.Findings, finding.String())
 	}
--- a/internal/depot/standin/caller.go
+++ b/internal/depot/standin/caller.go
@@ -34,7 +34,8 @@
 	stop    chan struct{}
 	waiting sync.WaitGroup
 	number  atomic.Int64
-	mark    string // tells these callers' requests from others'
+	eager   []*fleet.Process // carriers that get three quarters of all requests, if any
+	mark    string           // tells these callers' requests from others'
 	// Again is how often a keyed request is repeated.
 	Again int
 }
@@ -109,9 +110,19 @@
 	callers.lock.Unlock()
 }
 
+// Prefer has three quarters of all requests go to some carriers.
+func (callers *Callers) Prefer(eager []*fleet.Process) {
+	callers.lock.Lock()
+	defer callers.lock.Unlock()
+	callers.eager = eager
+}
+
 func (callers *Callers) pick() *fleet.Process {
 	callers.lock.Lock()
 	defer callers.lock.Unlock()
+	if len(callers.eager) > 0 && rand.IntN(4) > 0 {
+		return callers.eager[rand.IntN(len(callers.eager))]
+	}
 	if len(callers.ready) == 0 {
 		return callers.fleet.Doors()[rand.IntN(len(callers.fleet.Doors()))]
 	}
--- a/internal/franking/franking.go
+++ b/internal/franking/franking.go
@@ -181,7 +181,15 @@
 
 // merged checks what only shows once a service has taken what it left out from its group.
 func (checker *checker) merged(place string, group *wire.Group, service *wire.Service) {
-	guard := mergeGuard(group, service)
+	guard, limits := mergeGuard(group, service), mergeLimits(group, service)
+	if guard.GetProbeTenureMicros() < limits.GetCutoffMicros() {
+		checker.fault(place+".guard.probeTenureMicros", "%d is less than the cutoff of %d: a probe would go back while its call still runs (group and defaults counted in)",
+			guard.GetProbeTenureMicros(), limits.GetCutoffMicros())
+	}
+	if guard.GetSlowRate() < 1 && guard.GetSlowMicros() >= limits.GetCutoffMicros() {
+		checker.fault(place+".guard.slowMicros", "%d is not less than the cutoff of %d: no call would ever count as slow (group and defaults counted in)",
+			guard.GetSlowMicros(), limits.GetCutoffMicros())
+	}
 	if guard.GetMinimumCalls() > guard.GetWindowCalls() {
 		checker.fault(place+".guard.minimumCalls", "%d is more than the window of %d calls (group and defaults counted in)",
 			guard.GetMinimumCalls(), guard.GetWindowCalls())
@@ -208,11 +216,20 @@
 // mergeGuard and its kin lay field over field: defaults, then the group, then the service.
 func mergeGuard(group *wire.Group, service *wire.Service) *wire.Guard {
 	merged := defaultGuard()
+	// Left out, a probe's tenure is no shorter than a call may take.
+	merged.ProbeTenureMicros = proto.Int64(max(merged.GetProbeTenureMicros(), mergeLimits(group, service).GetCutoffMicros()))
 	proto.Merge(merged, orEmpty(group.Guard))
 	proto.Merge(merged, orEmpty(service.Guard))
 	return merged
 }
 
+func mergeLimits(group *wire.Group, service *wire.Service) *wire.Limits {
+	merged := defaultLimits()
+	proto.Merge(merged, orEmpty(group.Limits))
+	proto.Merge(merged, orEmpty(service.Limits))
+	return merged
+}
+
 func orEmpty[Message any, Pointer interface {
 	*Message
 	proto.Message
@@ -260,12 +277,10 @@
 	view := &View{Serial: serial, Digest: digest, Services: map[string]*Service{}}
 	for _, group := range state.Groups {
 		for _, service := range group.Services {
-			retry, limits := defaultRetry(), defaultLimits()
+			retry := defaultRetry()
 			proto.Merge(retry, orEmpty(group.Retry))
 			proto.Merge(retry, orEmpty(service.Retry))
-			proto.Merge(limits, orEmpty(group.Limits))
-			proto.Merge(limits, orEmpty(service.Limits))
-			inForce := &Service{Name: service.Name, Group: group.Name, Guard: mergeGuard(group, service), Retry: retry, Limits: limits}
+			inForce := &Service{Name: service.Name, Group: group.Name, Guard: mergeGuard(group, service), Retry: retry, Limits: mergeLimits(group, service)}
 			view.Services[service.Name] = inForce
 			for _, path := range service.Paths {
 				view.paths = append(view.paths, Path{Method: path.Method, Prefix: path.Prefix, Once: path.Class == wire.Path_once, Service: inForce})
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -105,7 +105,7 @@
 		households = submissions
 	}
 	return []byte(fmt.Sprintf(`{"note":"variant %d","groups":[{"name":"field",
-"guard":{"windowCalls":30,"minimumCalls":8,"failureRate":0.5,"waitOpenMicros":2000000,"permittedHalfOpen":4,"probeTenureMicros":3000000},
+"guard":{"windowCalls":30,"minimumCalls":8,"failureRate":0.5,"waitOpenMicros":2000000,"permittedHalfOpen":4,"probeTenureMicros":4000000},
 "retry":{"mostTries":3,"budgetRatio":0.2,"allowance":10},
 "limits":{"cutoffMicros":4000000},
 "services":[
