--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -291,6 +291,7 @@
 	Unnamed   int                       `json:"refusals_without_retry_after"`
 	Return    map[string]int64          `json:"micros_from_return_to_first_success,omitempty"`
 	Rush      map[string][2]float64     `json:"served_per_second_before_and_in_rush,omitempty"`
+	Shares    map[string][2]float64     `json:"served_of_first_asks_until_and_after_the_return"`
 }
 
 // Conclude makes the report.
@@ -337,11 +338,45 @@
 		report.Hops = hops
 	}
 	stage.between(report.Bytes)
-	report.Rush = stage.rushed()
+	report.Rush, report.Shares = stage.rushed(), stage.shares()
 	report.Return = stage.back()
 	return report
 }
 
+// shares gives, by kind, what part of the requests that were sent for the first time was served, until the machines' return and
+// after it. Who asks again is left out: it would weigh a refusal by its repeats.
+func (stage *Stage) shares() map[string][2]float64 {
+	back := postmark.Micros(0)
+	for _, note := range stage.History.Notes {
+		if note.What == "returned" {
+			back = note.At
+		}
+	}
+	counts, begun := map[string]*[4]float64{}, map[string]bool{}
+	for _, attempt := range stage.History.Attempts {
+		if attempt.Key != "" && begun[attempt.Key] {
+			continue
+		}
+		begun[attempt.Key] = true
+		if counts[attempt.Kind] == nil {
+			counts[attempt.Kind] = &[4]float64{}
+		}
+		part := 0
+		if back > 0 && attempt.Sent >= back {
+			part = 2
+		}
+		counts[attempt.Kind][part]++
+		if outcome(attempt) == "served" {
+			counts[attempt.Kind][part+1]++
+		}
+	}
+	shares := map[string][2]float64{}
+	for kind, count := range counts {
+		shares[kind] = [2]float64{count[1] / max(count[0], 1), count[3] / max(count[2], 1)}
+	}
+	return shares
+}
+
 // rushed gives each kind's successes a second before the rush and in its second half, when queues have grown.
 func (stage *Stage) rushed() map[string][2]float64 {
 	var from, until postmark.Micros
@@ -456,6 +491,9 @@
 	if len(report.Return) > 0 {
 		fmt.Fprintf(&text, "  microseconds from the return to the first success: %v\n", report.Return)
 	}
+	for _, kind := range slices.Sorted(maps.Keys(report.Shares)) {
+		fmt.Fprintf(&text, "  %s served of those that asked first: %.3f until the return, %.3f after\n", kind, report.Shares[kind][0], report.Shares[kind][1])
+	}
 	for _, kind := range slices.Sorted(maps.Keys(report.Rush)) {
 		fmt.Fprintf(&text, "  %s served a second: %.0f before, %.0f in the rush\n", kind, report.Rush[kind][0], report.Rush[kind][1])
 	}
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -261,6 +261,10 @@
 	add(Course{Name: "everything", Short: "all failures together", Sizes: small, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
 		Rules:  []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: all})
+	for name, sizes := range map[string]Sizes{"association": {Cores: 3, Carriers: 16, Zones: 3, Backends: 5}, "raahbar": {Cores: 4, Carriers: 12, Zones: 4, Backends: 4}} {
+		add(Course{Name: name, Short: "all failures together, several at a time, at a deployment's shape", Sizes: sizes, Length: 40 * postmark.Second, Rate: 60, Every: 900 * postmark.Millisecond,
+			First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress}, Rules: []int{1, 2, 3, 4, 5, 6, 7, 8, 12}, Faults: all})
+	}
 	add(Course{Name: "four", Short: "all failures together, four core machines in four zones", Sizes: four, Length: 60 * postmark.Second, Rate: 25, Every: 2 * postmark.Second, First: []fault{serviceFails, replaceBackend, applyOne, reuseAddress},
 		Rules:  []int{1, 2, 3, 4, 5, 6, 7, 8, 10, 12},
 		Faults: all})
@@ -482,6 +486,20 @@
 	}}
 )
 
+// closingWith has other failures happen at the moment in which all power is lost.
+func closingWith(others ...fault) fault {
+	name := "power off everything"
+	for _, other := range others {
+		name += ", and " + other.name
+	}
+	return fault{name, func(mesh *Mesh) {
+		for _, other := range others {
+			other.bring(mesh)
+		}
+		killEverything.bring(mesh)
+	}}
+}
+
 func init() {
 	add(Course{Name: "core", Short: "the core's failures alone: kills, power, disks, cuts, freezes, planned stops", Sizes: small, Length: 50 * postmark.Second, Rate: 40, Every: 3 * postmark.Second,
 		Rules: []int{1, 3, 6, 7, 10, 12}, First: []fault{serviceFails, applyOne, killLeader},
@@ -492,9 +510,12 @@
 	add(Course{Name: "closing", Short: "power lost everywhere, more than once", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 8 * postmark.Second,
 		Rules: []int{1, 3, 7, 12}, First: []fault{applyOne},
 		Faults: []fault{killEverything, killEverything, applyOne, moveCore}})
+	add(Course{Name: "combined", Short: "power lost everywhere while one core machine loses its disk, moves, or comes back with a slow or damaged one", Sizes: small, Length: 40 * postmark.Second, Rate: 30, Every: 9 * postmark.Second,
+		Rules: []int{1, 3, 7, 12}, First: []fault{applyOne},
+		Faults: []fault{closingWith(loseDisk), closingWith(moveCore), closingWith(slowDisk), closingWith(damageDisk), closingWith(loseDisk, moveCore), applyOne}})
 	add(Course{Name: "configurations", Short: "configurations change while carriers are cut, frozen and restarted", Sizes: small, Length: 40 * postmark.Second, Rate: 30, Every: 1500 * postmark.Millisecond,
 		Rules: []int{3, 5, 6, 7}, First: []fault{freezeAndApply, cutFromCore, applyOne},
-		Faults: []fault{cutFromCore, cutFromCore, freezeCarrier, killCarrier, killLeader, applyOne, applyOne, applyRace, applyStorm}})
+		Faults: []fault{cutFromCore, cutFromCore, freezeCarrier, killCarrier, killLeader, applyOne, applyOne, applyRace, applyStorm, drainCarrier, handOver}})
 	add(Course{Name: "backends", Short: "backends replaced, ended, their addresses reused, misbehaving", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: postmark.Second,
 		Rules: []int{1, 2, 3, 4, 5, 8}, First: []fault{replaceBackend, reuseAddress, serviceFails},
 		Faults: []fault{replaceBackend, reuseAddress, manners, manners, serviceFails, cutCarriers, killCarrier}})
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -59,6 +59,9 @@
 func TestTroubled(t *testing.T)       { play(t, "troubled", 21) }
 func TestTrials(t *testing.T)         { play(t, "trials", 1) }
 func TestClocks(t *testing.T)         { play(t, "clocks", 1) }
+func TestAssociation(t *testing.T)    { play(t, "association", 1) }
+func TestRaahbar(t *testing.T)        { play(t, "raahbar", 1) }
+func TestCombined(t *testing.T)       { play(t, "combined", 1) }
 func TestCore(t *testing.T)           { play(t, "core", 1, 2) }
 func TestConfigurations(t *testing.T) { play(t, "configurations", 1) }
 func TestBackends(t *testing.T)       { play(t, "backends", 1) }
