Applies: planned stops give tenures up or hand them over, so nobody waits for them

Cause: a postmaster waits until every tenure that it gave may be over. A carrier that stopped as planned left its tenure behind, and a primary that handed over left its backup not knowing any, so that applies after either waited like after a kill.

Ruled out: replicating tenures (a write for each poll), shorter tenures (carriers would refuse sooner when cut off).

Change: a carrier's drain ends with a poll that releases its tenure; an earlier poll of that life, held until then, doesn't bring it back. A primary that hands over tells its backup, after it has stopped answering, the tenures that stand; the backup goes by them only if its own takeover alone lies between that epoch and the one it answers in. What isn't told is waited for as before.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -174,6 +174,7 @@
 	carrier.Gate.GiveUp()
 	answered := carrier.Passage.Drain(cutoff - place.Now())
 	answered = carrier.Gate.Drain(cutoff-place.Now()) && answered
+	carrier.Desk.Release(min(max(cutoff-place.Now(), 50*postmark.Millisecond), 300*postmark.Millisecond))
 	carrier.Wicket.Close(min(max(cutoff-place.Now(), 0), postmark.Second))
 	place.Report(bulletin.ProcessDrained, map[string]any{"answered": answered, "whole": whole})
 	return answered
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -31,6 +31,8 @@
 	adopted postmark.Micros
 	lapsed  bool
 	waiters []office.Signal
+	// released is set once it serves no more and takes no tenure.
+	released bool
 	// untenured lets it serve without a live tenure; only rehearsals of the checkers set it.
 	untenured bool
 }
@@ -135,7 +137,7 @@
 	if fresh != nil {
 		desk.view, desk.adopted = fresh, desk.place.Now()
 	}
-	if desk.view != nil {
+	if desk.view != nil && !desk.released {
 		desk.until = max(desk.until, until)
 		desk.lapsed = false
 	}
@@ -153,6 +155,17 @@
 	return true
 }
 
+// Release ends the tenure for good and tells the primary, so that nobody waits for its end. Where that can't be told the
+// tenure runs out there.
+func (desk *Desk) Release(patience postmark.Micros) {
+	desk.lock.Lock()
+	desk.released, desk.until = true, 0
+	desk.lock.Unlock()
+	if name := desk.book.Leader(postmasters); name != "" {
+		_ = desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.carrier, Incarnation: desk.incarnation, Release: true}, &wire.DesiredPollTell{}, patience)
+	}
+}
+
 func (desk *Desk) noteLapse() {
 	desk.lock.Lock()
 	lapsed := desk.view != nil && desk.place.Now() >= desk.until && !desk.lapsed
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -53,6 +53,10 @@
 	CompactFrom int64
 	// Unwitnessed has holder time go by the primary's clock alone; only rehearsals of the checkers set it.
 	Unwitnessed bool
+	// Handing gives what a primary that hands over knows besides the state; Handed takes it at the backup, with the epoch that
+	// was handed over. Both may be left out.
+	Handing func() []byte
+	Handed  func(epoch uint64, content []byte)
 	// Settled is called whenever this member starts answering as primary.
 	Settled func(epoch uint64, now postmark.Micros)
 }
@@ -221,6 +225,9 @@
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
+		if member.env.Handed != nil {
+			member.env.Handed(ask.Epoch, ask.Content)
+		}
 		member.lock.Lock()
 		member.lastHeard = -postmark.Minute
 		member.lock.Unlock()
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -472,10 +472,14 @@
 		return
 	}
 	member.stepDown(state.epoch, why)
+	var along []byte
+	if member.env.Handing != nil {
+		along = member.env.Handing() // nothing is answered any more, so this is the last word
+	}
 	member.askTenure(state.epoch, state.ballot, true)
 	if state.backup != nil {
 		member.env.Place.Report(bulletin.HandedOver, map[string]any{"group": member.env.Group, "to": state.backup.Name, "why": why})
-		_ = member.call(state.backup.Name, wire.Kind_handover, &wire.HandoverAsk{To: state.backup.Name, Epoch: state.epoch}, &wire.HandoverTell{})
+		_ = member.call(state.backup.Name, wire.Kind_handover, &wire.HandoverAsk{To: state.backup.Name, Epoch: state.epoch, Content: along}, &wire.HandoverTell{})
 	}
 	member.lock.Lock()
 	member.lastHeard = member.env.Place.Now() + 4*member.env.Tenure
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -268,6 +268,55 @@
 	}
 }
 
+// TestPlannedStopsDelayNoApply: a carrier that stops as planned gives its tenure up, and a primary that stops as planned
+// hands the tenures over, so an apply right after either waits for nobody. After kills it waits for what may still be served.
+func TestPlannedStopsDelayNoApply(t *testing.T) {
+	for name, brought := range map[string]struct {
+		fault   fault
+		delayed bool
+	}{
+		"a carrier's planned stop": {drainCarrier, false},
+		"a postmaster's planned stop": {fault{"hand over", func(mesh *Mesh) {
+			node := mesh.leader("postmaster")
+			mesh.Outside.Go(func() {
+				_, _ = mesh.Outside.Transact(node.Address, 5*postmark.Second, func(*world.Node) ([]byte, error) {
+					mesh.masters[node.Name].Member.HandOver("planned")
+					return nil, nil
+				})
+				mesh.World.At(mesh.World.Now(), func() { mesh.World.Kill(node) })
+			})
+		}}, false},
+		"a carrier's end":    {killCarrier, true},
+		"a postmaster's end": {fault{"kill the primary", func(mesh *Mesh) { mesh.World.Kill(mesh.leader("postmaster")) }}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var longest postmark.Micros
+			timed := fault{"apply and time it", func(mesh *Mesh) {
+				began := mesh.World.Now()
+				mesh.Outside.Go(func() {
+					if tell := mesh.apply(Desired(0), true, 0, 30*postmark.Second); tell != nil && tell.Outcome == "accepted" {
+						longest = max(longest, mesh.World.Now()-began)
+					}
+				})
+			}}
+			both := fault{brought.fault.name, func(mesh *Mesh) {
+				brought.fault.bring(mesh)
+				mesh.later(2*postmark.Second, func() { timed.bring(mesh) })
+			}}
+			result := Run(Course{Name: "planned", Sizes: small, Length: 20 * postmark.Second, Rate: 20, Every: 10 * postmark.Second,
+				First: []fault{both}, Faults: []fault{nothing}}, 3, Breakage{})
+			for _, finding := range result.Findings {
+				t.Error(finding)
+			}
+			t.Logf("acknowledged after %d microseconds", longest)
+			if longest == 0 || longest > postmark.Second != brought.delayed {
+				t.Errorf("acknowledged after %d microseconds", longest)
+			}
+		})
+	}
+}
+
 // TestYoungSorter: sorters are killed one after another and come back with empty directories. A carrier that is told of
 // nobody by a sorter that has only just begun to be told must not forget the backends that it knows.
 func TestYoungSorter(t *testing.T) {
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -5,10 +5,14 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"snowflow/internal/bulletin"
 	"snowflow/internal/countersign"
 	"snowflow/internal/franking"
@@ -58,20 +62,25 @@
 	// ackFrom is the moment from which no tenure that an earlier primary gave has more than Slack left.
 	ackFrom postmark.Micros
 	epoch   uint64
+	// handed is what the primary of handedEpoch knew of tenures when it handed over, after it had given its last one.
+	handed      map[string]*holder
+	handedEpoch uint64
 }
 
-// holder is one carrier's tenure. Invariant: until is no earlier than the end the carrier itself counts with.
+// holder is one carrier's tenure. Invariants: until is no earlier than the end the carrier itself counts with; one that was
+// released stays so, since that life of its carrier serves no more.
 type holder struct {
-	name    string
-	adopted uint64
-	until   postmark.Micros
+	name     string
+	adopted  uint64
+	until    postmark.Micros
+	released bool
 }
 
 // Open reads the disk.
 func Open(env Env) (*Postmaster, error) {
 	master := &Postmaster{env: env, ledger: ledger.New(), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
 	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
-		Machine: master.ledger, Settled: master.settled}
+		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
 	if env.Adjust != nil {
 		env.Adjust(&core)
 	}
@@ -90,10 +99,14 @@
 func (master *Postmaster) settled(epoch uint64, _ postmark.Micros) {
 	master.lock.Lock()
 	defer master.lock.Unlock()
-	if master.epoch == 0 || epoch != master.epoch+1 {
+	// Between a handover's epoch and this one lies only this process's own takeover, in which nobody answered: then the
+	// tenures that were told are all there are.
+	if master.handed != nil && epoch == master.handedEpoch+2 {
+		master.holders = master.handed
+	} else if master.epoch == 0 || epoch != master.epoch+1 {
 		master.ackFrom = master.env.Place.Now() + Tenure - Slack
 	}
-	master.epoch = epoch
+	master.epoch, master.handed = epoch, nil
 	master.env.Place.Go(func() {
 		master.env.Place.Sleep(postmark.Second) // it isn't answering yet
 		master.tellKept()
@@ -107,6 +120,40 @@
 	master.ackFrom = max(master.ackFrom, master.env.Place.Now()+Tenure-Slack)
 }
 
+// handing tells the next primary who holds tenures, and for how much longer.
+func (master *Postmaster) handing() []byte {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	now := master.env.Place.Now()
+	if now < master.ackFrom {
+		return nil // there may be tenures that this process doesn't know of
+	}
+	told := &wire.TenureHolders{Whole: true}
+	for _, key := range slices.Sorted(maps.Keys(master.holders)) {
+		if present := master.holders[key]; present.until > now && !present.released {
+			told.Holders = append(told.Holders, &wire.TenureHolder{Key: key, Carrier: present.name, Adopted: present.adopted, Left: int64(present.until - now)})
+		}
+	}
+	content, err := proto.Marshal(told)
+	if err != nil {
+		return nil
+	}
+	return content
+}
+
+func (master *Postmaster) takeHanded(epoch uint64, content []byte) {
+	holders := &wire.TenureHolders{}
+	if proto.Unmarshal(content, holders) != nil || !holders.Whole {
+		return
+	}
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	master.handed, master.handedEpoch = map[string]*holder{}, epoch
+	for _, present := range holders.Holders {
+		master.handed[present.Key] = &holder{name: present.Carrier, adopted: present.Adopted, until: master.env.Place.Now() + postmark.Micros(present.Left)}
+	}
+}
+
 func (master *Postmaster) tellKept() {
 	if master.env.Kept == nil {
 		return
@@ -133,6 +180,9 @@
 // Poll renews a carrier's tenure, with the newest desired state if the carrier hasn't got it. It waits a while for news.
 func (master *Postmaster) Poll(ask *wire.DesiredPollAsk) (*wire.DesiredPollTell, error) {
 	place := master.env.Place
+	if ask.Release {
+		return master.release(ask), nil
+	}
 	master.adopted(ask)
 	cutoff := place.Now() + pollHold
 	for {
@@ -181,9 +231,23 @@
 		master.holders[key] = &holder{name: ask.Carrier}
 	}
 	present := master.holders[key]
+	if present.released {
+		return // an earlier poll of the same life, held until now
+	}
 	present.adopted, present.until = max(present.adopted, ask.Have), master.env.Place.Now()+Tenure
 }
 
+// release ends a tenure whose carrier serves no more: nobody needs to wait for its end.
+func (master *Postmaster) release(ask *wire.DesiredPollAsk) *wire.DesiredPollTell {
+	master.lock.Lock()
+	if present := master.holders[holderKey(ask)]; present != nil {
+		present.released = true
+	}
+	master.lock.Unlock()
+	master.words.wake()
+	return &wire.DesiredPollTell{}
+}
+
 // behind names the carriers that may still serve by an older serial for longer than Slack.
 func (master *Postmaster) behind(serial uint64) (names []string, wait postmark.Micros) {
 	master.lock.Lock()
@@ -197,7 +261,7 @@
 			delete(master.holders, key)
 			continue
 		}
-		if present.adopted < serial && present.until-now > Slack {
+		if !present.released && present.adopted < serial && present.until-now > Slack {
 			names = append(names, present.name)
 			wait = max(wait, present.until-now-Slack)
 		}
@@ -318,7 +382,7 @@
 	defer master.lock.Unlock()
 	now := master.env.Place.Now()
 	for _, present := range master.holders {
-		if present.until > now {
+		if present.until > now && !present.released {
 			status.Holders = append(status.Holders, HolderStatus{Carrier: present.name, Adopted: present.adopted, Left: int64(present.until - now)})
 		}
 	}
