Refusals: the time to come back is spread, the wider the longer its cause lasts

Cause: everybody who was refused through an outage was told the same one or two seconds, so that at its end all who had gathered came within that time.

Ruled out: holding refusals back (the users won't have it), a fixed wide spread (after a moment's trouble all would wait for long).

Change: the time of a refusal grows by chance, at most by how long its cause has gone on at this carrier, and by 10 s in all.

--- /dev/null
+++ b/internal/carrier/passage/later.go
@@ -0,0 +1,50 @@
+package passage
+
+import (
+	"sync"
+
+	"snowflow/internal/office"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+const (
+	// farthest is the most that a refusal's time to come back is put off by.
+	farthest = 10 * postmark.Second
+	// quietFor ends a series of refusals.
+	quietFor = 15 * postmark.Second
+)
+
+// later spreads the return of callers that are refused for the same cause, the wider the longer it lasts: those who
+// waited through an outage must not all come back in the moment of its end.
+// Invariant: a series is one cause's refusals with no pause of quietFor between them.
+type later struct {
+	place  office.Office
+	lock   sync.Mutex
+	series map[seal.Cause]*series
+	// together leaves the spreading out; only measurements set it.
+	together bool
+}
+
+type series struct{ since, last postmark.Micros }
+
+func newLater(place office.Office) *later {
+	return &later{place: place, series: map[seal.Cause]*series{}}
+}
+
+// put gives a refusal the time after which its caller should come back, if coming back helps at all.
+func (later *later) put(fault *seal.Fault) {
+	if fault.RetryAfter == 0 || later.together {
+		return
+	}
+	later.lock.Lock()
+	now, present := later.place.Now(), later.series[fault.Cause]
+	if present == nil || now-present.last >= quietFor {
+		present = &series{since: now}
+		later.series[fault.Cause] = present
+	}
+	present.last = now
+	spread := min(now-present.since, farthest)
+	later.lock.Unlock()
+	fault.RetryAfter += postmark.Micros(later.place.Random() % uint64(spread+1))
+}
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -56,6 +56,7 @@
 	running  atomic.Int64
 	idle     office.Signal
 	last     *lastpost.Post
+	later    *later
 	counts   sync.Map // service name to *atomic.Int64
 	choices  *chooser
 }
@@ -85,7 +86,7 @@
 
 // New makes a passage.
 func New(env Env) *Passage {
-	passage := &Passage{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), choices: newChooser(env.Place, env.Domain, env.Blind)}
+	passage := &Passage{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), later: newLater(env.Place), choices: newChooser(env.Place, env.Domain, env.Blind)}
 	passage.policies = passage.Policies()
 	return passage
 }
@@ -138,6 +139,9 @@
 	return true
 }
 
+// Together leaves the spreading of callers' return out, to measure what it's worth. No program sets it.
+func (passage *Passage) Together(broken bool) { passage.later.together = broken }
+
 // GiveUp gives every request still under way its final outcome now.
 func (passage *Passage) GiveUp() { passage.last.GiveUp() }
 
@@ -146,6 +150,7 @@
 	passage.running.Inc()
 	defer func() {
 		if fault != nil {
+			passage.later.put(fault)
 			passage.env.Place.Report(bulletin.RequestRefused, map[string]any{"request": request.ID, "cause": int(fault.Cause), "verdict": string(fault.Verdict), "detail": fault.Detail})
 		}
 		if passage.running.Dec() == 0 {
--- a/internal/depot/scenario/fleet_test.go
+++ b/internal/depot/scenario/fleet_test.go
@@ -117,6 +117,7 @@
 	by      string
 }{
 	{regexp.MustCompile(`"digest":"[0-9a-f]{64}"`), `"digest":"..."`},
+	{regexp.MustCompile(`"retry_after_micros":[1-9][0-9]*`), `"retry_after_micros":...`},
 	{regexp.MustCompile(`"request":"[^"]*"`), `"request":"..."`},
 	{regexp.MustCompile(`"left_micros":[1-9][0-9]*`), `"left_micros":...`},
 	{regexp.MustCompile(`-[0-9a-f]{16}`), `-...`},
@@ -183,6 +184,9 @@
 	text := response.Status + "\n"
 	for _, name := range shownHeaders {
 		if value := response.Header.Get(name); value != "" {
+			if name == "Retry-After" {
+				value = "..."
+			}
 			text += name + ": " + value + "\n"
 		}
 	}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -52,6 +52,7 @@
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
+	patient     bool            // callers come back when they were told to, until they are served
 	grace       postmark.Micros // what a carrier's planned stop may take
 	breakage    Breakage
 	log         []string
@@ -67,6 +68,7 @@
 type Breakage struct {
 	Unleased     bool   // carriers let calls through while half open without leasing a probe
 	TrustClock   bool   // clocks are taken at their word, on which holder time rests alone
+	Together     bool   // refusals name the same time to come back to all
 	NoClaims     bool   // run-once requests are not claimed
 	LeaveIgnored bool   // backends' leaving isn't noted
 	NoIdentity   bool   // backends aren't asked who they are
@@ -224,6 +226,7 @@
 		one.Purse.Unlimited(mesh.breakage.NoBudget)
 		one.Wicket.Unleased(mesh.breakage.Unleased)
 		one.TrustClock(mesh.breakage.TrustClock)
+		one.Passage.Together(mesh.breakage.Together)
 		one.Register(table)
 		one.Start()
 		mesh.lives[name], mesh.begun[name] = one, place.Now()
@@ -400,7 +403,7 @@
 
 func (mesh *Mesh) call(number int, keyed bool) {
 	chance := mesh.World.Chance()
-	for again := 0; again < 4; again++ {
+	for again := 0; again < 4 || mesh.patient && mesh.serving; again++ {
 		kind, method, path, key := "form", "GET", fmt.Sprintf("/forms/%d", number), ""
 		if keyed {
 			kind, method, path, key = "submission", "POST", fmt.Sprintf("/households/%d", number), fmt.Sprintf("key-%d", number)
@@ -415,7 +418,11 @@
 		}
 		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", kind, number, again), Key: key, Kind: kind, Caller: caller, Method: method, Path: path, Sent: mesh.World.Now()}
 		mesh.History.Send(attempt)
-		mesh.send(attempt)
+		retry := mesh.send(attempt)
+		if mesh.patient && retry > 0 {
+			mesh.Outside.Sleep((retry + postmark.Second - 1) / postmark.Second * postmark.Second) // as the header says, in whole seconds
+			continue
+		}
 		if !keyed || attempt.Status == 200 && !attempt.Mesh {
 			return
 		}
@@ -432,11 +439,12 @@
 	Mesh    bool
 	Cause   uint32
 	NotRun  bool
-	Retry   bool
+	Retry   postmark.Micros
 	Planned bool
 }
 
-func (mesh *Mesh) send(attempt *inspector.Attempt) {
+// send makes one attempt, and tells after how long the mesh asked its caller to come back.
+func (mesh *Mesh) send(attempt *inspector.Attempt) (retry postmark.Micros) {
 	node := mesh.World.Node(attempt.Caller)
 	life, read := mesh.lives[attempt.Caller], false
 	content, err := mesh.Outside.Transact(node.Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
@@ -451,7 +459,7 @@
 		}
 		answer, fault := life.Passage.Carry(request)
 		if fault != nil {
-			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter > 0})
+			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter})
 		}
 		return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body), Sum: sum(answer.Body)})
 	})
@@ -459,12 +467,13 @@
 	attempt.Read = read && mesh.onlyPlanned
 	if err != nil {
 		attempt.Transport = "lost"
-		return
+		return 0
 	}
 	var reply told
 	_ = json.Unmarshal(content, &reply)
 	attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole, attempt.Sum = int(reply.Status), reply.Serial, reply.Echo, reply.Whole, reply.Sum
-	attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry
+	attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry > 0
+	return reply.Retry
 }
 
 // ---- operators ----
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -317,6 +317,46 @@
 	}
 }
 
+// TestReturnWave: the core is out of every carrier's reach for half a minute, and callers come back when they are told to. What
+// comes in the seconds after its return is counted, with their return spread and without.
+func TestReturnWave(t *testing.T) {
+	const rate, away = 40, 30 * postmark.Second
+	wave := func(breakage Breakage) (most int) {
+		var mesh *Mesh
+		var back postmark.Micros
+		cut := fault{"cut the core off", func(mesh *Mesh) {
+			back = mesh.World.Now() + away
+			for _, carrier := range mesh.carriers {
+				for _, core := range mesh.cores {
+					mesh.cutFor(carrier, core, true, away)
+				}
+			}
+		}}
+		result := Run(Course{Name: "wave", Sizes: small, Length: 60 * postmark.Second, Rate: rate, Every: 10 * postmark.Second, First: []fault{cut}, Faults: []fault{nothing},
+			Prepare: func(built *Mesh) {
+				mesh = built
+				mesh.patient = true
+			}}, 1, breakage)
+		for _, finding := range result.Findings {
+			t.Error(finding)
+		}
+		seconds := map[postmark.Micros]int{}
+		for _, attempt := range mesh.History.Attempts {
+			if attempt.Sent >= back && attempt.Sent < back+15*postmark.Second {
+				second := (attempt.Sent - back) / postmark.Second
+				seconds[second]++
+				most = max(most, seconds[second])
+			}
+		}
+		return most
+	}
+	together, spread := wave(Breakage{Together: true}), wave(Breakage{})
+	t.Logf("requests in the worst second after the return: %d together, %d spread; %d a second are sent anew", together, spread, rate)
+	if spread == 0 || 2*spread > together {
+		t.Errorf("requests in the worst second after the return: %d together, %d spread", together, spread)
+	}
+}
+
 // TestYoungSorter: sorters are killed one after another and come back with empty directories. A carrier that is told of
 // nobody by a sorter that has only just begun to be told must not forget the backends that it knows.
 func TestYoungSorter(t *testing.T) {
