Core of four: the first voter counts double, so half of an evenly split core goes on

Cause: with 3 of 4 to decide, two halves that can't hear each other both stop: configurations, claims and, once tenures end, all traffic. And nothing kept processes from going by different rosters.

Ruled out: a fifth voter (a machine more), one voter without a say (then the loss of two others stops the rest), a plain majority as today.

The first in the roster is preferred as backup and taken back when it returns. Voters turn down who goes by another roster and tell both; fewer than three are refused as a setting.

--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -21,6 +21,7 @@
 	CopyInstalled      = 207
 	HandedOver         = 208
 	HolderTimeBound    = 209
+	VotersDiffer       = 210
 	SessionOpened      = 301
 	SessionEnded       = 302
 	BackendRegistered  = 310
@@ -75,6 +76,7 @@
 	CopyInstalled:      {log.InfoLevel, "copy of the state installed"},
 	HandedOver:         {log.WarnLevel, "handed over to the backup"},
 	HolderTimeBound:    {log.WarnLevel, "holder time bound by what passed at the backup"},
+	VotersDiffer:       {log.ErrorLevel, "voters differ between two processes, which don't hear one another"},
 	SessionOpened:      {log.InfoLevel, "session opened"},
 	SessionEnded:       {log.WarnLevel, "session ended"},
 	BackendRegistered:  {log.InfoLevel, "backend registered"},
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -103,6 +103,7 @@
 	valueBallot   uint64
 	lead          lead
 	lastHeard     postmark.Micros
+	told          string // the last that was told of rosters that differ
 	stopped       bool
 
 	// relieved is when something was last done about a slow disk; only the work task uses it.
@@ -244,8 +245,6 @@
 	return 0
 }
 
-func (member *Member) majority() int { return len(member.env.Voters)/2 + 1 }
-
 func (member *Member) others() []string {
 	var names []string
 	for _, name := range member.env.Voters {
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -59,7 +59,7 @@
 func (member *Member) refresh() {
 	for _, reply := range gather(member, member.others(), member.env.Patience, func(name string) (*wire.RegisterReadTell, error) {
 		tell := &wire.RegisterReadTell{}
-		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, tell)
+		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
 	}, nil) {
 		member.learn(reply.Accepted, reply.Value)
 		member.sawBallot(reply.Promised)
@@ -326,12 +326,22 @@
 	member.lock.Lock()
 	leave := count(&member.lead.slowSyncs, slowOwn && !slowBackup)
 	relieve := count(&member.lead.slowReplies, slowBackup)
+	heavy := member.roster().heavy()
+	prefer := heavy != "" && member.env.Name != heavy && backup.Name != heavy && !slowOwn && !slowBackup
 	value, due := member.value, member.env.Place.Now()-member.relieved >= reliefPause
 	member.lock.Unlock()
-	if !due || !leave && !relieve {
+	if !due || !leave && !relieve && !prefer {
 		return
 	}
 	member.relieved = member.env.Place.Now()
+	if prefer && !leave && !relieve {
+		// The voter that counts double is to have a copy again, now that it's back.
+		if member.reachable(heavy) {
+			member.dropBackup(backup, "another is preferred")
+			member.settle(nil)
+		}
+		return
+	}
 	// Without a third voter both disks are needed for every write, whoever leads.
 	spare := slices.ContainsFunc(member.candidates(value, backup), func(name string) bool { return name != backup.Name && member.reachable(name) })
 	if !spare {
@@ -356,7 +366,7 @@
 
 // reachable asks a voter something small.
 func (member *Member) reachable(name string) bool {
-	return member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, &wire.RegisterReadTell{}) == nil
+	return member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, &wire.RegisterReadTell{}) == nil
 }
 
 // installPatience is how long a whole view may take to reach a new backup and be synced there.
@@ -433,20 +443,23 @@
 	return view
 }
 
-// candidates orders the other voters: the present copy first, unless it just failed.
+// candidates orders the other voters: the one that counts double first, so that its half of a split core has a copy, then the
+// present copy, and last one that just failed.
 func (member *Member) candidates(value *wire.RegisterValue, failed *wire.Holder) []string {
-	var first, rest, last []string
+	var heavy, first, rest, last []string
 	for _, name := range member.others() {
 		switch {
 		case failed != nil && failed.Name == name:
 			last = append(last, name)
+		case name == member.roster().heavy():
+			heavy = append(heavy, name)
 		case value != nil && value.Backup != nil && value.Backup.Name == name:
 			first = append(first, name)
 		default:
 			rest = append(rest, name)
 		}
 	}
-	return append(append(first, rest...), last...)
+	return slices.Concat(heavy, first, rest, last)
 }
 
 func withHolder(roster []*wire.Holder, holders ...*wire.Holder) []*wire.Holder {
--- a/internal/countersign/proposer.go
+++ b/internal/countersign/proposer.go
@@ -47,22 +47,16 @@
 	ballot := member.nextBallot()
 	self := member.self()
 	promises := gather(member, member.env.Voters, member.env.Tenure, func(name string) (*wire.PromiseTell, error) {
-		ask := &wire.PromiseAsk{To: name, Ballot: ballot, Proposer: self}
+		ask := &wire.PromiseAsk{To: name, Ballot: ballot, Proposer: self, Voters: member.env.Voters}
 		if name == member.env.Name {
 			return member.answerPromise(ask)
 		}
 		tell := &wire.PromiseTell{}
 		return tell, member.write(name, wire.Kind_register_promise, ask, tell)
 	}, func(replies map[string]*wire.PromiseTell, _ int) bool {
-		granted := 0
-		for _, reply := range replies {
-			if reply.Granted {
-				granted++
-			}
-		}
-		return granted >= member.majority() && replies[member.env.Name] != nil
+		return member.decides(granters(replies, (*wire.PromiseTell).GetGranted)) && replies[member.env.Name] != nil
 	})
-	var granters []string
+	var promised []string
 	var value *wire.RegisterValue
 	var highest uint64
 	for _, name := range member.env.Voters {
@@ -74,12 +68,12 @@
 		if !reply.Granted {
 			continue
 		}
-		granters = append(granters, name)
+		promised = append(promised, name)
 		if reply.Accepted > highest {
 			highest, value = reply.Accepted, reply.Value
 		}
 	}
-	if len(granters) < member.majority() || promises[member.env.Name] == nil || !promises[member.env.Name].Granted {
+	if !member.decides(promised) || promises[member.env.Name] == nil || !promises[member.env.Name].Granted {
 		return nil, 0, errNoMajority
 	}
 	altered, err := alter(value)
@@ -90,7 +84,7 @@
 	if place.Now()-started >= member.env.Tenure {
 		return nil, 0, errNoMajority
 	}
-	accepts := gather(member, granters, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
+	accepts := gather(member, promised, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
 		ask := &wire.AcceptAsk{To: name, Ballot: ballot, Value: altered, Proposer: self}
 		if name == member.env.Name {
 			return member.answerAccept(ask)
@@ -98,27 +92,17 @@
 		tell := &wire.AcceptTell{}
 		return tell, member.write(name, wire.Kind_register_accept, ask, tell)
 	}, func(replies map[string]*wire.AcceptTell, _ int) bool {
-		return countAccepts(replies) >= member.majority() && replies[member.env.Name] != nil
+		return member.decides(granters(replies, (*wire.AcceptTell).GetGranted)) && replies[member.env.Name] != nil
 	})
 	for _, reply := range accepts {
 		member.sawBallot(reply.Promised)
 	}
-	if own := accepts[member.env.Name]; own == nil || !own.Granted || countAccepts(accepts) < member.majority() {
+	if own := accepts[member.env.Name]; own == nil || !own.Granted || !member.decides(granters(accepts, (*wire.AcceptTell).GetGranted)) {
 		return nil, 0, errNoMajority
 	}
 	return altered, ballot, nil
 }
 
-func countAccepts(replies map[string]*wire.AcceptTell) int {
-	granted := 0
-	for _, reply := range replies {
-		if reply.Granted {
-			granted++
-		}
-	}
-	return granted
-}
-
 // nextBallot is higher than any seen; its low byte is this voter's place, so no two voters share one.
 func (member *Member) nextBallot() uint64 {
 	member.lock.Lock()
@@ -141,12 +125,9 @@
 	member.lock.Unlock()
 	asked := place.Now()
 	replies := member.askTenure(epoch, ballot, false)
-	granted := 0
+	granted := member.decides(granters(replies, (*wire.TenureTell).GetGranted))
 	overtaken := false
 	for _, reply := range replies {
-		if reply.Granted {
-			granted++
-		}
 		member.sawBallot(reply.Promised)
 		if reply.Value != nil && reply.Value.Epoch > epoch {
 			overtaken = true
@@ -158,7 +139,7 @@
 		}
 	}
 	member.lock.Lock()
-	if granted >= member.majority() && member.lead.epoch == epoch {
+	if granted && member.lead.epoch == epoch {
 		member.lead.until = asked + member.env.Tenure
 	}
 	expired := member.lead.epoch == epoch && place.Now() >= member.lead.until
@@ -168,7 +149,7 @@
 		member.stepDown(epoch, "another epoch began")
 		return
 	}
-	if granted < member.majority() && outbid {
+	if !granted && outbid {
 		// A rival's ballot that came to nothing stands in the way: write the same value under a higher one.
 		value, fresh, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
 			if value == nil || value.Epoch != epoch || !sameHolder(value.Primary, member.self()) {
@@ -195,20 +176,14 @@
 		patience = member.env.Patience
 	}
 	return gather(member, member.env.Voters, patience, func(name string) (*wire.TenureTell, error) {
-		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release}
+		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release, Voters: member.env.Voters}
 		if name == member.env.Name {
 			return member.answerTenure(ask)
 		}
 		tell := &wire.TenureTell{}
 		return tell, member.env.Book.Call(name, wire.Kind_tenure_ask, ask, tell, patience)
 	}, func(replies map[string]*wire.TenureTell, _ int) bool {
-		granted := 0
-		for _, reply := range replies {
-			if reply.Granted {
-				granted++
-			}
-		}
-		return granted >= member.majority()
+		return member.decides(granters(replies, (*wire.TenureTell).GetGranted))
 	})
 }
 
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -1,6 +1,9 @@
 package countersign
 
 import (
+	"fmt"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
@@ -113,6 +116,9 @@
 
 func (member *Member) answerRegisterRead(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
 	tell := &wire.RegisterReadTell{}
+	if why := member.differs(ask.Voters); why != "" {
+		return nil, seal.Invalid.New("%s", why)
+	}
 	member.seat.Do(func() {
 		record := member.voter.record
 		tell.Intact, tell.Blank = record.Joined, !record.Joined
@@ -124,6 +130,9 @@
 func (member *Member) answerPromise(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
 	tell := &wire.PromiseTell{}
 	var err error
+	if tell.Why = member.differs(ask.Voters); tell.Why != "" {
+		return tell, nil
+	}
 	member.seat.Do(func() {
 		record := member.voter.record
 		tell.Promised, tell.Incarnation = record.Promised, record.Incarnation
@@ -140,6 +149,23 @@
 	return tell, err
 }
 
+// differs tells both rosters where an asker's isn't this voter's: by two rosters two parts could each think themselves a
+// quorum.
+func (member *Member) differs(voters []string) string {
+	if len(voters) == 0 || slices.Equal(voters, member.env.Voters) {
+		return ""
+	}
+	why := fmt.Sprintf("voters differ: there %v, here %v", voters, member.env.Voters)
+	member.lock.Lock()
+	told := member.told
+	member.told = why
+	member.lock.Unlock()
+	if told != why {
+		member.env.Place.Report(bulletin.VotersDiffer, map[string]any{"group": member.env.Group, "why": why})
+	}
+	return why
+}
+
 // objection names why a proposer isn't heard, or nothing.
 func (member *Member) objection(proposer *wire.Holder, stale bool) string {
 	switch {
@@ -175,6 +201,9 @@
 
 func (member *Member) answerTenure(ask *wire.TenureAsk) (*wire.TenureTell, error) {
 	tell := &wire.TenureTell{}
+	if tell.Why = member.differs(ask.Voters); tell.Why != "" {
+		return tell, nil
+	}
 	member.seat.Do(func() {
 		voter := &member.voter
 		tell.Promised, tell.Value = voter.record.Promised, voter.record.Value
@@ -204,9 +233,9 @@
 	others := member.others()
 	replies := gather(member, others, member.env.Patience, func(name string) (*wire.RegisterReadTell, error) {
 		tell := &wire.RegisterReadTell{}
-		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name}, tell)
+		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
 	}, nil)
-	virgin, intact := 0, 0
+	virgin, intact := 0, []string{}
 	var highestPromise, highestAccepted uint64
 	var value *wire.RegisterValue
 	for _, name := range others {
@@ -222,14 +251,13 @@
 		if !reply.Intact {
 			continue
 		}
-		intact++
+		intact = append(intact, name)
 		if reply.Accepted > highestAccepted {
 			highestAccepted, value = reply.Accepted, reply.Value
 		}
 	}
 	genesis := virgin == len(others)
-	needed := len(member.env.Voters) - member.majority() + 1
-	if !genesis && intact < needed {
+	if !genesis && member.roster().of(intact) < member.roster().reading() {
 		return
 	}
 	member.seat.Do(func() {
--- /dev/null
+++ b/internal/countersign/weights.go
@@ -0,0 +1,63 @@
+package countersign
+
+import "slices"
+
+// roster is a group's voters in the order that all of them know. Where their number is even the first counts double, so that of
+// two halves that can't hear each other the one with the first goes on.
+//
+// Invariants, tried out for every subset by TestWeights: any two quorums share a voter; the loss of any one voter leaves a quorum;
+// voters of the reading weight share a voter with every quorum; of two parts at most one is a quorum, and of an even split's
+// two halves exactly one.
+type roster []string
+
+func (roster roster) even() bool { return len(roster)%2 == 0 }
+
+// weight is how much a voter counts; who isn't one counts nothing.
+func (roster roster) weight(name string) int {
+	switch index := slices.Index(roster, name); {
+	case index < 0:
+		return 0
+	case index == 0 && roster.even():
+		return 2
+	}
+	return 1
+}
+
+// of sums voters' weights.
+func (roster roster) of(names []string) (sum int) {
+	for _, name := range names {
+		sum += roster.weight(name)
+	}
+	return sum
+}
+
+// quorum is the weight that decides.
+func (roster roster) quorum() int { return roster.of(roster)/2 + 1 }
+
+// reading is the weight of others that a voter with a blank folder must hear: whatever was decided, one of them knows.
+func (roster roster) reading() int { return roster.of(roster) - roster.quorum() + 1 }
+
+// heavy is the voter that counts double, or nothing.
+func (roster roster) heavy() string {
+	if len(roster) == 0 || !roster.even() {
+		return ""
+	}
+	return roster[0]
+}
+
+// granters lists who granted something.
+func granters[Reply any](replies map[string]Reply, granted func(reply Reply) bool) (names []string) {
+	for name, reply := range replies {
+		if granted(reply) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (member *Member) roster() roster { return member.env.Voters }
+
+// decides tells whether those who granted something are a quorum.
+func (member *Member) decides(names []string) bool {
+	return member.roster().of(names) >= member.roster().quorum()
+}
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -513,6 +513,29 @@
 		stage.returned()
 		return nil
 	}})
+	add(Scenario{"halves", "split a core of four in two halves, whose carriers reach both, under configurations", []int{1, 3, 6, 7, 12}, func(stage *Stage) error {
+		if stage.Fleet.Relays == nil {
+			return errNoRelays
+		}
+		if len(stage.Fleet.Sorters) != 4 {
+			return fmt.Errorf("halves needs a core of four, which %s hasn't got", stage.Fleet.Layout.Name)
+		}
+		stage.Wait(stage.part(0.2))
+		for _, one := range stage.Fleet.Sorters[:2] {
+			for _, other := range stage.Fleet.Sorters[2:] {
+				stage.cutApart(one.Host, other.Host)
+			}
+		}
+		began := time.Now()
+		if _, err := stage.Operator.Apply(stage.variant(1), "any", 40*time.Second); err != nil {
+			stage.Find("rule 12: no configuration was accepted in the half that should go on: %v", err)
+		}
+		stage.Say("a configuration was acknowledged %d ms after the split began", time.Since(began).Milliseconds())
+		stage.Wait(stage.part(0.8))
+		stage.Fleet.Relays.Mend()
+		stage.returned()
+		return nil
+	}})
 	add(Scenario{"troubled", "one carrier's network to the others is slow, then cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -186,6 +186,14 @@
 	return errors.Join(faults...)
 }
 
+// Voters checks a roster: three names at least, or no machine could be lost.
+func Voters(value string) error {
+	if count := len(strings.Split(value, ",")); count < 3 {
+		return errors.Join(fmt.Errorf("%d voters; there must be three at least, so that one may be lost", count), Names(value))
+	}
+	return Names(value)
+}
+
 // Count checks a whole number from 1 to 1024.
 func Count(value string) error {
 	number, err := strconv.Atoi(value)
@@ -239,7 +247,7 @@
 // Core are the further settings of sorters and postmasters.
 func Core() []Field {
 	return append(Common(),
-		Field{Name: "voters", Help: "names of all processes of this group, the same everywhere, with commas between", Check: Names},
+		Field{Name: "voters", Help: "names of all processes of this group, the same everywhere, with commas between; where their number is even the first counts double", Check: Voters},
 		Field{Name: "data", Help: "data folder, for this process alone"},
 		Field{Name: "rehearse-sync", Help: "added to each sync, to rehearse a slow disk; left out in earnest", Check: Span, Optional: true},
 		Field{Name: "desk", Help: "HTTP address for status, metrics and operators", Check: Address},
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -357,6 +357,49 @@
 	}
 }
 
+// TestEvenSplit: a core of four falls apart into two halves, in which carriers reach everybody. The half with the voter that
+// counts double goes on, whichever process led before.
+func TestEvenSplit(t *testing.T) {
+	for _, ended := range []int{0, 1, 3} { // a machine that ends before, so that others lead, or none
+		t.Run(fmt.Sprint(ended), func(t *testing.T) {
+			t.Parallel()
+			var mesh *Mesh
+			var from, until postmark.Micros
+			lead := fault{"have others lead", func(mesh *Mesh) {
+				if ended > 0 {
+					mesh.down(mesh.coreNodes(mesh.cores[ended-1]), 2*postmark.Second, mesh.World.Kill)
+				}
+			}}
+			split := fault{"split the core in halves", func(mesh *Mesh) {
+				from, until = mesh.World.Now()+5*postmark.Second, mesh.World.Now()+20*postmark.Second
+				for _, one := range mesh.cores[:2] {
+					for _, other := range mesh.cores[2:] {
+						mesh.cutFor(one, other, true, 20*postmark.Second)
+					}
+				}
+			}}
+			result := Run(Course{Name: "halves", Sizes: four, Length: 60 * postmark.Second, Rate: 40, Every: 12 * postmark.Second,
+				First: []fault{lead, split}, Faults: []fault{nothing}, Prepare: func(built *Mesh) { mesh = built }}, 1, Breakage{})
+			for _, finding := range result.Findings {
+				t.Error(finding)
+			}
+			sent, served := 0, 0
+			for _, attempt := range mesh.History.Attempts {
+				if attempt.Sent >= from && attempt.Sent < until {
+					sent++
+					if !attempt.Mesh && attempt.Status == 200 {
+						served++
+					}
+				}
+			}
+			t.Logf("%d of %d served from 5 s after the split on", served, sent)
+			if served*10 < sent*9 || sent == 0 {
+				t.Errorf("%d of %d served from 5 s after the split on", served, sent)
+			}
+		})
+	}
+}
+
 // TestYoungSorter: sorters are killed one after another and come back with empty directories. A carrier that is told of
 // nobody by a sorter that has only just begun to be told must not forget the backends that it knows.
 func TestYoungSorter(t *testing.T) {
