Operators' door: without a primary in reach it says so for certain, and checks first

Cause: in the half of a split core that stands still a postmaster's door waited 20 s for a primary and then couldn't tell whether the state had been taken; with two such doors an operator had no outcome after 40 s (found by the scenario halves).

Change: before it passes an apply on the door asks for a process that answers as primary, 4 s at the most. What is invalid is refused at the door.

TestLoneDoor has truncated, huge and misshapen bodies besides.

--- a/internal/depot/scenario/fleet_test.go
+++ b/internal/depot/scenario/fleet_test.go
@@ -213,6 +213,9 @@
 		if !isExit || failed.ExitCode() != 2 {
 			t.Errorf("%s: %v\n%s", program, err, output)
 		}
+		if program != "carrier" && !strings.Contains(string(output), "voters: 2 voters; there must be three at least") {
+			t.Errorf("%s takes two voters\n%s", program, output)
+		}
 		for _, place := range []string{"name:", "domain:", "listen:", "seeds:", "log:", "colour:"} {
 			if !strings.Contains(string(output), place) {
 				t.Errorf("%s doesn't tell what is wrong with %s\n%s", program, place, output)
@@ -275,6 +278,58 @@
 	}
 }
 
+// TestLoneDoor: a postmaster that reaches no other turns applies down for certain, and bad ones for what is wrong with them.
+func TestLoneDoor(t *testing.T) {
+	folder := binaries(t)
+	lone := exec.Command(filepath.Join(folder, "postmaster"), "--name", "postmaster-1", "--domain", "north", "--listen", "127.233.0.1:7200", "--desk", "127.233.0.1:7201",
+		"--seeds", "127.233.0.1:7200,127.233.0.2:7200,127.233.0.3:7200", "--voters", "postmaster-1,postmaster-2,postmaster-3", "--data", filepath.Join(t.TempDir(), "data"))
+	var log bytes.Buffer
+	lone.Stderr = &log
+	if err := lone.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lone.Process.Kill(); _ = lone.Wait() }()
+	await(t, "http://127.233.0.1:7201/live", &log)
+	valid := `{"groups":[{"name":"field","services":[{"name":"one","paths":[{"method":"GET","prefix":"/a","class":"read"}]}]}]}`
+	for _, sent := range []struct{ what, body, said string }{
+		{"valid", valid, `"outcome":"unreached"`},
+		{"truncated", valid[:60], `"outcome":"invalid"`},
+		{"huge", `{"note":"` + strings.Repeat("x", 5<<20) + `"}`, "too large"},
+		{"a list", `[1,2]`, "must be an object"},
+		{"a group that is a text", `{"groups":["field"]}`, "groups[0]: must be an object"},
+		{"nothing", ``, `"outcome":"invalid"`},
+	} {
+		request, err := http.NewRequest(http.MethodPut, "http://127.233.0.1:7201/desired-state?expected=any", strings.NewReader(sent.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Errorf("%s: %v", sent.what, err)
+			continue
+		}
+		content, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if !strings.Contains(string(content), sent.said) || response.StatusCode < 400 {
+			t.Errorf("%s: %s %s", sent.what, response.Status, content)
+		}
+	}
+}
+
+// await waits until a page answers.
+func await(t *testing.T, page string, log *bytes.Buffer) {
+	t.Helper()
+	for turn := 0; ; turn++ {
+		if response, err := http.Get(page); err == nil {
+			_ = response.Body.Close()
+			return
+		}
+		if turn > 1_000_000 {
+			t.Fatal(log.String())
+		}
+	}
+}
+
 // TestSecondProcessIsTurnedAway: a data folder belongs to one process.
 func TestSecondProcessIsTurnedAway(t *testing.T) {
 	stage := options(t, "steady", 231)
@@ -290,16 +345,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = first.Process.Kill(); _ = first.Wait() }()
-	// The first holds the folder once its desk answers.
-	for turn := 0; ; turn++ {
-		if response, err := http.Get("http://127.231.0.1:7101/live"); err == nil {
-			_ = response.Body.Close()
-			break
-		}
-		if turn > 1_000_000 {
-			t.Fatal(log.String())
-		}
-	}
+	await(t, "http://127.231.0.1:7101/live", &log) // the first holds the folder once its desk answers
 	output, err := exec.Command(filepath.Join(stage.Binaries, "sorter"), arguments("127.231.0.2")...).CombinedOutput()
 	if err == nil || !strings.Contains(string(output), "held by another process") {
 		t.Fatalf("%v\n%s", err, output)
--- a/internal/depot/standin/operator.go
+++ b/internal/depot/standin/operator.go
@@ -42,7 +42,7 @@
 	for turn := rand.IntN(len(operator.Fleet.Postmasters)); ; turn++ {
 		master := operator.Fleet.Postmasters[turn%len(operator.Fleet.Postmasters)]
 		applied, err := operator.once(master, content, expected, request)
-		if err == nil && applied.Outcome != "unknown" {
+		if err == nil && applied.Outcome != "unknown" && applied.Outcome != door.Unreached {
 			operator.History.Apply(inspector.Applied{Serial: applied.Serial, Digest: applied.Digest, Valid: len(faults) == 0, Outcome: applied.Outcome, At: operator.Clock.Now()})
 			return applied, nil
 		}
--- a/internal/postmaster/door/door.go
+++ b/internal/postmaster/door/door.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -107,6 +108,29 @@
 	return err
 }
 
+// Unreached is the outcome of an apply that wasn't passed on, since this door finds no primary.
+const Unreached = "unreached"
+
+// reachPatience is how long a door looks for a primary before it turns an apply down: time for a failover.
+const reachPatience = 4 * postmark.Second
+
+// reaches tells whether a process that answers as primary does so to this one. The state it's asked for isn't there: only
+// whether it would look counts.
+func (door *door) reaches(patience postmark.Micros) bool {
+	cutoff := door.place.Now() + patience
+	for {
+		leader := door.book.Leader(postmaster.Group)
+		if leader != "" && door.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: math.MaxUint64}, &wire.DesiredReadTell{}, 500*postmark.Millisecond) == nil {
+			return true
+		}
+		if door.place.Now() >= cutoff {
+			return false
+		}
+		door.book.Ask()
+		door.place.Sleep(100 * postmark.Millisecond)
+	}
+}
+
 var statuses = map[string]int{ledger.Accepted: http.StatusOK, ledger.Conflict: http.StatusPreconditionFailed, ledger.Invalid: http.StatusBadRequest}
 
 func (door *door) apply(writer http.ResponseWriter, incoming *http.Request) {
@@ -132,6 +156,15 @@
 			return
 		}
 	}
+	if invalid(writer, content, ask.Request) {
+		return
+	}
+	if !door.reaches(reachPatience) {
+		// Nothing was sent, so this much is certain.
+		write(writer, http.StatusServiceUnavailable, Applied{Outcome: Unreached, Request: ask.Request,
+			Faults: []string{"not taken: no primary postmaster is within this one's reach; ask another"}})
+		return
+	}
 	tell := &wire.DesiredApplyTell{}
 	if err := door.primary(wire.Kind_desired_apply, ask, tell, 20*postmark.Second); err != nil {
 		write(writer, http.StatusServiceUnavailable, Applied{Outcome: "unknown", Request: ask.Request,
@@ -147,15 +180,23 @@
 		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: ledger.Invalid, Faults: []string{err.Error()}})
 		return
 	}
-	if _, faults := franking.Parse(content); len(faults) > 0 {
-		applied := Applied{Outcome: ledger.Invalid}
-		for _, fault := range faults {
-			applied.Faults = append(applied.Faults, fault.String())
-		}
-		write(writer, http.StatusBadRequest, applied)
-		return
+	if !invalid(writer, content, "") {
+		write(writer, http.StatusOK, Applied{Outcome: "valid", Digest: franking.Digest(content)})
+	}
+}
+
+// invalid turns a content down that has faults, and tells whether it did.
+func invalid(writer http.ResponseWriter, content []byte, request string) bool {
+	_, faults := franking.Parse(content)
+	if len(faults) == 0 {
+		return false
+	}
+	applied := Applied{Outcome: ledger.Invalid, Request: request}
+	for _, fault := range faults {
+		applied.Faults = append(applied.Faults, fault.String())
 	}
-	write(writer, http.StatusOK, Applied{Outcome: "valid", Digest: franking.Digest(content)})
+	write(writer, http.StatusBadRequest, applied)
+	return true
 }
 
 func (door *door) read(writer http.ResponseWriter, serial uint64) {
