Operators: clerk safe says when the next core machine may go; the doctor sees splits

Cause: an operator who moves core machines one after another had to read epochs off the status to know whether the copies were in step again; a doctor asked during a split called voters unheard of and didn't say whether those it saw could decide.

Change: clerk safe NAME... ends with 0, 1 with what stands against it, or 2 for a name no roster has, and can wait. The doctor's new check split names both parts. All voters are asked to accept a ballot, not only those whose promise counted, so that fewer witnesses stay behind; one that does is no finding any more, since who decides asks others too (seen at a core of four, where the first and one more decide).

--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -74,7 +74,7 @@
 	root := &cobra.Command{Use: "clerk", Short: "the operators' command line of snowflow", SilenceUsage: true, SilenceErrors: true, Version: release.Version}
 	root.PersistentFlags().StringVar(&shared.addresses, "desks", "127.0.0.1:7201", "addresses of postmasters' desks, with commas between")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return house.Misused(err) })
-	root.AddCommand(apply(shared), check(), get(shared), history(shared), status(shared), guard(), drain(), examine(shared))
+	root.AddCommand(apply(shared), check(), get(shared), history(shared), status(shared), guard(), drain(), examine(shared), safe(shared))
 	return root
 }
 
@@ -197,6 +197,39 @@
 		}}
 }
 
+// errUnsafe ends safe with exit code 1.
+var errUnsafe = errors.New("not safe to take away now")
+
+func safe(shared *desks) *cobra.Command {
+	wait := time.Duration(0)
+	command := &cobra.Command{Use: "safe NAME...", Short: "tell whether a core machine's processes may be stopped, moved or emptied now, or wait until they may",
+		Args: cobra.MinimumNArgs(1), RunE: func(_ *cobra.Command, names []string) error {
+			addresses, err := shared.list()
+			if err != nil {
+				return err
+			}
+			for cutoff := time.Now().Add(wait); ; time.Sleep(500 * time.Millisecond) {
+				mesh, err := doctor.Look(addresses, 5*time.Second)
+				unknown, objections := doctor.Safe(mesh, names)
+				if err == nil && len(unknown) > 0 {
+					return house.Misused(fmt.Errorf("no process of the core is named %v", unknown))
+				}
+				if err == nil && len(objections) == 0 {
+					fmt.Println("safe")
+					return nil
+				}
+				if time.Now().After(cutoff) {
+					for _, objection := range objections {
+						fmt.Println(objection)
+					}
+					return errors.Join(errUnsafe, err)
+				}
+			}
+		}}
+	command.Flags().DurationVar(&wait, "wait", 0, "how long to wait until it's safe")
+	return command
+}
+
 // errUnwell ends the doctor with exit code 1 after its findings were printed.
 var errUnwell = errors.New("the mesh is not well")
 
--- a/internal/clerk/doctor/doctor.go
+++ b/internal/clerk/doctor/doctor.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"snowflow/internal/countersign"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/postmaster"
@@ -63,6 +64,15 @@
 
 // Examine asks the desks and runs every check, within patience.
 func Examine(desks []string, patience time.Duration) []Finding {
+	mesh, err := Look(desks, patience)
+	if err != nil {
+		return []Finding{{Ill, "desks", err.Error(), "check that the postmasters run and that --desks names their desk addresses"}}
+	}
+	return Check(mesh)
+}
+
+// Look asks the desks how the mesh stands; the first that answers is taken.
+func Look(desks []string, patience time.Duration) (Mesh, error) {
 	limit, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	mesh := Mesh{Postmasters: map[string]postmaster.Status{}, Sorters: map[string]sorter.Status{}}
@@ -79,11 +89,10 @@
 		}
 	}
 	if !reached {
-		return []Finding{{Ill, "desks", fmt.Sprintf("no desk answered: %v", mesh.Unreachable),
-			"check that the postmasters run and that --desks names their desk addresses"}}
+		return mesh, fmt.Errorf("no desk answered: %v", mesh.Unreachable)
 	}
 	mesh.decode()
-	return Check(mesh)
+	return mesh, nil
 }
 
 func get(limit context.Context, desk string, into any) error {
@@ -123,7 +132,7 @@
 	name  string
 	check func(mesh Mesh) []Finding
 }{
-	{"seeds", seeds}, {"copies", copies}, {"versions", versions}, {"clock", clocks}, {"disk", disks},
+	{"seeds", seeds}, {"split", split}, {"copies", copies}, {"versions", versions}, {"clock", clocks}, {"disk", disks},
 	{"carriers", carriers}, {"guards", guards}, {"backends", backends},
 }
 
@@ -172,9 +181,11 @@
 }
 
 func copies(mesh Mesh) (found []Finding) {
-	epochs, primaries := map[string]uint64{}, map[string][]string{}
+	newest, primaries := map[string]countersign.Status{}, map[string][]string{}
 	for _, core := range cores(mesh) {
-		epochs[core.Group] = max(epochs[core.Group], core.Epoch)
+		if core.Epoch >= newest[core.Group].Epoch {
+			newest[core.Group] = core
+		}
 		if core.Answering {
 			primaries[core.Group] = append(primaries[core.Group], core.Name)
 		}
@@ -182,7 +193,7 @@
 	for _, group := range []string{"postmaster", "sorter"} {
 		if count := len(primaries[group]); count != 1 {
 			found = append(found, Finding{Level: Ill, What: fmt.Sprintf("%d %ss answer as primary: %v", count, group, primaries[group]),
-				Advice: "a majority of the group must be up and in contact; look at its events 201 to 208"})
+				Advice: "a quorum of the group must be up and in contact; look at its events 201 to 208"})
 		}
 	}
 	for _, core := range cores(mesh) {
@@ -190,8 +201,10 @@
 			found = append(found, Finding{Level: Watch, What: core.Name + " has a blank folder and has not joined yet",
 				Advice: "it joins once enough others with their registers intact answer it; start those"})
 		}
-		if core.Epoch+1 < epochs[core.Group] {
-			found = append(found, Finding{Level: Watch, What: fmt.Sprintf("%s knows epoch %d, others %d", core.Name, core.Epoch, epochs[core.Group]),
+		// A witness may lag: a quorum decides without it, and it asks when it's to decide itself.
+		latest := newest[core.Group]
+		if core.Epoch+1 < latest.Epoch && (core.Name == latest.Primary || core.Name == latest.Backup) {
+			found = append(found, Finding{Level: Watch, What: fmt.Sprintf("%s knows epoch %d, others %d", core.Name, core.Epoch, latest.Epoch),
 				Advice: "check the network between it and the other core machines"})
 		}
 		if core.Answering && !core.Settled {
--- a/internal/clerk/doctor/doctor_test.go
+++ b/internal/clerk/doctor/doctor_test.go
@@ -17,6 +17,8 @@
 	for _, number := range []string{"1", "2", "3"} {
 		core := countersign.Status{Joined: true, Epoch: 4, Settled: true, Answering: number == "1", FreeBytes: 1 << 30, Release: "a", Wall: mesh.Asked}
 		master, registry := postmaster.Status{Core: core, Serial: 3}, sorter.Status{Core: core, Now: int64(postmark.Minute)}
+		master.Core.Primary, master.Core.Backup = "postmaster-1", "postmaster-2"
+		registry.Core.Primary, registry.Core.Backup = "sorter-1", "sorter-2"
 		master.Core.Group, master.Core.Name, master.Core.Voters = "postmaster", "postmaster-"+number, []string{"postmaster-1", "postmaster-2", "postmaster-3"}
 		registry.Core.Group, registry.Core.Name, registry.Core.Voters = "sorter", "sorter-"+number, []string{"sorter-1", "sorter-2", "sorter-3"}
 		registry.Carriers = []*wire.Session{{Carrier: "carrier-1", DesiredSerial: 3, Release: "a", Backends: []*wire.Backend{
@@ -41,6 +43,11 @@
 		spoil              func(mesh Mesh)
 	}{
 		{"seeds", Watch, "never heard of", func(mesh Mesh) { delete(mesh.Sorters, "sorter-3") }},
+		{"split", Watch, "those seen can decide", func(mesh Mesh) { delete(mesh.Sorters, "sorter-3") }},
+		{"split", Ill, "[sorter-3] can be seen and [sorter-1 sorter-2] can't", func(mesh Mesh) {
+			delete(mesh.Sorters, "sorter-1")
+			delete(mesh.Sorters, "sorter-2")
+		}},
 		{"copies", Ill, "0 sorters answer", func(mesh Mesh) {
 			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.Answering = false })
 		}},
@@ -94,3 +101,40 @@
 		}
 	}
 }
+
+// TestSafeToMove: the next machine may go once both copies and every other voter are there, and not before.
+func TestSafeToMove(t *testing.T) {
+	machine := []string{"sorter-2", "postmaster-2"}
+	for _, one := range []struct {
+		what, says string
+		names      []string
+		spoil      func(mesh Mesh)
+	}{
+		{"all is well", "", machine, func(Mesh) {}},
+		{"it's gone already, as while it moves", "", machine, func(mesh Mesh) { delete(mesh.Sorters, "sorter-2") }},
+		{"two of one group", "one process of a group", []string{"sorter-1", "sorter-2"}, func(Mesh) {}},
+		{"another is away", "sorter-3 doesn't answer", machine, func(mesh Mesh) { delete(mesh.Sorters, "sorter-3") }},
+		{"another is blank", "sorter-1 has not joined", machine, func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.Joined = false })
+		}},
+		{"a witness is behind", "", machine, func(mesh Mesh) { spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Epoch = 3 }) }},
+		{"the other copy is behind", "sorter-2 is behind", []string{"sorter-3"}, func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Epoch = 3 })
+		}},
+		{"no backup in step", "no primary answers", machine, func(mesh Mesh) {
+			for name := range mesh.Sorters {
+				spoilSorter(mesh, name, func(status *sorter.Status) { status.Core.Settled = false })
+			}
+		}},
+	} {
+		mesh := healthy()
+		one.spoil(mesh)
+		unknown, objections := Safe(mesh, one.names)
+		if len(unknown) > 0 || (one.says == "") != (len(objections) == 0) || !strings.Contains(strings.Join(objections, "; "), one.says) {
+			t.Errorf("%s: %v %v", one.what, unknown, objections)
+		}
+	}
+	if unknown, _ := Safe(healthy(), []string{"sorter-2", "sorter-9"}); len(unknown) != 1 || unknown[0] != "sorter-9" {
+		t.Errorf("unknown: %v", unknown)
+	}
+}
--- /dev/null
+++ b/internal/clerk/doctor/sight.go
@@ -0,0 +1,117 @@
+package doctor
+
+import (
+	"fmt"
+	"slices"
+
+	"snowflow/internal/countersign"
+)
+
+// sight is what a desk sees of one group of the core.
+type sight struct {
+	group   string
+	voters  []string
+	seen    []string
+	missing []string
+	members map[string]countersign.Status
+}
+
+// sights sorts the core's members by group. A voter that no member names isn't known of.
+func sights(mesh Mesh) (all []sight) {
+	for _, group := range []string{"postmaster", "sorter"} {
+		present := sight{group: group, members: map[string]countersign.Status{}}
+		for _, member := range cores(mesh) {
+			if member.Group == group {
+				present.voters = member.Voters
+				present.members[member.Name] = member
+			}
+		}
+		for _, name := range present.voters {
+			if _, answered := present.members[name]; answered {
+				present.seen = append(present.seen, name)
+			} else {
+				present.missing = append(present.missing, name)
+			}
+		}
+		all = append(all, present)
+	}
+	return all
+}
+
+// split tells which part of the core this desk sees, and whether that part can decide.
+func split(mesh Mesh) (findings []Finding) {
+	for _, present := range sights(mesh) {
+		if len(present.missing) == 0 {
+			continue
+		}
+		what := fmt.Sprintf("from this desk %v can be seen and %v can't", present.seen, present.missing)
+		if countersign.Decides(present.voters, present.seen) {
+			findings = append(findings, Finding{Watch, "split", what + ": those seen can decide", "bring the others back, or their way to these; until then no further machine may go"})
+		} else {
+			findings = append(findings, Finding{Ill, "split", what + ": those seen can't decide", "ask a desk on the other side, which may go on; bring the ways between them back"})
+		}
+	}
+	return findings
+}
+
+// Safe tells why processes of the core may not be taken away, moved or emptied now: nothing if they may. unknown names those
+// that no roster has.
+func Safe(mesh Mesh, names []string) (unknown, objections []string) {
+	known := map[string]bool{}
+	for _, present := range sights(mesh) {
+		leaving := 0
+		for _, name := range present.voters {
+			known[name] = true
+			if slices.Contains(names, name) {
+				leaving++
+			}
+		}
+		if leaving == 0 {
+			continue
+		}
+		object := func(format string, arguments ...any) {
+			objections = append(objections, present.group+"s: "+fmt.Sprintf(format, arguments...))
+		}
+		if leaving > 1 {
+			object("only one process of a group may go at a time")
+		}
+		newest, answering := countersign.Status{}, 0
+		for _, name := range present.seen {
+			if member := present.members[name]; member.Epoch > newest.Epoch || member.Epoch == newest.Epoch && member.Answering {
+				newest = member
+			}
+		}
+		for _, name := range present.seen {
+			member := present.members[name]
+			if member.Answering {
+				answering++
+			}
+			if !member.Joined && !slices.Contains(names, name) {
+				object("%s has not joined again yet", name)
+			}
+			copies := name == newest.Primary || name == newest.Backup // a witness may lag: whoever decides asks others too
+			if copies && member.Epoch != newest.Epoch && !slices.Contains(names, name) {
+				object("%s is behind, at epoch %d of %d", name, member.Epoch, newest.Epoch)
+			}
+		}
+		for _, name := range present.missing {
+			if !slices.Contains(names, name) {
+				object("%s doesn't answer", name)
+			}
+		}
+		if answering != 1 || !newest.Settled {
+			object("no primary answers with a backup in step")
+		}
+		for _, name := range []string{newest.Primary, newest.Backup} {
+			if _, seen := present.members[name]; !seen && !slices.Contains(names, name) {
+				object("the copy at %q can't be seen", name)
+			}
+		}
+	}
+	for _, name := range names {
+		if !known[name] {
+			unknown = append(unknown, name)
+		}
+	}
+	return unknown, objections
+}
--- a/internal/countersign/proposer.go
+++ b/internal/countersign/proposer.go
@@ -84,7 +84,8 @@
 	if place.Now()-started >= member.env.Tenure {
 		return nil, 0, errNoMajority
 	}
-	accepts := gather(member, promised, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
+	// All voters are asked, so that one whose promise came too late to count doesn't stay behind; who hasn't promised refuses.
+	accepts := gather(member, member.env.Voters, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
 		ask := &wire.AcceptAsk{To: name, Ballot: ballot, Value: altered, Proposer: self}
 		if name == member.env.Name {
 			return member.answerAccept(ask)
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -10,6 +10,7 @@
 
 	"snowflow/examples"
 	"snowflow/internal/bulletin"
+	"snowflow/internal/clerk/doctor"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/standin"
 	"snowflow/internal/sorter/pigeonhole"
@@ -78,6 +79,25 @@
 	return nil
 }
 
+// awaitSafe waits until a core machine may be taken away, by the doctor's word.
+func (stage *Stage) awaitSafe(index int) bool {
+	names, desks := []string{stage.Fleet.Sorters[index].Name, stage.Fleet.Postmasters[index].Name}, []string{}
+	for _, process := range stage.Fleet.Postmasters {
+		desks = append(desks, process.Desk)
+	}
+	began := time.Now()
+	var objections []string
+	for ; time.Since(began) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
+		mesh, err := doctor.Look(desks, 5*time.Second)
+		if _, objections = doctor.Safe(mesh, names); err == nil && len(objections) == 0 {
+			stage.Say("%v may go, after %d ms", names, time.Since(began).Milliseconds())
+			return true
+		}
+	}
+	stage.Find("rule 12: %v may not go after 30 s: %v", names, objections)
+	return false
+}
+
 func init() {
 	add(Scenario{"kill-carriers", "kill carriers one after another; each comes back after two seconds", []int{1, 3, 5, 8}, func(stage *Stage) error {
 		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
@@ -561,6 +581,9 @@
 	add(Scenario{"move-seeds", "two core machines move to other addresses, one after the other, and a carrier restarts on stale seeds", []int{1, 3, 7, 12}, func(stage *Stage) error {
 		for index := range 2 {
 			stage.Wait(stage.part(0.2))
+			if !stage.awaitSafe(index) {
+				break
+			}
 			stage.Say("moving core machine %d", index+1)
 			if err := stage.moveCore(index); err != nil {
 				return err
