Gate: a submission that waits for its claim holds no place at its backend

Cause: a place was taken before the claim was asked for.

Ruled out: more places (they bound the backends' load), claims counted apart (the burst at the return would be turned down instead).

Change: before the claim the gate only looks whether there is room; the place is taken once the claim is granted. Who has one waits up to 0.3 s for a place, within its claim's second; if none comes the key is freed and the refusal is not run.

--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -171,16 +171,14 @@
 	if service == nil {
 		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial))
 	}
-	backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, service.Limits.GetInFlightPerBackend(), ask.Once)
-	if fault != nil {
+	// A claim may take long; no place is held meanwhile. Whom there is no place for now isn't claimed for.
+	limit, startBy := service.Limits.GetInFlightPerBackend(), cutoff
+	if fault := gate.env.Hutch.Room(ask.Instance, ask.Service, limit, ask.Once); fault != nil {
 		return gate.refused(ask, fault)
 	}
-	defer leave()
-	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
-		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
-	startBy := cutoff
 	if ask.Once && !gate.unclaimed {
 		var earlier *letter.Answer
+		var fault *seal.Fault
 		if startBy, earlier, fault = gate.claim(ask, cutoff); fault != nil {
 			if fault.Cause == seal.ClaimUnreachable {
 				gate.env.Place.Go(func() { gate.free(ask) })
@@ -191,6 +189,16 @@
 			return answered(ask.Id, earlier)
 		}
 	}
+	backend, leave, fault := gate.enter(ask, limit, startBy)
+	if fault != nil {
+		if ask.Once {
+			gate.free(ask)
+		}
+		return gate.refused(ask, fault)
+	}
+	defer leave()
+	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
+		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
 	order.Still = func() *seal.Fault {
 		if gate.env.Place.Now() >= startBy {
 			return seal.New(seal.ClaimLate, seal.NotRun, "too late to start")
@@ -226,6 +234,23 @@
 	return answered(ask.Id, answer)
 }
 
+// placePatience is how long a request whose claim was granted waits for a place: when the sorters come back, many are
+// granted at once, more than there are places, though each needs its place for milliseconds only.
+const placePatience = 300 * postmark.Millisecond
+
+// enter takes a place at the backend. Only who has a claim waits for one.
+func (gate *Gate) enter(ask *wire.PassAsk, limit uint32, startBy postmark.Micros) (hutch.Backend, func(), *seal.Fault) {
+	place := gate.env.Place
+	cutoff := min(startBy, place.Now()+placePatience)
+	for {
+		backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, limit, ask.Once)
+		if fault == nil || fault.Cause != seal.Overloaded || !ask.Once || place.Now() >= cutoff {
+			return backend, leave, fault
+		}
+		place.Sleep(5 * postmark.Millisecond)
+	}
+}
+
 // claimFaults are what the outcomes of a claim other than granted and held come to.
 var claimFaults = map[string]func(ask *wire.PassAsk) *seal.Fault{
 	counterfoil.OtherBody: func(ask *wire.PassAsk) *seal.Fault {
--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -159,17 +159,31 @@
 // submissions call lookups of the same services, so each would wait for the other's places.
 const classShare = 0.75
 
-// Enter lets one request in to a backend, or tells why not. leave must be called once it's over.
-func (hutch *Hutch) Enter(instance, service string, limit uint32, once bool) (backend Backend, leave func(), fault *seal.Fault) {
+// Room tells whether a backend may be sent to and has a place left now. It takes none.
+func (hutch *Hutch) Room(instance, service string, limit uint32, once bool) *seal.Fault {
 	hutch.lock.Lock()
 	defer hutch.lock.Unlock()
-	present := hutch.entries[instance]
+	return hutch.room(hutch.entries[instance], instance, service, limit, once)
+}
+
+func (hutch *Hutch) room(present *entry, instance, service string, limit uint32, once bool) *seal.Fault {
 	if fault := hutch.objection(present, instance, service); fault != nil {
-		return Backend{}, nil, fault
+		return fault
 	}
 	total := present.inFlight[true] + present.inFlight[false]
 	if total >= limit || limit > 1 && float64(present.inFlight[once]) >= classShare*float64(limit) {
-		return Backend{}, nil, seal.New(seal.Overloaded, seal.NotRun, "%d requests at %s", total, instance)
+		return seal.New(seal.Overloaded, seal.NotRun, "%d requests at %s", total, instance)
+	}
+	return nil
+}
+
+// Enter lets one request in to a backend, or tells why not. leave must be called once it's over.
+func (hutch *Hutch) Enter(instance, service string, limit uint32, once bool) (backend Backend, leave func(), fault *seal.Fault) {
+	hutch.lock.Lock()
+	defer hutch.lock.Unlock()
+	present := hutch.entries[instance]
+	if fault := hutch.room(present, instance, service, limit, once); fault != nil {
+		return Backend{}, nil, fault
 	}
 	present.inFlight[once]++
 	return present.Backend, func() {
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -1,6 +1,7 @@
 package round
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"strconv"
@@ -400,6 +401,32 @@
 	}
 }
 
+// TestClaimsHoldNoPlaces: the core is away for a while at backends with few places. Submissions that wait for their claims must
+// not take the places that nobody uses.
+func TestClaimsHoldNoPlaces(t *testing.T) {
+	t.Parallel()
+	var mesh *Mesh
+	off := fault{"power off the core", func(mesh *Mesh) { mesh.down(mesh.allCore(), 1500*postmark.Millisecond, mesh.World.PowerLoss) }}
+	result := Run(Course{Name: "places", Sizes: small, Length: 40 * postmark.Second, Rate: 40, Every: 8 * postmark.Second, First: []fault{off}, Faults: []fault{nothing},
+		Content: func(variant int) []byte {
+			return bytes.Replace(Desired(variant), []byte(`"limits":{`), []byte(`"limits":{"inFlightPerBackend":8,`), 1)
+		}, Prepare: func(built *Mesh) { mesh = built }}, 1, Breakage{})
+	for _, finding := range result.Findings {
+		t.Error(finding)
+	}
+	overloaded, longest := 0, postmark.Micros(0)
+	for _, attempt := range mesh.History.Attempts {
+		if attempt.Cause == int(seal.Overloaded) || attempt.Cause == int(seal.BudgetSpent) {
+			overloaded++
+		}
+		longest = max(longest, attempt.Ended-attempt.Sent)
+	}
+	t.Logf("%d of %d served, %d refused for want of a place, the longest took %d microseconds", result.Served, result.Sent, overloaded, longest)
+	if overloaded > 0 || longest < postmark.Second {
+		t.Errorf("%d refused for want of a place, the longest took %d microseconds", overloaded, longest)
+	}
+}
+
 // TestYoungSorter: sorters are killed one after another and come back with empty directories. A carrier that is told of
 // nobody by a sorter that has only just begun to be told must not forget the backends that it knows.
 func TestYoungSorter(t *testing.T) {
