Applies: a primary whose clock may have leapt hands no tenures over

Cause: found by reading the change again. What is left of a tenure is told by the handing primary's clock; after a leap ahead it would be told too short, and the next primary would acknowledge too early.

Change: with an unsteady clock nothing is told, and the next primary waits as after a kill. TestPlannedStopsDelayNoApply as before.

--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -125,8 +125,8 @@
 	master.lock.Lock()
 	defer master.lock.Unlock()
 	now := master.env.Place.Now()
-	if now < master.ackFrom {
-		return nil // there may be tenures that this process doesn't know of
+	if now < master.ackFrom || !master.Member.Vigil.Steady() {
+		return nil // there may be tenures that this process doesn't know of, or whose ends it can't tell
 	}
 	told := &wire.TenureHolders{Whole: true}
 	for _, key := range slices.Sorted(maps.Keys(master.holders)) {
