Run once: a key that runs anew after its claim's life has its new answer kept

Cause: found by reading.

Change: an answer past its life is replaced. TestKeyThatRunsAnew fails before (nothing found) and passes after.

--- a/internal/carrier/restante/restante.go
+++ b/internal/carrier/restante/restante.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
 
 	"snowflow/internal/carrier/letter"
@@ -37,9 +38,17 @@
 func (shelf *Shelf) Put(scope string, digest []byte, answer *letter.Answer) {
 	shelf.lock.Lock()
 	defer shelf.lock.Unlock()
-	if len(answer.Body) > mostBytes/16 || shelf.kept[scope] != nil {
+	if len(answer.Body) > mostBytes/16 {
 		return
 	}
+	if earlier := shelf.kept[scope]; earlier != nil {
+		if shelf.clock.Now()-earlier.at < life {
+			return
+		}
+		// A key that has outlived its claim ran anew: the answer kept for it is of the run before.
+		shelf.held -= len(earlier.answer.Body)
+		shelf.order = slices.DeleteFunc(shelf.order, func(kept string) bool { return kept == scope })
+	}
 	shelf.kept[scope] = &parcel{digest: digest, answer: answer, at: shelf.clock.Now()}
 	shelf.order = append(shelf.order, scope)
 	shelf.held += len(answer.Body)
--- /dev/null
+++ b/internal/carrier/restante/restante_test.go
@@ -0,0 +1,32 @@
+package restante
+
+import (
+	"testing"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/postmark"
+)
+
+type still struct{ now postmark.Micros }
+
+func (still *still) Now() postmark.Micros { return still.now }
+
+// TestKeyThatRunsAnew: the shelf gives the answer of a key's last run, not one that has outlived its claim.
+func TestKeyThatRunsAnew(t *testing.T) {
+	clock := &still{now: postmark.Minute}
+	shelf := New(clock)
+	put := func(body string) {
+		shelf.Put("key", []byte("digest"), &letter.Answer{Body: []byte(body)})
+	}
+	put("first")
+	put("second")
+	if kept := shelf.Find("key", []byte("digest")); kept == nil || string(kept.Body) != "first" {
+		t.Fatalf("within its life: %v", kept)
+	}
+	clock.now += life
+	put("third")
+	kept := shelf.Find("key", []byte("digest"))
+	if kept == nil || string(kept.Body) != "third" || shelf.held != len("third") || len(shelf.order) != 1 {
+		t.Fatalf("after its life: %v, %d bytes, %d in order", kept, shelf.held, len(shelf.order))
+	}
+}
