Simulator: power or disk lost right after a claim, a void, a probe or a guard's write

Cause: only configurations were lost at the moment of their acknowledgement; claims and guards at any moment, by chance.

Change: course written ends a sorter's machine, its disk or the whole core's power within 3 ms of its answer, each kind of write in its turn.

--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -8,6 +8,7 @@
 
 	"snowflow/internal/inspector"
 	"snowflow/internal/mailround/world"
+	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
 
@@ -486,6 +487,30 @@
 	}}
 )
 
+// loseAfterWrites has a sorter that has just acknowledged a claim, a void, a probe or a guard's write lose its machine's power, or
+// its disk, or the whole core lose power, within the milliseconds in which the answer is on its way. Each kind has its turn.
+func loseAfterWrites(mesh *Mesh) {
+	turns := []wire.Kind{wire.Kind_claim, wire.Kind_guard_write, wire.Kind_claim, wire.Kind_probe_lease, wire.Kind_void}
+	turn := 0
+	mesh.afterWrite = func(node *world.Node, kind wire.Kind) {
+		if mesh.World.Now() < mesh.lossFrom || !mesh.serving || kind != turns[turn%len(turns)] || mesh.World.Chance().IntN(3) > 0 {
+			return
+		}
+		turn++
+		// One core machine may be lost; the next is only lost once both groups have two copies again.
+		mesh.lossFrom = mesh.World.Now() + 12*postmark.Second
+		end := pick(mesh, []func(*world.Node){mesh.World.PowerLoss, mesh.World.LoseDisk, nil})
+		mesh.log = append(mesh.log, fmt.Sprintf("%d %s loses all but its word after a %s", mesh.World.Now(), node.Name, kind))
+		mesh.later(mesh.span(0, 3*postmark.Millisecond), func() {
+			if end == nil {
+				killAllCore.bring(mesh)
+				return
+			}
+			mesh.down(mesh.coreNodes(node.Machine), mesh.span(200*postmark.Millisecond, 4*postmark.Second), end)
+		})
+	}
+}
+
 // closingWith has other failures happen at the moment in which all power is lost.
 func closingWith(others ...fault) fault {
 	name := "power off everything"
@@ -507,6 +532,9 @@
 	add(Course{Name: "acknowledged", Short: "power of the whole core, or one machine's disk, lost at the moment of an acknowledgement", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 9 * postmark.Second,
 		Rules: []int{1, 3, 7, 12}, First: []fault{powerAtAcknowledgement, diskAtAcknowledgement},
 		Faults: []fault{powerAtAcknowledgement, diskAtAcknowledgement}})
+	add(Course{Name: "written", Short: "a sorter's machine, its disk, or the whole core's power lost right after it acknowledged a claim, a void, a probe or a guard's write", Sizes: small,
+		Length: 70 * postmark.Second, Rate: 40, Every: 12 * postmark.Second, Rules: []int{1, 2, 3, 10, 12}, Prepare: loseAfterWrites,
+		First: []fault{serviceFails}, Faults: []fault{serviceFails, manners}})
 	add(Course{Name: "closing", Short: "power lost everywhere, more than once", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 8 * postmark.Second,
 		Rules: []int{1, 3, 7, 12}, First: []fault{applyOne},
 		Faults: []fault{killEverything, killEverything, applyOne, moveCore}})
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/hutch"
@@ -52,8 +54,9 @@
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
-	patient     bool            // callers come back when they were told to, until they are served
-	grace       postmark.Micros // what a carrier's planned stop may take
+	afterWrite  func(node *world.Node, kind wire.Kind) // told of each write that a sorter acknowledges, if set
+	patient     bool                                   // callers come back when they were told to, until they are served
+	grace       postmark.Micros                        // what a carrier's planned stop may take
 	breakage    Breakage
 	log         []string
 }
@@ -194,6 +197,7 @@
 			mesh.sorters[name] = one
 			one.Member.Vigil.Trusting(mesh.breakage.TrustClock)
 			one.Register(table)
+			mesh.listen(place.Node(), table)
 			one.Start()
 			return table, nil
 		}
@@ -210,6 +214,20 @@
 	node.Disk.IgnoreSyncs = mesh.breakage.NoSync
 }
 
+// listen has afterWrite told of each write that a sorter acknowledges, at the moment of its answer.
+func (mesh *Mesh) listen(node *world.Node, table office.Table) {
+	for _, kind := range []wire.Kind{wire.Kind_claim, wire.Kind_void, wire.Kind_probe_lease, wire.Kind_guard_write, wire.Kind_duty} {
+		answer := table[kind]
+		table[kind] = func(content []byte) (proto.Message, error) {
+			reply, err := answer(content)
+			if err == nil && mesh.afterWrite != nil {
+				mesh.afterWrite(node, kind)
+			}
+			return reply, err
+		}
+	}
+}
+
 func (mesh *Mesh) addCarrier(index int, seeds []string) {
 	name := fmt.Sprintf("carrier-%d", index+1)
 	mesh.carriers = append(mesh.carriers, name)
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -63,6 +63,7 @@
 func TestAssociation(t *testing.T)    { play(t, "association", 1) }
 func TestRaahbar(t *testing.T)        { play(t, "raahbar", 1) }
 func TestCombined(t *testing.T)       { play(t, "combined", 1) }
+func TestWritten(t *testing.T)        { play(t, "written", 1) }
 func TestCore(t *testing.T)           { play(t, "core", 1, 2) }
 func TestConfigurations(t *testing.T) { play(t, "configurations", 1) }
 func TestBackends(t *testing.T)       { play(t, "backends", 1) }
@@ -109,6 +110,7 @@
 		{"a planned stop that ends at once", 9, "drains", Breakage{NoDrain: true}, 1},
 		{"slots that leak", 10, "guards", Breakage{Guards: pigeonhole.Leaky}, 1},
 		{"every trip opens for all", 11, "troubled", Breakage{Guards: pigeonhole.AnyTrip}, 1},
+		{"syncs that do nothing, and verdicts lost with them", 10, "written", Breakage{NoSync: true}, 7},
 		{"a configuration acknowledged by a clock that leapt", 6, "clocks", Breakage{TrustClock: true}, 2},
 		{"a key run again after a leap", 1, "clocks", Breakage{TrustClock: true}, 11},
 		{"one carrier may take a round and reopen alone", 11, "trials", Breakage{Guards: pigeonhole.Greedy}, 2},
