Rehearsals: a troubled caller's network also garbles what it carries

Change: relays can spoil a byte of each piece; the scenario troubled has a slow, a garbled and a cut part.

--- a/internal/depot/relay/relay.go
+++ b/internal/depot/relay/relay.go
@@ -16,13 +16,14 @@
 	listeners []net.Listener
 	cuts      map[[2]string]bool
 	delays    map[[2]string]time.Duration
+	garbles   map[[2]string]bool // one byte of each piece arrives as another
 	bytes     map[[2]string]uint64
 	closed    bool
 }
 
 // NewHub makes a hub.
 func NewHub() *Hub {
-	hub := &Hub{cuts: map[[2]string]bool{}, delays: map[[2]string]time.Duration{}, bytes: map[[2]string]uint64{}}
+	hub := &Hub{cuts: map[[2]string]bool{}, delays: map[[2]string]time.Duration{}, garbles: map[[2]string]bool{}, bytes: map[[2]string]uint64{}}
 	hub.changed = sync.NewCond(&hub.lock)
 	return hub
 }
@@ -81,6 +82,9 @@
 			hub.lock.Lock()
 			hub.bytes[pair] += uint64(count)
 			delay := hub.delays[pair]
+			if hub.garbles[pair] {
+				buffer[count/2] ^= 0x55
+			}
 			hub.lock.Unlock()
 			if delay > 0 {
 				time.Sleep(delay)
@@ -117,9 +121,16 @@
 // Cut stops all bytes from one machine to another.
 func (hub *Hub) Cut(from, into string) { hub.change(func() { hub.cuts[[2]string{from, into}] = true }) }
 
-// Mend ends all cuts and delays.
+// Garble spoils a byte of each piece from one machine to another.
+func (hub *Hub) Garble(from, into string) {
+	hub.change(func() { hub.garbles[[2]string{from, into}] = true })
+}
+
+// Mend ends all cuts, delays and garbling.
 func (hub *Hub) Mend() {
-	hub.change(func() { hub.cuts, hub.delays = map[[2]string]bool{}, map[[2]string]time.Duration{} })
+	hub.change(func() {
+		hub.cuts, hub.delays, hub.garbles = map[[2]string]bool{}, map[[2]string]time.Duration{}, map[[2]string]bool{}
+	})
 }
 
 // Delay slows each piece from one machine to another.
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -556,7 +556,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"troubled", "one carrier's network to the others is slow, then cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
+	add(Scenario{"troubled", "one carrier's network to the others is slow, then garbles what it carries, then is cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
 		}
@@ -569,9 +569,15 @@
 					bring(other)
 				}
 			}
-			stage.Wait(stage.part(0.3))
+			stage.Wait(stage.part(0.2))
 		}
 		trouble(func(other *fleet.Process) { stage.Fleet.Relays.Delay(victim.Host, other.Host, 700*time.Millisecond) })
+		stage.Fleet.Relays.Mend()
+		trouble(func(other *fleet.Process) {
+			stage.Fleet.Relays.Garble(victim.Host, other.Host)
+			stage.Fleet.Relays.Garble(other.Host, victim.Host)
+		})
+		stage.Fleet.Relays.Mend()
 		trouble(func(other *fleet.Process) { stage.Fleet.Relays.Cut(victim.Host, other.Host) })
 		stage.Fleet.Relays.Mend()
 		stage.History.Mark("untroubled", stage.Clock.Now())
