Tree: a trip keeps no path that nothing reads; one rule for the voter that counts double

Since a trip knows whether it runs once, its path was only set; the weaker verdict was written twice in one function; which voter counts double stood both in its weight and in its name.

Change: the path is gone, doubtful makes the weaker verdict, and a voter's weight asks which one is the heavy one. Read and left as they are: the twins of forgiving silence in hutch and directory (other fields, other guards), the doctor's and the stand-in's readers of a page.

Behaviour as before.

--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -62,7 +62,7 @@
 }
 
 // Trip is one request's way.
-// Invariants: Method and Address are the request's in their one spelling; View, Path, Service and Cutoff are set by the
+// Invariants: Method and Address are the request's in their one spelling; View, Service and Cutoff are set by the
 // resolve policy, and only a repin changes them; Once never changes once resolved.
 type Trip struct {
 	Request *letter.Request
@@ -71,7 +71,6 @@
 	Began   postmark.Micros
 	Cutoff  postmark.Micros
 	View    *franking.View
-	Path    franking.Path
 	Service *franking.Service
 	Once    bool
 	Scope   string
@@ -235,7 +234,7 @@
 	}
 	path, found := view.Resolve(trip.Method, trip.Address.Path)
 	if found && once(path, trip) == trip.Once && path.Service.Name == trip.Service.Name {
-		trip.View, trip.Path, trip.Service = view, path, path.Service
+		trip.View, trip.Service = view, path.Service
 	}
 }
 
@@ -396,22 +395,25 @@
 	return path.Once || trip.Request.Key != "" && !harmless[trip.Method]
 }
 
+// doubtful is a fault that no longer says not run.
+func doubtful(fault *seal.Fault) *seal.Fault {
+	weaker := *fault
+	weaker.Verdict = seal.MayHaveRun
+	return &weaker
+}
+
 // final makes sure a verdict speaks of the key, not of one try: not run is only said of a run-once request once the
 // claims say the same and are fenced, so that nothing read before can run under the key later.
 func (passage *Passage) final(trip *Trip, fault *seal.Fault) *seal.Fault {
 	if trip.Doubt && fault.NotRun() {
-		doubtful := *fault
-		doubtful.Verdict = seal.MayHaveRun
-		return &doubtful
+		return doubtful(fault)
 	}
 	if trip.Final || trip.Scope == "" || !fault.NotRun() {
 		return fault
 	}
 	trip.Final = true
 	if passage.void(trip, "", true) != counterfoil.Voided {
-		checked := *fault
-		checked.Verdict = seal.MayHaveRun
-		return &checked
+		return doubtful(fault)
 	}
 	return fault
 }
--- a/internal/carrier/passage/policies.go
+++ b/internal/carrier/passage/policies.go
@@ -62,7 +62,7 @@
 	if !found {
 		return seal.New(seal.UnknownPath, seal.NotRun, "no service has %s %s", trip.Method, trip.Address.Path)
 	}
-	trip.View, trip.Path, trip.Service, trip.Once = view, path, path.Service, once(path, trip)
+	trip.View, trip.Service, trip.Once = view, path.Service, once(path, trip)
 	limit := trip.Began + postmark.Micros(path.Service.Limits.GetCutoffMicros())
 	trip.Cutoff = limit
 	if trip.Request.Cutoff > 0 {
--- a/internal/countersign/weights.go
+++ b/internal/countersign/weights.go
@@ -10,14 +10,12 @@
 // two halves exactly one.
 type roster []string
 
-func (roster roster) even() bool { return len(roster)%2 == 0 }
-
 // weight is how much a voter counts; who isn't one counts nothing.
 func (roster roster) weight(name string) int {
-	switch index := slices.Index(roster, name); {
-	case index < 0:
+	if !slices.Contains(roster, name) {
 		return 0
-	case index == 0 && roster.even():
+	}
+	if name == roster.heavy() {
 		return 2
 	}
 	return 1
@@ -39,7 +37,7 @@
 
 // heavy is the voter that counts double, or nothing.
 func (roster roster) heavy() string {
-	if len(roster) == 0 || !roster.even() {
+	if len(roster) == 0 || len(roster)%2 != 0 {
 		return ""
 	}
 	return roster[0]
