Gate: exact slots, a short priority queue and load told back for backends that say their slots

Cause: a backend that says how many requests it runs at once was held at the service's limit of places, by classes. Some fall silent when overfull, and a request beyond the limit was refused although a slot would have come free in milliseconds.

Now: hutch.Tell takes one idempotent report (slots, warm-up, condition, sequence); Gone is a goodbye for good. Where slots are known the gate counts them exactly (gate/slots, a pure state machine): a slot of which it isn't known whether the backend still works lingers until the request's cutoff. Who finds all taken waits by priority, then by what is due first, as long as the expected wait leaves it useful, and else is refused at once as not run with that wait to come back after. Each answered pass tells the load; sessions tell slots.

Ruled out: claiming before waiting (a refusal by the queue would cost a second replicated write to free the key); holding the slot through a failover of the sorters (lookups would find every slot held): after 100 ms it's given back and asked for again with the claim in hand. A task that sees to lingering slots: one of the waiters does.

Backends of unknown slots are held as before, by places and classes.

--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/desk"
+	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
@@ -97,8 +98,11 @@
 // Running is the number of passes under way.
 func (gate *Gate) Running() int64 { return gate.running.Load() }
 
-// Refuse makes the gate turn new passes down, as not run.
-func (gate *Gate) Refuse() { gate.closed.Store(true) }
+// Refuse makes the gate turn new passes, and those that wait for a slot, down as not run.
+func (gate *Gate) Refuse() {
+	gate.closed.Store(true)
+	gate.env.Hutch.Close()
+}
 
 // checks are made in order before anything is claimed. Each refusal here is certain: nothing ran.
 var checks = []func(gate *Gate, ask *wire.PassAsk) *seal.Fault{
@@ -146,6 +150,7 @@
 	var tell *wire.PassTell
 	outcome := gate.last.Run(func(errand *lastpost.Errand) { tell = gate.pass(ask, errand) })
 	if outcome == lastpost.Done {
+		tell.Load = gate.env.Hutch.Load(ask.Instance)
 		return tell, nil
 	}
 	verdict := seal.MayHaveRun
@@ -171,32 +176,14 @@
 	if service == nil {
 		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial))
 	}
-	// A claim may take long; no place is held meanwhile. Whom there is no place for now isn't claimed for.
-	limit, startBy := service.Limits.GetInFlightPerBackend(), cutoff
-	if fault := gate.env.Hutch.Room(ask.Instance, ask.Service, limit, ask.Once); fault != nil {
-		return gate.refused(ask, fault)
-	}
-	if ask.Once && !gate.unclaimed {
-		var earlier *letter.Answer
-		var fault *seal.Fault
-		if startBy, earlier, fault = gate.claim(ask, cutoff); fault != nil {
-			if fault.Cause == seal.ClaimUnreachable {
-				gate.env.Place.Go(func() { gate.free(ask) })
-			}
-			return gate.refused(ask, fault)
-		}
-		if earlier != nil {
-			return answered(ask.Id, earlier)
-		}
-	}
-	backend, leave, fault := gate.enter(ask, limit, startBy)
+	stay, earlier, fault := gate.stay(ask, service.Limits.GetInFlightPerBackend(), cutoff)
 	if fault != nil {
-		if ask.Once {
-			gate.free(ask)
-		}
 		return gate.refused(ask, fault)
 	}
-	defer leave()
+	if earlier != nil {
+		return answered(ask.Id, earlier)
+	}
+	backend, startBy := stay.Backend, stay.startBy
 	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
 		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
 	order.Still = func() *seal.Fault {
@@ -215,6 +202,7 @@
 		return nil
 	}
 	answer, fault := gate.env.Delivery.Deliver(order)
+	stay.Leave(ended(answer, fault))
 	if fault == nil && letter.Header(answer.Headers, letter.NotExecutedHeader) != "" {
 		fault = seal.New(seal.NotExecuted, seal.NotRun, "backend %s answered %d, not executed", backend.Instance, answer.Status)
 	}
@@ -234,23 +222,6 @@
 	return answered(ask.Id, answer)
 }
 
-// placePatience is how long a request whose claim was granted waits for a place: when the sorters come back, many are
-// granted at once, more than there are places, though each needs its place for milliseconds only.
-const placePatience = 300 * postmark.Millisecond
-
-// enter takes a place at the backend. Only who has a claim waits for one.
-func (gate *Gate) enter(ask *wire.PassAsk, limit uint32, startBy postmark.Micros) (hutch.Backend, func(), *seal.Fault) {
-	place := gate.env.Place
-	cutoff := min(startBy, place.Now()+placePatience)
-	for {
-		backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, limit, ask.Once)
-		if fault == nil || fault.Cause != seal.Overloaded || !ask.Once || place.Now() >= cutoff {
-			return backend, leave, fault
-		}
-		place.Sleep(5 * postmark.Millisecond)
-	}
-}
-
 // claimFaults are what the outcomes of a claim other than granted and held come to.
 var claimFaults = map[string]func(ask *wire.PassAsk) *seal.Fault{
 	counterfoil.OtherBody: func(ask *wire.PassAsk) *seal.Fault {
@@ -264,13 +235,14 @@
 	},
 }
 
-// claim asks for the right to run, right before the hand-over. It gives the moment by which the request must start, or
-// the recorded answer of an earlier run.
-func (gate *Gate) claim(ask *wire.PassAsk, cutoff postmark.Micros) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
+// claim asks for the right to run, right before the hand-over, until some moment. It gives the moment by which the request
+// must start, or the recorded answer of an earlier run. It may be asked again for the same try. letGo is called once it's known
+// that nothing is granted, before an earlier answer is looked for.
+func (gate *Gate) claim(ask *wire.PassAsk, until, cutoff postmark.Micros, letGo func()) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
 	place := gate.env.Place
 	for {
 		asked := place.Now()
-		remaining := min(cutoff-asked, 700*postmark.Millisecond)
+		remaining := min(until-asked, 700*postmark.Millisecond)
 		if remaining <= 0 {
 			// An ask may have been granted unheard, but this carrier won't use it and nobody else can.
 			return 0, nil, seal.New(seal.ClaimUnreachable, seal.NotRun, "the sorter did not answer in time")
@@ -284,6 +256,7 @@
 		if tell.Outcome == counterfoil.Granted {
 			return min(asked+claimLife, cutoff), nil, nil
 		}
+		letGo()
 		if tell.Outcome == counterfoil.Held {
 			if answer := gate.recall(ask, tell, cutoff); answer != nil {
 				return 0, answer, nil
@@ -317,6 +290,20 @@
 	_ = gate.env.CallPrimary(wire.Kind_claim_settle, &wire.SettleAsk{Scope: ask.Scope, Try: ask.Try}, &wire.SettleTell{}, postmark.Second)
 }
 
+// knownOver are the causes of faults after which the backend has answered, though not as it should.
+var knownOver = map[seal.Cause]bool{seal.AnswerTooLarge: true, seal.AnswerUnmatched: true}
+
+// ended tells what a delivery's end says of its slot. Errors are no measure: what fails at once would look quick.
+func ended(answer *letter.Answer, fault *seal.Fault) slots.End {
+	switch {
+	case fault == nil && answer.Status < 500:
+		return slots.Worked
+	case fault == nil || fault.NotRun() || knownOver[fault.Cause]:
+		return slots.Over
+	}
+	return slots.Unsure
+}
+
 func (gate *Gate) refused(ask *wire.PassAsk, fault *seal.Fault) *wire.PassTell {
 	serial, _ := gate.env.Desk.Serial()
 	return &wire.PassTell{Id: ask.Id, Refused: true, Cause: uint32(fault.Cause), Verdict: string(fault.Verdict), RetryAfter: int64(fault.RetryAfter),
--- /dev/null
+++ b/internal/carrier/gate/stay.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"snowflow/internal/carrier/gate/slots"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// stay is a request's right to be handed to its backend: a slot, and for a run-once request its claim.
+type stay struct {
+	*hutch.Pass
+	startBy postmark.Micros
+}
+
+// stay gets a request its place, or the recorded answer of an earlier run. On a fault neither slot nor claim is left behind.
+func (gate *Gate) stay(ask *wire.PassAsk, limit uint32, cutoff postmark.Micros) (*stay, *letter.Answer, *seal.Fault) {
+	admission := hutch.Admission{Instance: ask.Instance, Service: ask.Service, Once: ask.Once,
+		Ask: slots.Ask{Priority: ask.Priority, Aim: gate.env.Hutch.Remaining(ask.Aim), Cutoff: cutoff, Patient: ask.Patient}}
+	claims := ask.Once && !gate.unclaimed
+	if !gate.env.Hutch.Counted(ask.Instance) {
+		return gate.placed(ask, admission, claims, limit)
+	}
+	pass, fault := gate.env.Hutch.Admit(admission)
+	if fault != nil || !claims {
+		return &stay{Pass: pass, startBy: cutoff}, nil, fault
+	}
+	return gate.claimed(ask, admission, pass)
+}
+
+// claimHold is how long a slot is held for a claim that isn't answered. It's well above what one takes.
+const claimHold = 100 * postmark.Millisecond
+
+// claimed claims while the slot is held: a claim takes one replicated write of some milliseconds, whereas a key claimed for
+// a request that the queue then refuses costs a second such write to free it, and meanwhile nobody else may use
+// it. When the sorters fail over claims take seconds; then the slot is given back and asked for again once the
+// claim is there, or lookups would find every slot held by requests that can't start.
+func (gate *Gate) claimed(ask *wire.PassAsk, admission hutch.Admission, pass *hutch.Pass) (*stay, *letter.Answer, *seal.Fault) {
+	cutoff := admission.Cutoff
+	startBy, earlier, fault := gate.claim(ask, min(cutoff, gate.env.Place.Now()+claimHold), cutoff, func() { pass.Leave(slots.Over) })
+	if fault == nil && earlier == nil {
+		return &stay{Pass: pass, startBy: startBy}, nil, nil
+	}
+	pass.Leave(slots.Over)
+	if earlier != nil || fault.Cause != seal.ClaimUnreachable || !fault.NotRun() {
+		return nil, earlier, fault
+	}
+	if startBy, earlier, fault = gate.settled(ask, cutoff); fault != nil || earlier != nil {
+		return nil, earlier, fault
+	}
+	admission.Cutoff, admission.Patient = startBy, true
+	if pass, fault = gate.env.Hutch.Admit(admission); fault != nil {
+		gate.free(ask)
+		return nil, nil, fault
+	}
+	return &stay{Pass: pass, startBy: startBy}, nil, nil
+}
+
+// settled claims until the cutoff; a claim that may have been granted unheard is freed.
+func (gate *Gate) settled(ask *wire.PassAsk, cutoff postmark.Micros) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
+	startBy, earlier, fault = gate.claim(ask, cutoff, cutoff, func() {})
+	if fault != nil && fault.Cause == seal.ClaimUnreachable {
+		gate.env.Place.Go(func() { gate.free(ask) })
+	}
+	return startBy, earlier, fault
+}
+
+// placed is the way in to a backend of unknown slots. A claim may take long; no place is held meanwhile. Whom there is no place
+// for now isn't claimed for.
+func (gate *Gate) placed(ask *wire.PassAsk, admission hutch.Admission, claims bool, limit uint32) (*stay, *letter.Answer, *seal.Fault) {
+	startBy := admission.Cutoff
+	if fault := gate.env.Hutch.Room(ask.Instance, ask.Service, limit, ask.Once); fault != nil {
+		return nil, nil, fault
+	}
+	if claims {
+		var earlier *letter.Answer
+		var fault *seal.Fault
+		if startBy, earlier, fault = gate.settled(ask, startBy); fault != nil || earlier != nil {
+			return nil, earlier, fault
+		}
+	}
+	pass, fault := gate.enter(admission, limit, startBy)
+	if fault != nil {
+		if ask.Once {
+			gate.free(ask)
+		}
+		return nil, nil, fault
+	}
+	return &stay{Pass: pass, startBy: startBy}, nil, nil
+}
+
+// placePatience is how long a request whose claim was granted waits for a place: when the sorters come back, many are
+// granted at once, more than there are places, though each needs its place for milliseconds only.
+const placePatience = 300 * postmark.Millisecond
+
+// enter takes a place at the backend. Only who has a claim waits for one.
+func (gate *Gate) enter(admission hutch.Admission, limit uint32, startBy postmark.Micros) (*hutch.Pass, *seal.Fault) {
+	place := gate.env.Place
+	cutoff := min(startBy, place.Now()+placePatience)
+	for {
+		pass, fault := gate.env.Hutch.Place(admission, limit)
+		if fault == nil || fault.Cause != seal.Overloaded || !admission.Once || place.Now() >= cutoff {
+			return pass, fault
+		}
+		place.Sleep(5 * postmark.Millisecond)
+	}
+}
--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"snowflow/internal/bulletin"
+	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -41,23 +42,32 @@
 	Backend
 	condition string
 	beat      postmark.Micros
-	inFlight  map[bool]uint32 // by whether they run once
+	slots     *slots.Slots
+	classes   map[bool]uint32 // requests in flight, by whether they run once
 	overdue   bool
+	gone      bool
+	reported  bool // by Tell; then sequence is its last report's
+	sequence  uint64
+	warmUntil postmark.Micros
 }
 
 // Hutch holds them.
 // Invariants: one entry per instance, and at most one per address; a leaving entry never comes back under its
-// instance; nothing is let in to an entry that is leaving, overdue or gone.
+// instance; nothing is let in to an entry that is leaving, overdue or gone; ended holds only instances without an entry.
 type Hutch struct {
+	// Terms bound the waiting for slots. They're set before the first backend comes.
+	Terms   slots.Terms
 	place   office.Office
 	lock    sync.Mutex
 	entries map[string]*entry
+	ended   map[string]tombstone
+	closed  bool
 	changed func()
 }
 
 // New makes a hutch; changed is called, without the lock, when others should hear of it.
 func New(place office.Office, changed func()) *Hutch {
-	return &Hutch{place: place, entries: map[string]*entry{}, changed: changed}
+	return &Hutch{Terms: slots.Default(), place: place, entries: map[string]*entry{}, ended: map[string]tombstone{}, changed: changed}
 }
 
 // Register takes a backend in, in the condition it tells: one that is leaving stays so when its carrier starts anew.
@@ -75,14 +85,12 @@
 		hutch.lock.Unlock()
 		return seal.Invalid.New("instance %s is registered otherwise or leaving; take a new instance id", backend.Instance)
 	}
-	for instance, other := range hutch.entries {
-		if other.Address == backend.Address && instance != backend.Instance {
-			delete(hutch.entries, instance)
-		}
+	if present != nil && present.gone || hutch.ended[backend.Instance].gone {
+		hutch.lock.Unlock()
+		return seal.Invalid.New("instance %s said goodbye; take a new instance id", backend.Instance)
 	}
 	if present == nil {
-		present = &entry{Backend: backend, inFlight: map[bool]uint32{}}
-		hutch.entries[backend.Instance] = present
+		present = hutch.admit(backend)
 	}
 	present.condition, present.beat, present.overdue = condition, hutch.place.Now(), false
 	hutch.lock.Unlock()
@@ -102,12 +110,11 @@
 		hutch.lock.Unlock()
 		return seal.Refused.New("instance %s is not registered here", instance)
 	}
-	shown := present.overdue
-	present.beat, present.overdue = hutch.place.Now(), false
-	if present.condition != Leaving {
-		shown = shown || (condition == Leaving)
-		present.condition = condition
+	if present.gone {
+		hutch.lock.Unlock()
+		return nil
 	}
+	shown := hutch.beat(present, condition)
 	hutch.lock.Unlock()
 	if shown {
 		hutch.place.Report(bulletin.BackendLeft, map[string]any{"instance": instance, "condition": condition})
@@ -116,6 +123,20 @@
 	return nil
 }
 
+// beat notes a sign of life; it tells whether others should hear of what it changed.
+func (hutch *Hutch) beat(present *entry, condition string) (shown bool) {
+	shown = present.overdue
+	present.beat, present.overdue = hutch.place.Now(), false
+	if present.condition != Leaving {
+		shown = shown || condition == Leaving
+		present.condition = condition
+	}
+	if present.condition == Leaving {
+		present.slots.Flush(present.beat)
+	}
+	return shown
+}
+
 // Forgive takes a span that didn't pass, or in which no beat could be heard, off every backend's silence.
 func (hutch *Hutch) Forgive(span postmark.Micros) {
 	hutch.lock.Lock()
@@ -136,14 +157,17 @@
 	for _, instance := range hutch.instances() {
 		present := hutch.entries[instance]
 		if now-present.beat >= forget {
+			present.slots.Flush(now)
 			delete(hutch.entries, instance)
 			continue
 		}
-		if !present.overdue && now-present.beat >= Overdue {
+		if !present.overdue && !present.gone && now-present.beat >= Overdue {
 			present.overdue = true
+			present.slots.Flush(now)
 			overdue = append(overdue, instance)
 		}
 	}
+	maps.DeleteFunc(hutch.ended, func(_ string, stone tombstone) bool { return now >= stone.until })
 	hutch.lock.Unlock()
 	for _, instance := range overdue {
 		hutch.place.Report(bulletin.BackendOverdue, map[string]any{"instance": instance})
@@ -170,8 +194,8 @@
 	if fault := hutch.objection(present, instance, service); fault != nil {
 		return fault
 	}
-	total := present.inFlight[true] + present.inFlight[false]
-	if total >= limit || limit > 1 && float64(present.inFlight[once]) >= classShare*float64(limit) {
+	total := present.classes[true] + present.classes[false]
+	if total >= limit || limit > 1 && float64(present.classes[once]) >= classShare*float64(limit) {
 		return seal.New(seal.Overloaded, seal.NotRun, "%d requests at %s", total, instance)
 	}
 	return nil
@@ -179,18 +203,11 @@
 
 // Enter lets one request in to a backend, or tells why not. leave must be called once it's over.
 func (hutch *Hutch) Enter(instance, service string, limit uint32, once bool) (backend Backend, leave func(), fault *seal.Fault) {
-	hutch.lock.Lock()
-	defer hutch.lock.Unlock()
-	present := hutch.entries[instance]
-	if fault := hutch.room(present, instance, service, limit, once); fault != nil {
+	pass, fault := hutch.Place(Admission{Instance: instance, Service: service, Once: once}, limit)
+	if fault != nil {
 		return Backend{}, nil, fault
 	}
-	present.inFlight[once]++
-	return present.Backend, func() {
-		hutch.lock.Lock()
-		defer hutch.lock.Unlock()
-		present.inFlight[once]--
-	}, nil
+	return pass.Backend, func() { pass.Leave(slots.Over) }, nil
 }
 
 func (hutch *Hutch) objection(present *entry, instance, service string) *seal.Fault {
@@ -232,7 +249,7 @@
 			condition = "overdue"
 		}
 		backends = append(backends, &wire.Backend{Service: present.Service, Instance: present.Instance, Address: present.Address,
-			Condition: condition, InFlight: present.inFlight[true] + present.inFlight[false]})
+			Condition: condition, InFlight: uint32(present.slots.Running()), Slots: present.slots.Count(), Warm: int64(hutch.warm(present))})
 	}
 	return backends
 }
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -35,6 +35,8 @@
 	Domain      string
 	Service     string
 	Instance    string
+	Slots       uint32 // how many requests its backend runs at once; zero while unknown
+	Warming     bool   // its backend said that it's slower yet
 }
 
 // Directory is one view of who is there. Invariant: it doesn't change once made; candidates are sorted by instance.
@@ -180,7 +182,8 @@
 				continue
 			}
 			directory.Candidates[backend.Service] = append(directory.Candidates[backend.Service], Candidate{Carrier: session.Carrier,
-				Incarnation: session.Incarnation, Address: session.Address, Domain: session.Domain, Service: backend.Service, Instance: backend.Instance})
+				Incarnation: session.Incarnation, Address: session.Address, Domain: session.Domain, Service: backend.Service, Instance: backend.Instance,
+				Slots: backend.Slots, Warming: backend.Warm > 0})
 		}
 	}
 	for _, candidates := range directory.Candidates {
--- a/internal/sorter/directory/directory.go
+++ b/internal/sorter/directory/directory.go
@@ -107,7 +107,7 @@
 		Domain: session.Domain, Leaving: session.Leaving}
 	for _, backend := range session.Backends {
 		visible.Backends = append(visible.Backends, &wire.Backend{Service: backend.Service, Instance: backend.Instance,
-			Address: backend.Address, Condition: backend.Condition})
+			Address: backend.Address, Condition: backend.Condition, Slots: backend.Slots, Warm: min(backend.Warm, 1)})
 	}
 	return visible
 }
