Merge exact slots at the gate; a repeat waits for its key's run, and 409 says at work only

Cause: a repeat of a key was told 409 whether its first run was at work, over or lost. The gate now knows which keys it runs: a repeat waits up to half a second for the answer, 409 means at work, answer_gone means that nobody has it.

--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -7,6 +7,7 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/desk"
+	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
@@ -71,23 +72,29 @@
 	closed  atomic.Bool
 	idle    office.Signal
 	last    *lastpost.Post
+	work    *work
 	// unclaimed leaves the claim out; only rehearsals of the checkers set it.
 	unclaimed bool
 }
 
 // New makes a gate.
 func New(env Env) *Gate {
-	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place)}
+	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), work: newWork(env.Place)}
 }
 
 // Register adds the handlers.
 func (gate *Gate) Register(table office.Table) {
 	office.Handle(table, wire.Kind_pass, gate.Pass)
 	office.Handle(table, wire.Kind_recall, func(ask *wire.RecallAsk) (*wire.PassTell, error) {
-		if answer := gate.env.Shelf.Find(ask.Scope, ask.Digest); answer != nil {
+		answer, busy := gate.recorded(ask.Scope, ask.Digest, recallPatience*4/5)
+		if answer != nil {
 			return answered("", answer), nil
 		}
-		return &wire.PassTell{Refused: true, Cause: uint32(seal.KeyHeld), Verdict: string(seal.MayHaveRun)}, nil
+		cause := seal.AnswerGone
+		if busy {
+			cause = seal.KeyHeld
+		}
+		return &wire.PassTell{Refused: true, Cause: uint32(cause), Verdict: string(seal.MayHaveRun)}, nil
 	})
 }
 
@@ -97,8 +104,11 @@
 // Running is the number of passes under way.
 func (gate *Gate) Running() int64 { return gate.running.Load() }
 
-// Refuse makes the gate turn new passes down, as not run.
-func (gate *Gate) Refuse() { gate.closed.Store(true) }
+// Refuse makes the gate turn new passes, and those that wait for a slot, down as not run.
+func (gate *Gate) Refuse() {
+	gate.closed.Store(true)
+	gate.env.Hutch.Close()
+}
 
 // checks are made in order before anything is claimed. Each refusal here is certain: nothing ran.
 var checks = []func(gate *Gate, ask *wire.PassAsk) *seal.Fault{
@@ -146,6 +156,7 @@
 	var tell *wire.PassTell
 	outcome := gate.last.Run(func(errand *lastpost.Errand) { tell = gate.pass(ask, errand) })
 	if outcome == lastpost.Done {
+		tell.Load = gate.env.Hutch.Load(ask.Instance)
 		return tell, nil
 	}
 	verdict := seal.MayHaveRun
@@ -171,32 +182,18 @@
 	if service == nil {
 		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial))
 	}
-	// A claim may take long; no place is held meanwhile. Whom there is no place for now isn't claimed for.
-	limit, startBy := service.Limits.GetInFlightPerBackend(), cutoff
-	if fault := gate.env.Hutch.Room(ask.Instance, ask.Service, limit, ask.Once); fault != nil {
+	stay, earlier, fault := gate.stay(ask, service.Limits.GetInFlightPerBackend(), cutoff)
+	if fault != nil {
 		return gate.refused(ask, fault)
 	}
-	if ask.Once && !gate.unclaimed {
-		var earlier *letter.Answer
-		var fault *seal.Fault
-		if startBy, earlier, fault = gate.claim(ask, cutoff); fault != nil {
-			if fault.Cause == seal.ClaimUnreachable {
-				gate.env.Place.Go(func() { gate.free(ask) })
-			}
-			return gate.refused(ask, fault)
-		}
-		if earlier != nil {
-			return answered(ask.Id, earlier)
-		}
+	if earlier != nil {
+		return answered(ask.Id, earlier)
 	}
-	backend, leave, fault := gate.enter(ask, limit, startBy)
-	if fault != nil {
-		if ask.Once {
-			gate.free(ask)
-		}
-		return gate.refused(ask, fault)
+	if ask.Once {
+		gate.work.begin(ask.Scope)
+		defer gate.work.end(ask.Scope)
 	}
-	defer leave()
+	backend, startBy := stay.Backend, stay.startBy
 	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
 		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
 	order.Still = func() *seal.Fault {
@@ -215,6 +212,7 @@
 		return nil
 	}
 	answer, fault := gate.env.Delivery.Deliver(order)
+	stay.Leave(ended(answer, fault))
 	if fault == nil && answer.NotRun {
 		fault = seal.New(seal.NotExecuted, seal.NotRun, "backend %s answered %d, not executed", backend.Instance, answer.Status)
 	}
@@ -234,23 +232,6 @@
 	return answered(ask.Id, answer)
 }
 
-// placePatience is how long a request whose claim was granted waits for a place: when the sorters come back, many are
-// granted at once, more than there are places, though each needs its place for milliseconds only.
-const placePatience = 300 * postmark.Millisecond
-
-// enter takes a place at the backend. Only who has a claim waits for one.
-func (gate *Gate) enter(ask *wire.PassAsk, limit uint32, startBy postmark.Micros) (hutch.Backend, func(), *seal.Fault) {
-	place := gate.env.Place
-	cutoff := min(startBy, place.Now()+placePatience)
-	for {
-		backend, leave, fault := gate.env.Hutch.Enter(ask.Instance, ask.Service, limit, ask.Once)
-		if fault == nil || fault.Cause != seal.Overloaded || !ask.Once || place.Now() >= cutoff {
-			return backend, leave, fault
-		}
-		place.Sleep(5 * postmark.Millisecond)
-	}
-}
-
 // claimFaults are what the outcomes of a claim other than granted and held come to.
 var claimFaults = map[string]func(ask *wire.PassAsk) *seal.Fault{
 	counterfoil.OtherBody: func(ask *wire.PassAsk) *seal.Fault {
@@ -264,13 +245,14 @@
 	},
 }
 
-// claim asks for the right to run, right before the hand-over. It gives the moment by which the request must start, or
-// the recorded answer of an earlier run.
-func (gate *Gate) claim(ask *wire.PassAsk, cutoff postmark.Micros) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
+// claim asks for the right to run, right before the hand-over, until some moment. It gives the moment by which the request
+// must start, or the recorded answer of an earlier run. It may be asked again for the same try. letGo is called once it's known
+// that nothing is granted, before an earlier answer is looked for.
+func (gate *Gate) claim(ask *wire.PassAsk, until, cutoff postmark.Micros, letGo func()) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
 	place := gate.env.Place
 	for {
 		asked := place.Now()
-		remaining := min(cutoff-asked, 700*postmark.Millisecond)
+		remaining := min(until-asked, 700*postmark.Millisecond)
 		if remaining <= 0 {
 			// An ask may have been granted unheard, but this carrier won't use it and nobody else can.
 			return 0, nil, seal.New(seal.ClaimUnreachable, seal.NotRun, "the sorter did not answer in time")
@@ -284,11 +266,13 @@
 		if tell.Outcome == counterfoil.Granted {
 			return min(asked+claimLife, cutoff), nil, nil
 		}
+		letGo()
 		if tell.Outcome == counterfoil.Held {
-			if answer := gate.recall(ask, tell, cutoff); answer != nil {
+			answer, cause := gate.recall(ask, tell, cutoff)
+			if answer != nil {
 				return 0, answer, nil
 			}
-			return 0, nil, seal.New(seal.KeyHeld, seal.MayHaveRun, "the key is held by try %s at %s", tell.Try, tell.Holder)
+			return 0, nil, seal.New(cause, seal.MayHaveRun, "the key is held by try %s at %s", tell.Try, tell.Holder)
 		}
 		if find := claimFaults[tell.Outcome]; find != nil {
 			return 0, nil, find(ask)
@@ -297,18 +281,29 @@
 	}
 }
 
-// recall finds the answer of an earlier run, here or at the carrier that holds the key.
-func (gate *Gate) recall(ask *wire.PassAsk, held *wire.ClaimTell, cutoff postmark.Micros) *letter.Answer {
+// recallPatience is how long a repeat waits for the answer of a run that is still at work.
+const recallPatience = 500 * postmark.Millisecond
+
+// recall finds the answer of an earlier run, here or at the carrier that holds the key, or tells why there's none: the key is
+// at work, or nobody has its answer any more.
+func (gate *Gate) recall(ask *wire.PassAsk, held *wire.ClaimTell, cutoff postmark.Micros) (*letter.Answer, seal.Cause) {
+	patience := min(cutoff-gate.env.Place.Now(), recallPatience)
 	if held.Holder == gate.env.Carrier {
-		return gate.env.Shelf.Find(ask.Scope, ask.Digest)
+		answer, busy := gate.recorded(ask.Scope, ask.Digest, patience)
+		if busy {
+			return answer, seal.KeyHeld
+		}
+		return answer, seal.AnswerGone
 	}
 	tell := &wire.PassTell{}
-	err := gate.env.CallCarrier(held.Holder, wire.Kind_recall, &wire.RecallAsk{Scope: ask.Scope, Digest: ask.Digest, Try: held.Try},
-		tell, min(cutoff-gate.env.Place.Now(), 500*postmark.Millisecond))
+	err := gate.env.CallCarrier(held.Holder, wire.Kind_recall, &wire.RecallAsk{Scope: ask.Scope, Digest: ask.Digest, Try: held.Try}, tell, patience)
+	if err == nil && tell.Refused && seal.Cause(tell.Cause) == seal.KeyHeld {
+		return nil, seal.KeyHeld
+	}
 	if err != nil || tell.Refused || !Whole(tell) {
-		return nil
+		return nil, seal.AnswerGone
 	}
-	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance}
+	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance}, 0
 }
 
 // free gives a key back after the backend, or this carrier, was certain that nothing ran. If the sorter can't be told,
@@ -317,6 +312,20 @@
 	_ = gate.env.CallPrimary(wire.Kind_claim_settle, &wire.SettleAsk{Scope: ask.Scope, Try: ask.Try}, &wire.SettleTell{}, postmark.Second)
 }
 
+// knownOver are the causes of faults after which the backend has answered, though not as it should.
+var knownOver = map[seal.Cause]bool{seal.AnswerTooLarge: true, seal.AnswerUnmatched: true}
+
+// ended tells what a delivery's end says of its slot. Errors are no measure: what fails at once would look quick.
+func ended(answer *letter.Answer, fault *seal.Fault) slots.End {
+	switch {
+	case fault == nil && answer.Status < 500:
+		return slots.Worked
+	case fault == nil || fault.NotRun() || knownOver[fault.Cause]:
+		return slots.Over
+	}
+	return slots.Unsure
+}
+
 func (gate *Gate) refused(ask *wire.PassAsk, fault *seal.Fault) *wire.PassTell {
 	serial, _ := gate.env.Desk.Serial()
 	return &wire.PassTell{Id: ask.Id, Refused: true, Cause: uint32(fault.Cause), Verdict: string(fault.Verdict), RetryAfter: int64(fault.RetryAfter),
--- /dev/null
+++ b/internal/carrier/gate/work.go
@@ -0,0 +1,57 @@
+package gate
+
+import (
+	"sync"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/office"
+	"snowflow/internal/postmark"
+)
+
+// work knows which keys are being run here now, so that a repeat is told so, or waits for the answer.
+// Invariant: open holds a scope exactly while a claimed request of it is between its claim and its recorded answer.
+type work struct {
+	place office.Office
+	lock  sync.Mutex
+	open  map[string][]office.Signal
+}
+
+func newWork(place office.Office) *work {
+	return &work{place: place, open: map[string][]office.Signal{}}
+}
+
+func (work *work) begin(scope string) {
+	work.lock.Lock()
+	defer work.lock.Unlock()
+	work.open[scope] = []office.Signal{}
+}
+
+func (work *work) end(scope string) {
+	work.lock.Lock()
+	waiters := work.open[scope]
+	delete(work.open, scope)
+	work.lock.Unlock()
+	for _, waiter := range waiters {
+		waiter.Fire()
+	}
+}
+
+// await waits, at most patience, until a scope isn't at work here. It tells whether it still is.
+func (work *work) await(scope string, patience postmark.Micros) bool {
+	work.lock.Lock()
+	waiters, busy := work.open[scope]
+	if !busy {
+		work.lock.Unlock()
+		return false
+	}
+	signal := work.place.NewSignal()
+	work.open[scope] = append(waiters, signal)
+	work.lock.Unlock()
+	return !signal.Wait(patience)
+}
+
+// recorded is the answer that a scope's run left here, waited for while it's at work.
+func (gate *Gate) recorded(scope string, digest []byte, patience postmark.Micros) (answer *letter.Answer, busy bool) {
+	busy = gate.work.await(scope, patience)
+	return gate.env.Shelf.Find(scope, digest), busy
+}
