Desired state: routes by host with splits, single requests, readers, highest version wins

Cause: a desired state could only name paths of one service each, without a host, a split or terms of their own; every request was resolved by a scan over all paths; contents were read in one dialect only; and an apply had to name the serial it follows.

What changed: - DesiredState has routes: host, method, prefix, class, split by weight, cutoff, aim, priority, most tries. Faults are told at their place in the tree. With routes a service may have no paths. - Class `single`: at most once and without a reference key. A test compares it with a plain scan over 40000 drawn requests. - franking.Reader is given to postmasters and carriers, so another dialect's contents are stored as they were sent. franking.Accepted tells its error as a fault, so that it's one. - An apply may name its version: it becomes the serial if it's above the newest, else it's acknowledged and changes nothing. Serials may have gaps; a bounded history drops the oldest. Archives are checked by serial, no longer by position.

Ruled out: the host as part of a reference key's scope. One caller may reach the mesh under several names; a key would then run once for each.

Transcript changed: "must be read or once" is now "must be read, once or single"; the rest of it stands.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -15,6 +15,7 @@
 	"snowflow/internal/carrier/roll"
 	"snowflow/internal/carrier/rota"
 	"snowflow/internal/carrier/wicket"
+	"snowflow/internal/franking"
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/office/vigil"
@@ -35,6 +36,8 @@
 	Address  string
 	Blind    bool // choose backends without looking at zones
 	Delivery gate.Delivery
+	// Read reads accepted desired states, franking.Accepted if left out.
+	Read     franking.Reader
 	Finished func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
 }
 
@@ -57,7 +60,7 @@
 // New makes a carrier.
 func New(env Env) *Carrier {
 	carrier := &Carrier{env: env, incarnation: env.Place.Random() | 1, vigil: vigil.New(env.Place)}
-	carrier.Desk = desk.New(env.Place, env.Book, env.Name, carrier.incarnation, carrier.vigil)
+	carrier.Desk = desk.New(desk.Env{Place: env.Place, Book: env.Book, Carrier: env.Name, Incarnation: carrier.incarnation, Vigil: carrier.vigil, Read: env.Read})
 	carrier.Roll = roll.New(env.Place, env.Book, carrier.session, carrier.vigil)
 	carrier.Hutch = hutch.New(env.Place, carrier.Roll.Soon)
 	carrier.Wicket = wicket.New(wicket.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Call: carrier.callPrimaryOnce})
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -15,15 +15,24 @@
 
 const postmasters = "postmaster"
 
+// Env is what a desk is made of.
+type Env struct {
+	Place       office.Office
+	Book        *gazetteer.Book
+	Carrier     string
+	Incarnation uint64
+	Vigil       *vigil.Vigil
+	// Read reads accepted contents, franking.Accepted if left out.
+	Read franking.Reader
+}
+
 // Desk follows the postmasters.
 // Invariants: the serial never falls; until counts from before the poll that gave the tenure; a view is only served
 // by before until.
 type Desk struct {
-	place       office.Office
-	book        *gazetteer.Book
-	carrier     string
-	incarnation uint64
-	vigil       *vigil.Vigil
+	env   Env
+	place office.Office
+	book  *gazetteer.Book
 
 	lock    sync.Mutex
 	view    *franking.View
@@ -41,15 +50,18 @@
 func (desk *Desk) Untenured(broken bool) { desk.untenured = broken }
 
 // New makes a desk.
-func New(place office.Office, book *gazetteer.Book, carrier string, incarnation uint64, vigil *vigil.Vigil) *Desk {
-	return &Desk{place: place, book: book, carrier: carrier, incarnation: incarnation, vigil: vigil}
+func New(env Env) *Desk {
+	if env.Read == nil {
+		env.Read = franking.Accepted
+	}
+	return &Desk{env: env, place: env.Place, book: env.Book}
 }
 
 // Current is the view to serve by; live tells whether the tenure still stands.
 func (desk *Desk) Current() (view *franking.View, live bool) {
 	desk.lock.Lock()
 	defer desk.lock.Unlock()
-	return desk.view, desk.view != nil && (desk.untenured || desk.place.Now() < desk.until && !desk.vigil.Behind())
+	return desk.view, desk.view != nil && (desk.untenured || desk.place.Now() < desk.until && !desk.env.Vigil.Behind())
 }
 
 // Serial is the adopted serial and how long ago it was adopted.
@@ -105,7 +117,7 @@
 	serial, _ := desk.Serial()
 	asked := desk.place.Now()
 	tell := &wire.DesiredPollTell{}
-	err := desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.carrier, Incarnation: desk.incarnation,
+	err := desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation,
 		Have: serial, First: first}, tell, 1500*postmark.Millisecond)
 	if err != nil {
 		desk.book.Ask()
@@ -126,9 +138,9 @@
 		return false // never back to an older one
 	}
 	if tell.Serial > serial {
-		state, err := franking.Accepted(tell.Content)
-		if err != nil {
-			desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "error": err.Error()})
+		state, faults := desk.env.Read(tell.Content)
+		if len(faults) > 0 {
+			desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "error": faults[0].String(), "faults": len(faults)})
 			return false
 		}
 		fresh = franking.Compile(state, tell.Serial, franking.Digest(tell.Content))
@@ -162,7 +174,7 @@
 	desk.released, desk.until = true, 0
 	desk.lock.Unlock()
 	if name := desk.book.Leader(postmasters); name != "" {
-		_ = desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.carrier, Incarnation: desk.incarnation, Release: true}, &wire.DesiredPollTell{}, patience)
+		_ = desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation, Release: true}, &wire.DesiredPollTell{}, patience)
 	}
 }
 
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -198,7 +198,7 @@
 	}
 	defer leave()
 	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
-		Fresh: ask.Once, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
+		Fresh: ask.Once || ask.Single, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
 	order.Still = func() *seal.Fault {
 		if gate.env.Place.Now() >= startBy {
 			return seal.New(seal.ClaimLate, seal.NotRun, "too late to start")
--- a/internal/carrier/letter/letter.go
+++ b/internal/carrier/letter/letter.go
@@ -20,6 +20,7 @@
 type Request struct {
 	ID      string
 	Method  string
+	Host    string // as it was sent, a port too; empty where there is none
 	Target  string // path and query, as it was sent
 	Headers []*wire.Header
 	Body    []byte
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -62,20 +62,25 @@
 }
 
 // Trip is one request's way.
-// Invariants: Method and Address are the request's in their one spelling; View, Service and Cutoff are set by the
-// resolve policy, and only a repin changes them; Once never changes once resolved.
+// Invariants: Host, Method and Address are the request's in their one spelling; View, Path, Service and Cutoff are set by the
+// resolve policy, and only a repin changes them; Once and Single never change once resolved, and are never both set; Service
+// is of the Path's split.
 type Trip struct {
 	Request *letter.Request
+	Host    string
 	Method  string
 	Address postcode.Address
 	Began   postmark.Micros
 	Cutoff  postmark.Micros
 	View    *franking.View
+	Path    franking.Path
 	Service *franking.Service
 	Once    bool
-	Scope   string
-	Digest  []byte
-	Tries   int
+	// Single: it may run at most once and nothing is claimed for it, so it's only tried again when certain that it has not run.
+	Single bool
+	Scope  string
+	Digest []byte
+	Tries  int
 	// Doubt is set once some try may have run; from then on no refusal says not run.
 	Doubt  bool
 	errand *lastpost.Errand
@@ -170,7 +175,7 @@
 }
 
 func (passage *Passage) carry(request *letter.Request, errand *lastpost.Errand) (answer *letter.Answer, fault *seal.Fault) {
-	trip := &Trip{Request: request, errand: errand, Began: passage.env.Place.Now(), Method: strings.ToUpper(request.Method)}
+	trip := &Trip{Request: request, errand: errand, Began: passage.env.Place.Now(), Host: franking.Host(request.Host), Method: strings.ToUpper(request.Method)}
 	trip.Cutoff = trip.Began + voidPatience // until the path's own limit is known
 	defer func() {
 		if passage.env.Finished != nil {
@@ -195,6 +200,14 @@
 	return answer, nil
 }
 
+// mostTries is the path's own where it has one, else the service's.
+func (trip *Trip) mostTries() int {
+	if trip.Path.MostTries > 0 {
+		return int(trip.Path.MostTries)
+	}
+	return int(trip.Service.Retry.GetMostTries())
+}
+
 // attempts makes the first try and, while it's safe, allowed and in time, further ones.
 func (passage *Passage) attempts(trip *Trip) (*letter.Answer, *seal.Fault) {
 	place := passage.env.Place
@@ -206,7 +219,7 @@
 		}
 		trip.Doubt = trip.Doubt || !fault.NotRun()
 		retry := trip.Service.Retry
-		if !retriable || trip.Tries >= int(retry.GetMostTries()) {
+		if !retriable || trip.Tries >= trip.mostTries() {
 			return nil, fault
 		}
 		backoff := postmark.Micros(retry.GetBackoffMicros())
@@ -232,9 +245,12 @@
 	if !live {
 		return
 	}
-	path, found := view.Resolve(trip.Method, trip.Address.Path)
-	if found && once(path, trip) == trip.Once && path.Service.Name == trip.Service.Name {
-		trip.View, trip.Service = view, path.Service
+	path, found := view.Resolve(trip.Host, trip.Method, trip.Address.Path)
+	if !found || path.Name != trip.Path.Name || once(path, trip) != trip.Once || (path.Single && !trip.Once) != trip.Single {
+		return
+	}
+	if service, there := path.Has(trip.Service.Name); there {
+		trip.View, trip.Path, trip.Service = view, path, service
 	}
 }
 
@@ -270,7 +286,7 @@
 		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
 		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
-		AnswerLimit: trip.Service.Limits.GetAnswerBytes()}
+		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Priority: trip.Path.Priority, Aim: int64(trip.Path.Aim), Single: trip.Single}
 	if trip.Once {
 		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
 	}
@@ -284,7 +300,7 @@
 	}
 	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
 		ticket.Done(wicket.Neutral)
-		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once
+		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once && !trip.Single
 	}
 	if tell.Refused {
 		return passage.turnedDown(trip, ticket, candidate, tell)
@@ -332,7 +348,7 @@
 		if passage.env.Place.Now() >= trip.Cutoff {
 			fault = seal.New(seal.CutoffReached, seal.MayHaveRun, "%s gave no answer before the cutoff", candidate.Carrier)
 		}
-		return nil, fault, true
+		return nil, fault, !trip.Single
 	}
 	if passage.void(trip, ask.Try, false) == counterfoil.Voided {
 		return nil, seal.New(seal.PassLost, seal.NotRun, "%s: %v; the try is void", candidate.Carrier, cause), true
@@ -353,7 +369,7 @@
 	if fault.Cause == seal.BackendDial || fault.Cause == seal.BackendIdentity || fault.Cause == seal.BackendLeaving || fault.Cause == seal.BackendUnknown {
 		passage.choices.shun(candidate.Instance)
 	}
-	retriable := fault.NotRun() || !trip.Once
+	retriable := fault.NotRun() || !trip.Once && !trip.Single
 	if fault.Cause == seal.KeyFenced || fault.Cause == seal.ClaimUnreachable {
 		retriable = false
 	}
--- a/internal/carrier/passage/policies.go
+++ b/internal/carrier/passage/policies.go
@@ -58,15 +58,22 @@
 	if !live {
 		return seal.New(seal.TenureEnded, seal.NotRun, "the tenure to serve by serial %d has ended", view.Serial)
 	}
-	path, found := view.Resolve(trip.Method, trip.Address.Path)
+	path, found := view.Resolve(trip.Host, trip.Method, trip.Address.Path)
 	if !found {
 		return seal.New(seal.UnknownPath, seal.NotRun, "no service has %s %s", trip.Method, trip.Address.Path)
 	}
-	trip.View, trip.Service, trip.Once = view, path.Service, once(path, trip)
-	limit := trip.Began + postmark.Micros(path.Service.Limits.GetCutoffMicros())
-	trip.Cutoff = limit
+	trip.View, trip.Path, trip.Service = view, path, path.Service
+	if len(path.Split) > 1 {
+		trip.Service = path.Pick(passage.env.Place.Random())
+	}
+	trip.Once = once(path, trip)
+	trip.Single = path.Single && !trip.Once
+	trip.Cutoff = trip.Began + postmark.Micros(trip.Service.Limits.GetCutoffMicros())
+	if path.Cutoff > 0 {
+		trip.Cutoff = min(trip.Cutoff, trip.Began+path.Cutoff)
+	}
 	if trip.Request.Cutoff > 0 {
-		trip.Cutoff = min(limit, trip.Request.Cutoff)
+		trip.Cutoff = min(trip.Cutoff, trip.Request.Cutoff)
 	}
 	return nil
 }
--- a/internal/depot/standin/operator.go
+++ b/internal/depot/standin/operator.go
@@ -59,7 +59,7 @@
 	view := franking.Compile(state, 0, "")
 	kinds := append(operator.Fleet.Layout.Kinds, operator.Fleet.Layout.LookupKinds()...)
 	for _, kind := range kinds {
-		if path, found := view.Resolve(kind.Method, strings.TrimSuffix(kind.Path, "/")+"/1"); found {
+		if path, found := view.Resolve("", kind.Method, strings.TrimSuffix(kind.Path, "/")+"/1"); found {
 			operator.History.Allow(kind.Name, path.Service.Name, operator.Clock.Now())
 		}
 	}
--- a/internal/franking/franking.go
+++ b/internal/franking/franking.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"sort"
 	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -45,11 +44,18 @@
 
 // Accepted reads a desired state that a postmaster has accepted. It isn't checked again: the postmaster's build may be an
 // earlier one that checked less, or a later one with fields that this build doesn't know.
-func Accepted(content []byte) (*wire.DesiredState, error) {
+func Accepted(content []byte) (*wire.DesiredState, []Fault) {
 	state := &wire.DesiredState{}
-	return state, protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(content, state)
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(content, state); err != nil {
+		return nil, []Fault{{"", strings.ReplaceAll(err.Error(), "\u00a0", " ")}}
+	}
+	return state, nil
 }
 
+// Reader reads a content as it was stored, in whatever dialect, and tells what is wrong with it. Parse and Accepted are those
+// of the product's own dialect. Invariant: it goes by the content alone.
+type Reader func(content []byte) (*wire.DesiredState, []Fault)
+
 var methods = map[string]bool{"GET": true, "HEAD": true, "POST": true, "PUT": true, "PATCH": true, "DELETE": true, "*": true}
 
 // checker collects faults.
@@ -106,7 +112,7 @@
 			checker.name(place, service.Name, services)
 			checker.terms(place, service.Guard, service.Retry, service.Limits)
 			checker.merged(place, group, service)
-			if len(service.Paths) == 0 {
+			if len(service.Paths) == 0 && len(state.Routes) == 0 {
 				checker.fault(place+".paths", "at least one path is needed")
 			}
 			for pathIndex, path := range service.Paths {
@@ -114,9 +120,50 @@
 			}
 		}
 	}
+	checker.routes(state, services, paths)
 	return checker.faults
 }
 
+// routes checks the routes against the services there are and the paths they have.
+func (checker *checker) routes(state *wire.DesiredState, services, paths map[string]string) {
+	names := map[string]string{}
+	for index, route := range state.Routes {
+		place := fmt.Sprintf("routes[%d]", index)
+		if route.Name == "" || len(route.Name) > 200 {
+			checker.fault(place+".name", "%q must be of 1 to 200 bytes", route.Name)
+		}
+		if other, twice := names[route.Name]; twice {
+			checker.fault(place+".name", "%q is already used at %s", route.Name, other)
+		}
+		names[route.Name] = place
+		if route.Host != Host(route.Host) || strings.ContainsAny(route.Host, "/?#@ ") || len(route.Host) > 253 {
+			checker.fault(place+".host", "%q must be a host in small letters, without a port and without a dot at its end", route.Host)
+		}
+		checker.way(place, route.Host, methodOf(route.Method), route.Prefix, route.Class, paths)
+		checker.split(place+".split", route.Split, services)
+		checker.span(place+".cutoffMicros", route.CutoffMicros, 1, 10*postmark.Minute)
+		checker.span(place+".aimMicros", route.AimMicros, 1, 10*postmark.Minute)
+		checker.count(place+".mostTries", route.MostTries, 1, 10)
+	}
+}
+
+func (checker *checker) split(place string, split []*wire.Share, services map[string]string) {
+	if len(split) == 0 {
+		checker.fault(place, "at least one service is needed")
+		return
+	}
+	sum := uint64(0)
+	for index, share := range split {
+		sum += uint64(share.Weight)
+		if _, known := services[share.Service]; !known {
+			checker.fault(fmt.Sprintf("%s[%d].service", place, index), "no service %q", share.Service)
+		}
+	}
+	if sum == 0 {
+		checker.fault(place, "at least one weight must be above zero")
+	}
+}
+
 func (checker *checker) name(place, name string, seen map[string]string) {
 	if env.Name(name) != nil {
 		checker.fault(place+".name", "%q must be a lower-case letter, then up to 62 letters, digits or hyphens", name)
@@ -128,23 +175,28 @@
 }
 
 func (checker *checker) path(place string, path *wire.Path, seen map[string]string) {
-	if !methods[path.Method] {
-		checker.fault(place+".method", "%q is not a method or *", path.Method)
+	checker.way(place, "", path.Method, path.Prefix, path.Class, seen)
+}
+
+// way checks what a service's path and a route have in common. seen holds those of all hosts.
+func (checker *checker) way(place, host, method, prefix string, class wire.Path_Class, seen map[string]string) {
+	if !methods[method] {
+		checker.fault(place+".method", "%q is not a method or *", method)
 	}
-	if !strings.HasPrefix(path.Prefix, "/") || strings.ContainsAny(path.Prefix, "?# ") || len(path.Prefix) > 500 {
-		checker.fault(place+".prefix", "%q must start with / and hold no ?, # or space", path.Prefix)
+	if !strings.HasPrefix(prefix, "/") || strings.ContainsAny(prefix, "?# ") || len(prefix) > 500 {
+		checker.fault(place+".prefix", "%q must start with / and hold no ?, # or space", prefix)
 	}
-	if spelled, err := postcode.Parse(path.Prefix); strings.HasPrefix(path.Prefix, "/") && (err != nil || spelled.Path != path.Prefix) {
-		checker.fault(place+".prefix", "%q must be spelled as requests are resolved: no escapes, doubled slashes or dot segments", path.Prefix)
+	if spelled, err := postcode.Parse(prefix); strings.HasPrefix(prefix, "/") && (err != nil || spelled.Path != prefix) {
+		checker.fault(place+".prefix", "%q must be spelled as requests are resolved: no escapes, doubled slashes or dot segments", prefix)
 	}
-	if strings.HasPrefix(path.Prefix, "/.snowflow") {
+	if strings.HasPrefix(prefix, "/.snowflow") {
 		checker.fault(place+".prefix", "/.snowflow is the mesh's own")
 	}
-	if path.Class == wire.Path_unset {
-		checker.fault(place+".class", "must be read or once")
+	if class == wire.Path_unset {
+		checker.fault(place+".class", "must be read, once or single")
 	}
 	// With and without a slash at the end it's the same resources: they must not be of two classes.
-	key := path.Method + " " + postcode.Resource(path.Prefix)
+	key := method + " " + host + postcode.Resource(prefix)
 	if other, twice := seen[key]; twice {
 		checker.fault(place, "%s is already at %s", key, other)
 	}
@@ -255,61 +307,43 @@
 		FailureRate: service.Guard.GetFailureRate(), ProbeTenure: service.Guard.GetProbeTenureMicros(), StateTtl: int64(300 * postmark.Second)}
 }
 
-// Path is one entry of the table that requests are resolved by.
-type Path struct {
-	Method  string
-	Prefix  string
-	Once    bool
-	Service *Service
-}
-
-// View is one adopted desired state. Invariant: it never changes once made; paths are sorted longest prefix first,
-// and at equal length a named method stands before *.
+// View is one adopted desired state. Invariant: it never changes once made.
 type View struct {
 	Serial   uint64
 	Digest   string
 	Services map[string]*Service
-	paths    []Path
+	routing  routing
 }
 
 // Compile makes the view of a checked desired state.
 func Compile(state *wire.DesiredState, serial uint64, digest string) *View {
-	view := &View{Serial: serial, Digest: digest, Services: map[string]*Service{}}
+	view := &View{Serial: serial, Digest: digest, Services: map[string]*Service{}, routing: routing{}}
 	for _, group := range state.Groups {
 		for _, service := range group.Services {
-			retry := defaultRetry()
-			proto.Merge(retry, orEmpty(group.Retry))
-			proto.Merge(retry, orEmpty(service.Retry))
-			inForce := &Service{Name: service.Name, Group: group.Name, Guard: mergeGuard(group, service), Retry: retry, Limits: mergeLimits(group, service)}
+			inForce := inForce(group, service)
 			view.Services[service.Name] = inForce
 			for _, path := range service.Paths {
-				view.paths = append(view.paths, Path{Method: path.Method, Prefix: path.Prefix, Once: path.Class == wire.Path_once, Service: inForce})
+				view.routing.add(Path{Method: path.Method, Prefix: path.Prefix, Once: path.Class == wire.Path_once, Single: path.Class == wire.Path_single,
+					Service: inForce, Split: []Share{{Service: inForce, UpTo: 1}}})
 			}
 		}
 	}
-	sort.SliceStable(view.paths, func(one, other int) bool {
-		left, right := view.paths[one], view.paths[other]
-		if len(left.Prefix) != len(right.Prefix) {
-			return len(left.Prefix) > len(right.Prefix)
-		}
-		return left.Method != "*" && right.Method == "*"
-	})
+	for _, route := range state.Routes {
+		view.routing.add(compileRoute(route, view.Services))
+	}
 	return view
 }
 
-// Resolve finds the path for a request: the longest prefix that ends at a whole segment.
-func (view *View) Resolve(method, path string) (Path, bool) {
-	for _, entry := range view.paths {
-		if (entry.Method == method || entry.Method == "*") && under(path, entry.Prefix) {
-			return entry, true
-		}
-	}
-	return Path{}, false
+// inForce lays a service's terms over its group's, and those over the defaults.
+func inForce(group *wire.Group, service *wire.Service) *Service {
+	retry := defaultRetry()
+	proto.Merge(retry, orEmpty(group.Retry))
+	proto.Merge(retry, orEmpty(service.Retry))
+	return &Service{Name: service.Name, Group: group.Name, Guard: mergeGuard(group, service), Retry: retry, Limits: mergeLimits(group, service)}
 }
 
-func under(path, prefix string) bool {
-	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/')
-}
+// Unlisted is a service that a view doesn't have, as it would be with nothing set.
+func Unlisted(name string) *Service { return inForce(&wire.Group{}, &wire.Service{Name: name}) }
 
 // Digest names a content.
 func Digest(content []byte) string {
--- a/internal/franking/franking_test.go
+++ b/internal/franking/franking_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"snowflow/examples"
 	"snowflow/internal/franking"
+	"snowflow/internal/parcel/wire"
 )
 
 // TestDesiredStates keeps transcripts of what is read and refused, and of what services inherit.
@@ -21,27 +23,47 @@
 			// The JSON library varies its white space on purpose.
 			fmt.Fprintln(&text, strings.Join(strings.Fields(fault.String()), " "))
 		}
-		if data.Cmd == "adopt" {
+		if data.Cmd == "adopt" || data.Cmd == "adopted-resolve" {
 			text.Reset()
-			var err error
-			if state, err = franking.Accepted([]byte(data.Input)); err != nil {
-				t.Fatal(err)
+			if state, faults = franking.Accepted([]byte(data.Input)); len(faults) > 0 {
+				t.Fatal(faults)
 			}
 		} else if len(faults) > 0 {
 			return text.String()
 		}
 		view := franking.Compile(state, 7, "")
-		if data.Cmd == "resolve" {
+		if data.Cmd == "resolve" || data.Cmd == "adopted-resolve" {
+			method := "GET"
 			for _, argument := range data.CmdArgs {
-				path, found := view.Resolve("GET", argument.Key)
+				if argument.Key == "method" {
+					method = argument.Vals[0]
+					continue
+				}
+				host, rest, _ := strings.Cut(argument.Key, "/")
+				path, found := view.Resolve(host, method, "/"+rest)
 				if !found {
 					fmt.Fprintf(&text, "%s: nowhere\n", argument.Key)
 					continue
 				}
-				fmt.Fprintf(&text, "%s: %s by %s\n", argument.Key, path.Service.Name, path.Prefix)
+				fmt.Fprintf(&text, "%s: %s by %s%s\n", argument.Key, path.Service.Name, path.Host, path.Prefix)
 			}
 			return text.String()
 		}
+		if data.Cmd == "route" {
+			host, rest, _ := strings.Cut(data.CmdArgs[0].Key, "/")
+			path, _ := view.Resolve(host, "GET", "/"+rest)
+			fmt.Fprintf(&text, "%q once %v single %v cutoff %d aim %d priority %d tries %d, first %s\n", path.Name, path.Once, path.Single, path.Cutoff, path.Aim,
+				path.Priority, path.MostTries, path.Service.Name)
+			for random := range uint64(9) {
+				fmt.Fprintf(&text, "%s ", path.Pick(random).Name)
+			}
+			for _, name := range []string{"one", "two", "three", "four"} {
+				if service, has := path.Has(name); has {
+					fmt.Fprintf(&text, "has %s ", service.Name)
+				}
+			}
+			return strings.TrimSpace(text.String()) + "\n"
+		}
 		names := []string{}
 		for name := range view.Services {
 			names = append(names, name)
@@ -69,3 +91,101 @@
 		}
 	}
 }
+
+// scan is what resolving means, without an index: each path tried against the request, the best kept.
+func scan(state *wire.DesiredState, host, method, path string) string {
+	best, rank := "", -1
+	for _, route := range state.Routes {
+		under := strings.HasPrefix(path, route.Prefix) && (len(path) == len(route.Prefix) || strings.HasSuffix(route.Prefix, "/") || path[len(route.Prefix)] == '/')
+		if !under || route.Host != "" && route.Host != host || route.Method != "" && route.Method != "*" && route.Method != method {
+			continue
+		}
+		own := 2 * len(route.Prefix)
+		if route.Host != "" {
+			own += 10000
+		}
+		if route.Method == method {
+			own++
+		}
+		if own > rank {
+			best, rank = route.Name, own
+		}
+	}
+	return best
+}
+
+// TestResolveFindsWhatAScanFinds compares the table with a plain scan over routes and requests made of few segments, so that
+// many of them meet.
+func TestResolveFindsWhatAScanFinds(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	pick := func(words ...string) string { return words[chance.IntN(len(words))] }
+	made := func() string {
+		path := ""
+		for range chance.IntN(5) {
+			path += "/" + pick("a", "b", "ab")
+		}
+		return path + pick("", "/")
+	}
+	met := 0
+	for range 200 {
+		state := &wire.DesiredState{Groups: []*wire.Group{{Name: "field", Services: []*wire.Service{{Name: "one"}}}}}
+		for number := range 30 {
+			if prefix := made(); prefix != "" {
+				state.Routes = append(state.Routes, &wire.Route{Name: fmt.Sprint("r-", number), Host: pick("", "x", "y"), Method: pick("", "GET", "POST"), Prefix: prefix,
+					Class: wire.Path_read, Split: []*wire.Share{{Service: "one", Weight: 1}}})
+			}
+		}
+		view := franking.Compile(state, 1, "")
+		for range 200 {
+			host, method, path := pick("", "x", "y", "z"), pick("GET", "POST", "PUT"), "/"+strings.TrimPrefix(made(), "/")
+			found, is := view.Resolve(host, method, path)
+			wanted := scan(state, host, method, path)
+			if is != (wanted != "") || found.Name != wanted {
+				t.Fatalf("%s %s%s: %q, wanted %q of %v", method, host, path, found.Name, wanted, state.Routes)
+			}
+			if is {
+				met++
+			}
+		}
+	}
+	if met < 10000 {
+		t.Errorf("only %d requests found a route", met)
+	}
+}
+
+// TestPicksByWeight counts whom a split leads to.
+func TestPicksByWeight(t *testing.T) {
+	state, faults := franking.Parse([]byte(`{"groups":[{"name":"field","services":[{"name":"one"},{"name":"two"},{"name":"three"}]}],
+"routes":[{"name":"r","prefix":"/","class":"read","split":[{"service":"one","weight":90},{"service":"two","weight":0},{"service":"three","weight":10}]}]}`))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	path, _ := franking.Compile(state, 1, "").Resolve("", "GET", "/")
+	chance, counts := rand.New(rand.NewPCG(3, 4)), map[string]int{}
+	for range 100000 {
+		counts[path.Pick(chance.Uint64()).Name]++
+	}
+	if counts["two"] > 0 || counts["one"] < 89000 || counts["one"] > 91000 || counts["one"]+counts["three"] != 100000 {
+		t.Error(counts)
+	}
+}
+
+// BenchmarkResolve shows that what a request costs doesn't go by the number of routes.
+func BenchmarkResolve(b *testing.B) {
+	for _, count := range []int{10, 10000} {
+		state := &wire.DesiredState{Groups: []*wire.Group{{Name: "field", Services: []*wire.Service{{Name: "one"}}}}}
+		for number := range count {
+			state.Routes = append(state.Routes, &wire.Route{Name: fmt.Sprint("r-", number), Host: fmt.Sprintf("h%d.example", number%100), Prefix: fmt.Sprintf("/lepu%d/", number),
+				Class: wire.Path_read, Split: []*wire.Share{{Service: "one", Weight: 1}}})
+		}
+		view := franking.Compile(state, 1, "")
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				if _, found := view.Resolve("h7.example", "GET", "/lepu7/items/42"); !found {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -512,7 +512,7 @@
 	if state != nil && len(faults) == 0 {
 		view := franking.Compile(state, 0, "")
 		for kind, sample := range map[string][2]string{"form": {"GET", "/forms/1"}, "lookup": {"GET", "/forms/1"}, "submission": {"POST", "/households/1"}} {
-			if path, found := view.Resolve(sample[0], sample[1]); found {
+			if path, found := view.Resolve("", sample[0], sample[1]); found {
 				mesh.History.Allow(kind, path.Service.Name, mesh.World.Now())
 			}
 		}
--- a/internal/postmaster/archive/archive.go
+++ b/internal/postmaster/archive/archive.go
@@ -4,10 +4,12 @@
 package archive
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/go-git/go-git/v5"
@@ -23,7 +25,8 @@
 	file   = "desired-state.json"
 )
 
-// Archive writes in a task of its own. Invariant: the branch's commits are the states 1 to some serial, in order.
+// Archive writes in a task of its own. Invariant: the branch's commits are accepted states in the order of their serials, from
+// the oldest that was kept when it was begun to some serial, none left out between.
 type Archive struct {
 	folder  string
 	pending chan []*wire.DesiredKept
@@ -75,7 +78,8 @@
 	return nil
 }
 
-// open gives the repository and how many states it holds. A newest commit that isn't the state of its serial is an error.
+// open gives the repository and how many of the states it holds. A newest commit that isn't the state of its serial, or whose
+// serial isn't kept, is an error.
 func (archive *Archive) open(states []*wire.DesiredKept) (*git.Repository, int, error) {
 	repository, err := git.PlainOpen(archive.folder)
 	if errors.Is(err, git.ErrRepositoryNotExists) {
@@ -95,8 +99,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	serial := 0
-	if _, err := fmt.Sscanf(newest.Message, "serial %d", &serial); err != nil || serial < 1 || serial > len(states) {
+	serial := uint64(0)
+	_, err = fmt.Sscanf(newest.Message, "serial %d", &serial)
+	index, kept := slices.BinarySearchFunc(states, serial, func(state *wire.DesiredKept, serial uint64) int { return cmp.Compare(state.Serial, serial) })
+	if err != nil || !kept {
 		return nil, 0, fmt.Errorf("the newest commit %q is no state of this mesh", newest.Message)
 	}
 	entry, err := newest.File(file)
@@ -107,10 +113,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if content != string(states[serial-1].Content) {
+	if content != string(states[index].Content) {
 		return nil, 0, fmt.Errorf("serial %d differs from the record file", serial)
 	}
-	return repository, serial, nil
+	return repository, index + 1, nil
 }
 
 func commit(repository *git.Repository, kept *wire.DesiredKept) error {
--- a/internal/postmaster/archive/archive_test.go
+++ b/internal/postmaster/archive/archive_test.go
@@ -70,3 +70,31 @@
 		}
 	}
 }
+
+// TestGapsAndBoundedHistories: serials may jump, and the oldest states may be gone. An archive that is behind the oldest state
+// kept, or whose newest isn't kept, is written anew.
+func TestGapsAndBoundedHistories(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "desired.git")
+	archive := Open(folder, func(err error) { t.Error(err) })
+	state := func(serial uint64) *wire.DesiredKept {
+		return &wire.DesiredKept{Serial: serial, Content: []byte(fmt.Sprint(serial)), Digest: "d"}
+	}
+	for _, step := range []struct {
+		kept   []*wire.DesiredKept
+		wanted string
+	}{
+		{[]*wire.DesiredKept{state(7)}, "[7]"},
+		{[]*wire.DesiredKept{state(7), state(20), state(21)}, "[21 20 7]"},
+		{[]*wire.DesiredKept{state(20), state(21), state(400)}, "[400 21 20 7]"},
+		{[]*wire.DesiredKept{state(400)}, "[400 21 20 7]"},
+		{[]*wire.DesiredKept{state(500), state(600)}, "[600 500]"},
+		{[]*wire.DesiredKept{state(500), state(601)}, "[601 500]"},
+		{[]*wire.DesiredKept{state(2), state(3)}, "[3 2]"},
+	} {
+		archive.Keep(step.kept)
+		<-archive.written
+		if kept := fmt.Sprint(history(t, folder)); kept != step.wanted {
+			t.Errorf("%s, wanted %s", kept, step.wanted)
+		}
+	}
+}
--- a/internal/postmaster/ledger/ledger.go
+++ b/internal/postmaster/ledger/ledger.go
@@ -1,7 +1,11 @@
-// Package ledger is the postmasters' replicated state: every desired state ever accepted, by serial.
+// Package ledger is the postmasters' replicated state: the desired states accepted, by serial.
 package ledger
 
 import (
+	"math"
+	"slices"
+	"sort"
+
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/franking"
@@ -16,14 +20,20 @@
 	Invalid  = "invalid"
 )
 
-// Ledger is the machine. Invariant: states[i] has serial i+1, and is never changed or removed.
+// Ledger is the machine.
+// Invariants: serials rise along states, with gaps where versions were named; a state never changes; the newest stays, and
+// older ones are removed only oldest first, once there are more than history; requests hold the states' own.
 type Ledger struct {
+	history  int
 	states   []*wire.DesiredKept
 	requests map[string]*wire.DesiredKept
 }
 
-// New makes an empty ledger.
-func New() *Ledger { return &Ledger{requests: map[string]*wire.DesiredKept{}} }
+// New makes an empty ledger that keeps at most so many states, all for zero. Which requests it remembers goes by that, so it
+// must be the same at every copy.
+func New(history int) *Ledger {
+	return &Ledger{history: history, requests: map[string]*wire.DesiredKept{}}
+}
 
 // Apply carries out a command. A request that was accepted before gets its first answer again.
 func (ledger *Ledger) Apply(_ uint64, _ postmark.Micros, content []byte) []byte {
@@ -41,6 +51,9 @@
 
 func (ledger *Ledger) accept(ask *wire.DesiredApplyAsk) *wire.DesiredApplyTell {
 	digest := franking.Digest(ask.Content)
+	if ask.Version > 0 {
+		return ledger.raise(ask, digest)
+	}
 	if earlier := ledger.requests[ask.Request]; ask.Request != "" && earlier != nil {
 		if earlier.Digest == digest {
 			return &wire.DesiredApplyTell{Outcome: Accepted, Serial: earlier.Serial, Digest: digest}
@@ -50,33 +63,60 @@
 	if !ask.AnySerial && ask.ExpectedSerial != ledger.Serial() {
 		return &wire.DesiredApplyTell{Outcome: Conflict, Serial: ledger.Serial()}
 	}
+	if ledger.Serial() == math.MaxUint64 {
+		return &wire.DesiredApplyTell{Outcome: Conflict, Serial: ledger.Serial(), Faults: []string{"no serial is left"}}
+	}
 	kept := &wire.DesiredKept{Serial: ledger.Serial() + 1, Content: ask.Content, Digest: digest, Request: ask.Request}
 	ledger.keep(kept)
 	return &wire.DesiredApplyTell{Outcome: Accepted, Serial: kept.Serial, Digest: digest}
 }
 
+// raise takes a content that names its version if that is above the newest serial. Any other is acknowledged and changes
+// nothing, so that contents may come again and in any order. The request id plays no part.
+func (ledger *Ledger) raise(ask *wire.DesiredApplyAsk, digest string) *wire.DesiredApplyTell {
+	if ask.Version > ledger.Serial() {
+		ledger.keep(&wire.DesiredKept{Serial: ask.Version, Content: ask.Content, Digest: digest, Request: ask.Request})
+	}
+	newest := ledger.Newest()
+	return &wire.DesiredApplyTell{Outcome: Accepted, Serial: newest.Serial, Digest: newest.Digest}
+}
+
 func (ledger *Ledger) keep(kept *wire.DesiredKept) {
 	ledger.states = append(ledger.states, kept)
 	if kept.Request != "" {
 		ledger.requests[kept.Request] = kept
 	}
+	if ledger.history == 0 || len(ledger.states) <= ledger.history {
+		return
+	}
+	if oldest := ledger.states[0]; ledger.requests[oldest.Request] == oldest {
+		delete(ledger.requests, oldest.Request)
+	}
+	// A new list: others may hold the present one, and the oldest's content is to be let go.
+	ledger.states = slices.Clone(ledger.states[1:])
 }
 
 // Serial is the newest serial, zero before the first.
-func (ledger *Ledger) Serial() uint64 { return uint64(len(ledger.states)) }
+func (ledger *Ledger) Serial() uint64 {
+	if len(ledger.states) == 0 {
+		return 0
+	}
+	return ledger.states[len(ledger.states)-1].Serial
+}
 
 // Newest is the newest state, or nothing.
 func (ledger *Ledger) Newest() *wire.DesiredKept { return ledger.Find(ledger.Serial()) }
 
 // Find gives a state by serial, or nothing. States don't change, so it's not copied.
 func (ledger *Ledger) Find(serial uint64) *wire.DesiredKept {
-	if serial == 0 || serial > ledger.Serial() {
+	index := sort.Search(len(ledger.states), func(index int) bool { return ledger.states[index].Serial >= serial })
+	if index == len(ledger.states) || ledger.states[index].Serial != serial {
 		return nil
 	}
-	return ledger.states[serial-1]
+	return ledger.states[index]
 }
 
-// All lists every state, oldest first. States don't change, and the list only grows behind its end.
+// All lists every state kept, oldest first. States don't change, and the list only grows behind its end.
 func (ledger *Ledger) All() []*wire.DesiredKept {
 	return ledger.states[:len(ledger.states):len(ledger.states)]
 }
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -44,7 +44,11 @@
 	Name   string
 	Voters []string
 	Adjust func(*countersign.Env)
-	// Kept is told all accepted states, oldest first, whenever this process as primary accepts one or starts to answer;
+	// Read reads contents as they are applied and stored, franking.Parse if left out.
+	Read franking.Reader
+	// History is how many accepted states are kept at most, all for zero. It must be the same at every postmaster.
+	History int
+	// Kept is told all accepted states that are kept, oldest first, whenever this process as primary accepts one or starts to answer;
 	// it must not block.
 	Kept func(states []*wire.DesiredKept)
 }
@@ -78,7 +82,10 @@
 
 // Open reads the disk.
 func Open(env Env) (*Postmaster, error) {
-	master := &Postmaster{env: env, ledger: ledger.New(), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
+	if env.Read == nil {
+		env.Read = franking.Parse
+	}
+	master := &Postmaster{env: env, ledger: ledger.New(env.History), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
 	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
 		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
 	if env.Adjust != nil {
@@ -279,7 +286,7 @@
 
 // Apply checks a desired state, has it kept in two copies, and waits until it's in force everywhere.
 func (master *Postmaster) Apply(ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
-	if _, faults := franking.Parse(ask.Content); len(faults) > 0 {
+	if _, faults := master.env.Read(ask.Content); len(faults) > 0 {
 		tell := &wire.DesiredApplyTell{Outcome: ledger.Invalid}
 		for _, fault := range faults {
 			tell.Faults = append(tell.Faults, fault.String())
@@ -299,7 +306,15 @@
 		return tell, nil
 	}
 	master.tellKept()
+	if ask.Version > 0 && tell.Serial != ask.Version {
+		return master.inForce(tell) // a higher one stands
+	}
 	master.env.Place.Report(bulletin.DesiredAccepted, map[string]any{"serial": tell.Serial, "digest": tell.Digest})
+	return master.inForce(tell)
+}
+
+// inForce acknowledges an accepted state once it's in force everywhere.
+func (master *Postmaster) inForce(tell *wire.DesiredApplyTell) (*wire.DesiredApplyTell, error) {
 	if !master.spread(tell.Serial) {
 		return nil, ErrUnacknowledged
 	}
@@ -340,9 +355,8 @@
 	done := master.Member.Read(func(uint64, postmark.Micros) {
 		if ask.List {
 			tell.Found = true
-			for serial := uint64(1); serial <= master.ledger.Serial(); serial++ {
-				kept := master.ledger.Find(serial)
-				tell.States = append(tell.States, &wire.DesiredKept{Serial: serial, Digest: kept.Digest, Request: kept.Request})
+			for _, kept := range master.ledger.All() {
+				tell.States = append(tell.States, &wire.DesiredKept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request})
 			}
 			return
 		}
