--- a/internal/carrier/letter/letter.go
+++ b/internal/carrier/letter/letter.go
@@ -21,14 +21,13 @@
 type Request struct {
 	ID      string
 	Method  string
+	Host    string // as it was sent, a port too; empty where there is none
 	Target  string // path and query, as it was sent
 	Headers []*wire.Header
 	Body    []byte
 	Key     string
 	// Cutoff is this process's clock at which the caller gives up; zero leaves it to the service's limit.
 	Cutoff postmark.Micros
-	// Host names whom the request is for, where paths are told apart by it.
-	Host string
 	// Address is the request's own spelling where that must not be changed; nil has it spelled in the one way of the mesh.
 	Address *postcode.Address
 	// Scope names what may run once where the key alone does; empty has it made of resource and key.
