--- a/cmd/postmaster/main.go
+++ b/cmd/postmaster/main.go
@@ -21,7 +21,7 @@
 	objects := archive.Open(filepath.Join(home.Values["data"], "desired.git"), func(err error) {
 		home.Place.Report(bulletin.ObjectStoreTrouble, map[string]any{"error": err.Error()})
 	})
-	store, err := postmaster.Open(postmaster.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"),
+	store, err := postmaster.Open(postmaster.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"), Genesis: true,
 		Kept: objects.Keep})
 	if err != nil {
 		return err
--- a/cmd/sorter/main.go
+++ b/cmd/sorter/main.go
@@ -15,7 +15,7 @@
 }
 
 func build(home *house.House) error {
-	registry, err := sorter.Open(sorter.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters")})
+	registry, err := sorter.Open(sorter.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"), Genesis: true})
 	if err != nil {
 		return err
 	}
--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -22,6 +22,8 @@
 	HandedOver         = 208
 	HolderTimeBound    = 209
 	VotersDiffer       = 210
+	RosterChanged      = 211
+	Enrolled           = 212
 	SessionOpened      = 301
 	SessionEnded       = 302
 	BackendRegistered  = 310
@@ -77,6 +79,8 @@
 	HandedOver:         {log.WarnLevel, "handed over to the backup"},
 	HolderTimeBound:    {log.WarnLevel, "holder time bound by what passed at the backup"},
 	VotersDiffer:       {log.ErrorLevel, "voters differ between two processes, which don't hear one another"},
+	RosterChanged:      {log.InfoLevel, "roster of voters changed, or is changing"},
+	Enrolled:           {log.InfoLevel, "a process that no roster names keeps the register, and asks to vote"},
 	SessionOpened:      {log.InfoLevel, "session opened"},
 	SessionEnded:       {log.WarnLevel, "session ended"},
 	BackendRegistered:  {log.InfoLevel, "backend registered"},
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,12 +39,23 @@
 
 // Env is what a member is made of.
 type Env struct {
-	Place   office.Office
-	Book    *gazetteer.Book
-	Group   string
-	Name    string
-	Voters  []string
+	Place office.Office
+	Book  *gazetteer.Book
+	Group string
+	Name  string
+	// Voters is the roster of a first start, the same at all that take part in it. Later ones are in the register.
+	Voters []string
+	// Genesis tells that this process may take part in a first start. One that may not waits to be taken in.
+	Genesis bool
 	Machine Machine
+	// Size is how many voters are wanted, 0 for whoever is there; Gone how long a voter may be silent before a successor takes
+	// its place.
+	Size int
+	Gone postmark.Micros
+	// Copies is in how many places a write is synced before it's answered: one more than the losses to be borne.
+	Copies int
+	// Zone tells where a voter is, so that copies are kept apart; it may be left out.
+	Zone func(name string) string
 	// Tenure is how long a majority lets a primary lead; Beat how often it's renewed; Patience how long one call waits.
 	Tenure, Beat, Patience postmark.Micros
 	// SlowSync is how long a sync may take before the disk counts as slow; three in a row make the primary hand over, or
@@ -72,6 +84,8 @@
 	fill(&env.Beat, 150*postmark.Millisecond)
 	fill(&env.Patience, 400*postmark.Millisecond)
 	fill(&env.SlowSync, 300*postmark.Millisecond)
+	fill(&env.Gone, 20*postmark.Second)
+	env.Copies = max(env.Copies, 2)
 	if env.CompactFrom == 0 {
 		env.CompactFrom = 4 << 20
 	}
@@ -103,7 +117,11 @@
 	valueBallot   uint64
 	lead          lead
 	lastHeard     postmark.Micros
-	told          string // the last that was told of rosters that differ
+	told          string                     // the last that was told of rosters that differ
+	heard         map[string]postmark.Micros // when each voter last answered this primary
+	applicants    map[string]applicant
+	proposed      map[string]bool // names that ballots of this life would have made voters
+	tending       bool            // a change of the roster is under way here
 	stopped       bool
 
 	// relieved is when something was last done about a slow disk; only the work task uses it.
@@ -115,12 +133,16 @@
 
 // lead is what a primary knows of its epoch. The zero value is no lead.
 // Invariants: epoch is one this life of the process won itself; answering implies that the register's value of that
-// epoch is settled and names the present backup; nothing is answered at or after until.
+// epoch is settled and names the present backups; nothing is answered at or after until; chosen was chosen under ballot; until
+// was granted by quorums of leased.
 type lead struct {
 	epoch, ballot uint64
+	chosen        *wire.RegisterValue
+	since         postmark.Micros // when it began
 	until         postmark.Micros
+	leased        configuration
 	answering     bool
-	backup        *wire.Holder
+	backups       []*wire.Holder
 	outbid        bool
 	failures      int
 	slowSyncs     int
@@ -128,7 +150,7 @@
 	lastResort    bool            // the backup had failed, and no other could be had
 	base          postmark.Micros // holder time at
 	baseAt        postmark.Micros // this reading of the own clock
-	exchanged     postmark.Micros // when the backup last took holder time, by the own clock
+	exchanged     postmark.Micros // when every backup had last taken holder time, by the own clock
 }
 
 // holderTime is the group's time at a reading of the own clock.
@@ -151,15 +173,15 @@
 // Open reads what the disk holds. Start must follow.
 func Open(env Env) (*Member, error) {
 	env.Defaults()
-	member := &Member{env: env, Vigil: vigil.New(env.Place)}
+	member := &Member{env: env, Vigil: vigil.New(env.Place), heard: map[string]postmark.Micros{}, applicants: map[string]applicant{}, proposed: map[string]bool{}}
 	member.Vigil.OnLeap(func(postmark.Micros) {
 		// What this seat granted may seem to be over and not be.
 		member.seat.Do(func() { member.voter.votesFrom = max(member.voter.votesFrom, env.Place.Now()+env.Tenure) })
 	})
 	member.seat, member.keeper, member.proposer = office.NewOwner(env.Place), office.NewOwner(env.Place), office.NewOwner(env.Place)
 	member.inbox = office.NewInbox[*proposal](env.Place)
-	if member.rank() == 0 {
-		return nil, fmt.Errorf("%s is not among the voters of %s", env.Name, env.Group)
+	if env.Genesis && member.rank() == 0 {
+		return nil, fmt.Errorf("%s is not among the voters of a first start of %s", env.Name, env.Group)
 	}
 	member.lastHeard = env.Place.Now()
 	if err := strongbox.Reserve(env.Place.Disk(), 1<<20); err != nil && !isFull(err) {
@@ -210,6 +232,12 @@
 		}
 		return member.answerTenure(ask)
 	})
+	office.Handle(table, wire.Kind_enroll, func(ask *wire.EnrollAsk) (*wire.EnrollTell, error) {
+		if err := addressed(member, ask.To); err != nil {
+			return nil, err
+		}
+		return member.answerEnroll(ask)
+	})
 	office.Handle(table, wire.Kind_replicate, func(ask *wire.ReplicateAsk) (*wire.ReplicateTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
@@ -245,14 +273,17 @@
 	return 0
 }
 
+// others lists who else votes.
 func (member *Member) others() []string {
-	var names []string
-	for _, name := range member.env.Voters {
-		if name != member.env.Name {
-			names = append(names, name)
-		}
-	}
-	return names
+	return slices.DeleteFunc(member.Voters(), func(name string) bool { return name == member.env.Name })
+}
+
+// acquaintances lists whoever may know the register: voters by the settings and by what was heard, and the group's processes in
+// the book.
+func (member *Member) acquaintances() []string {
+	known := slices.Concat(member.env.Voters, member.Voters(), member.env.Book.Members(member.env.Group))
+	slices.Sort(known)
+	return slices.DeleteFunc(slices.Compact(known), func(name string) bool { return name == member.env.Name })
 }
 
 // self names this member's copy: a copy that was lost and begun anew is another holder.
@@ -374,10 +405,14 @@
 	Epoch     uint64   `json:"epoch"`
 	Primary   string   `json:"primary"`
 	Backup    string   `json:"backup"`
+	Backups   []string `json:"backups,omitempty"`
 	Settled   bool     `json:"settled"`
 	Sequence  uint64   `json:"sequence"`
 	Journal   int64    `json:"journal_bytes"`
 	Voters    []string `json:"voters"`
+	// Joint is the roster to come while it changes; Members are the group's processes that were heard of.
+	Joint     []string `json:"joint_voters,omitempty"`
+	Members   []string `json:"members,omitempty"`
 	SyncTime  int64    `json:"sync_micros"`
 	FreeBytes uint64   `json:"free_bytes"`
 	Release   string   `json:"release"`
@@ -388,7 +423,9 @@
 
 // Status tells how this member stands.
 func (member *Member) Status() Status {
-	status := Status{Group: member.env.Group, Name: member.env.Name, Voters: member.env.Voters, Answering: member.Answering(),
+	present, _ := member.configuration()
+	status := Status{Group: member.env.Group, Name: member.env.Name, Voters: present.voters, Joint: present.joint,
+		Members: member.env.Book.Members(member.env.Group), Answering: member.Answering(),
 		Release: release.Version, Wire: frame.Version, Wall: time.Now().UnixMicro()}
 	member.seat.Do(func() { status.Joined = member.voter.record.Joined })
 	member.keeper.Do(func() {
@@ -397,6 +434,7 @@
 	member.lock.Lock()
 	if value := member.value; value != nil {
 		status.Epoch, status.Primary, status.Settled = value.Epoch, value.Primary.Name, value.Settled
+		status.Backups = names(backupsOf(value))
 		if value.Backup != nil {
 			status.Backup = value.Backup.Name
 		}
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -18,6 +18,9 @@
 		member.seat.Do(func() { joined = member.voter.record.Joined })
 		if !joined {
 			member.join()
+			if !member.amongVoters() {
+				place.Sleep(member.env.Tenure / 2) // a stranger waits for the primary, not the other way round
+			}
 			continue
 		}
 		member.lock.Lock()
@@ -26,6 +29,12 @@
 		member.lock.Unlock()
 		if leading {
 			member.renew()
+			member.tend()
+			continue
+		}
+		if !member.amongVoters() {
+			member.enroll(true)
+			place.Sleep(member.env.Tenure - member.env.Beat)
 			continue
 		}
 		if silent <= member.env.Tenure || member.tenureStands() {
@@ -39,7 +48,7 @@
 		patience := member.env.Tenure + member.env.Beat
 		if value == nil {
 			patience = postmark.Micros(member.rank()) * member.env.Tenure
-		} else if !sameHolder(value.Backup, member.self()) {
+		} else if !holds(backupsOf(value), member.self()) {
 			patience += 2 * member.env.Beat
 		}
 		if silent > patience+postmark.Micros(place.Random()%uint64(member.env.Beat)) {
@@ -55,12 +64,15 @@
 	return stands
 }
 
+// amongVoters tells whether the newest roster heard of has this member.
+func (member *Member) amongVoters() bool {
+	present, _ := member.configuration()
+	return present.has(member.env.Name)
+}
+
 // refresh reads the other voters' registers: this seat may have missed the ballot that names it as a holder.
 func (member *Member) refresh() {
-	for _, reply := range gather(member, member.others(), member.env.Patience, func(name string) (*wire.RegisterReadTell, error) {
-		tell := &wire.RegisterReadTell{}
-		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
-	}, nil) {
+	for _, reply := range gather(member, member.acquaintances(), member.env.Patience, member.read, nil) {
 		member.learn(reply.Accepted, reply.Value)
 		member.sawBallot(reply.Promised)
 	}
@@ -70,7 +82,7 @@
 // acknowledged write. Nothing is answered in that epoch until a backup is in step.
 func (member *Member) takeOver(known *wire.RegisterValue) {
 	self := member.self()
-	if known != nil && !sameHolder(known.Primary, self) && !sameHolder(known.Backup, self) {
+	if known != nil && !sameHolder(known.Primary, self) && !holds(backupsOf(known), self) {
 		return
 	}
 	value, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
@@ -78,17 +90,17 @@
 			if known != nil {
 				return nil, errUnchanged
 			}
-			return &wire.RegisterValue{Epoch: 1, Primary: self, Roster: []*wire.Holder{self}}, nil
+			return &wire.RegisterValue{Epoch: 1, Primary: self, Roster: []*wire.Holder{self}, Voters: member.env.Voters}, nil
 		}
-		other := value.Backup
+		others := backupsOf(value)
 		if !sameHolder(value.Primary, self) {
-			if !sameHolder(value.Backup, self) {
+			if !holds(others, self) {
 				return nil, errUnchanged
 			}
-			other = value.Primary
+			others = append([]*wire.Holder{value.Primary}, slices.DeleteFunc(slices.Clone(others), func(one *wire.Holder) bool { return sameHolder(one, self) })...)
 		}
 		member.keeper.Do(func() { member.copy.fenced = max(member.copy.fenced, value.Epoch+1) })
-		return &wire.RegisterValue{Epoch: value.Epoch + 1, Primary: self, Backup: other, Roster: value.Roster}, nil
+		return next(value, value.Epoch+1, self, others), nil
 	})
 	if err != nil {
 		if errors.Is(err, errUnchanged) {
@@ -108,7 +120,7 @@
 		member.copy.fenced = max(member.copy.fenced, value.Epoch)
 		member.lock.Lock()
 		defer member.lock.Unlock()
-		member.lead = lead{epoch: value.Epoch, ballot: ballot, base: member.copy.holderTime, baseAt: member.env.Place.Now()}
+		member.lead = lead{epoch: value.Epoch, ballot: ballot, chosen: value, since: member.env.Place.Now(), base: member.copy.holderTime, baseAt: member.env.Place.Now()}
 	})
 	number := bulletin.TookOver
 	if value.Epoch == 1 {
@@ -172,13 +184,50 @@
 	}
 }
 
-// commit writes a batch to both copies and applies it; an empty batch only keeps the backup in touch.
+// delivery is how one backup took a batch.
+type delivery struct {
+	backup *wire.Holder
+	err    error
+	taken  postmark.Micros
+}
+
+// spread sends entries to every backup at once. Once signals have fired the deliveries are whole.
+func (member *Member) spread(ask *wire.ReplicateAsk, backups []*wire.Holder, patience postmark.Micros) (deliveries []*delivery, wait func()) {
+	place := member.env.Place
+	started, waits := place.Now(), []func(){}
+	for _, backup := range backups {
+		delivery, answered := &delivery{backup: backup}, place.NewSignal()
+		deliveries = append(deliveries, delivery)
+		addressed := &wire.ReplicateAsk{To: backup.Name, From: ask.From, ToIncarnation: backup.Incarnation, Epoch: ask.Epoch,
+			PreviousEpoch: ask.PreviousEpoch, PreviousSequence: ask.PreviousSequence, HolderTime: ask.HolderTime, Entries: ask.Entries}
+		place.Go(func() {
+			tell := &wire.ReplicateTell{}
+			delivery.err = member.env.Book.Call(backup.Name, wire.Kind_replicate, addressed, tell, patience)
+			if delivery.err == nil && !tell.Stored {
+				delivery.err = errors.New(tell.Why)
+			}
+			delivery.taken = place.Now() - started
+			answered.Fire()
+		})
+		waits = append(waits, func() {
+			for !answered.Wait(postmark.Minute) {
+			}
+		})
+	}
+	return deliveries, func() {
+		for _, wait := range waits {
+			wait()
+		}
+	}
+}
+
+// commit writes a batch to every copy and applies it; an empty batch only keeps the backups in touch.
 // state is the lead as it was when the batch was taken: a lead that ends meanwhile must not change what is written.
 func (member *Member) commit(state lead, batch []*proposal) {
 	place := member.env.Place
 	state = member.agree(state)
-	epoch, backup, now := state.epoch, state.backup, state.holderTime(place.Now())
-	ask := &wire.ReplicateAsk{To: backup.Name, From: member.self(), ToIncarnation: backup.Incarnation, Epoch: epoch, HolderTime: int64(now)}
+	epoch, now := state.epoch, state.holderTime(place.Now())
+	ask := &wire.ReplicateAsk{From: member.self(), Epoch: epoch, HolderTime: int64(now)}
 	member.keeper.Do(func() {
 		ask.PreviousEpoch, ask.PreviousSequence = member.copy.epoch, member.copy.sequence
 		now = max(now, member.copy.holderTime)
@@ -192,18 +241,7 @@
 	if state.lastResort {
 		patience = 3 * member.env.Tenure
 	}
-	var remote error
-	var taken postmark.Micros
-	answered, started := place.NewSignal(), place.Now()
-	place.Go(func() {
-		tell := &wire.ReplicateTell{}
-		remote = member.env.Book.Call(backup.Name, wire.Kind_replicate, ask, tell, patience)
-		if remote == nil && !tell.Stored {
-			remote = errors.New(tell.Why)
-		}
-		taken = place.Now() - started
-		answered.Fire()
-	})
+	deliveries, wait := member.spread(ask, state.backups, patience)
 	var local error
 	if len(batch) > 0 {
 		member.keeper.Do(func() {
@@ -214,14 +252,22 @@
 			}
 		})
 	}
-	for !answered.Wait(postmark.Minute) {
-	}
+	wait()
 	if local != nil {
-		// The backup may hold what this copy does not, so this member can't go on in this epoch.
+		// A backup may hold what this copy does not, so this member can't go on in this epoch.
 		finish(batch, ErrUnknown)
 		member.handOver("own disk: " + local.Error())
 		return
 	}
+	var failed, slow []*wire.Holder
+	var remote error
+	for _, delivery := range deliveries {
+		if delivery.err != nil {
+			failed, remote = append(failed, delivery.backup), delivery.err
+		} else if delivery.taken > member.env.SlowSync {
+			slow = append(slow, delivery.backup)
+		}
+	}
 	if remote != nil {
 		member.lock.Lock()
 		member.lead.failures++
@@ -230,10 +276,10 @@
 		if len(batch) == 0 && failures < 3 {
 			return
 		}
-		member.dropBackup(backup, remote.Error())
-		// The batch is part of what the next backup is given; it's answered once that one is in step.
+		member.dropBackups(failed, remote.Error())
+		// The batch is part of what the next backups are given; it's answered once those are in step.
 		results := member.applyPending()
-		if member.settle(backup) {
+		if member.settle(failed) {
 			member.reply(batch, results, epoch)
 		} else {
 			finish(batch, ErrUnknown)
@@ -248,7 +294,7 @@
 	member.lock.Unlock()
 	member.reply(batch, member.applyPending(), epoch)
 	if len(batch) > 0 {
-		member.minding(backup, taken > member.env.SlowSync)
+		member.minding(state.backups, slow)
 	}
 }
 
@@ -264,19 +310,30 @@
 	if since >= 0 && since < agreeAfter || member.env.Unwitnessed {
 		return state
 	}
-	ask := &wire.ReplicateAsk{To: state.backup.Name, From: member.self(), ToIncarnation: state.backup.Incarnation, Epoch: state.epoch}
+	ask := &wire.ReplicateAsk{From: member.self(), Epoch: state.epoch}
 	member.keeper.Do(func() {
 		ask.PreviousEpoch, ask.PreviousSequence = member.copy.epoch, member.copy.sequence
 		ask.HolderTime = int64(max(member.copy.holderTime, state.holderTime(place.Now())))
 	})
-	tell := &wire.ReplicateTell{}
-	if member.env.Book.Call(state.backup.Name, wire.Kind_replicate, ask, tell, member.env.Patience) != nil || !tell.Stored && tell.Why != leapt {
-		return state // the batch itself will find out what is wrong, and the backup turns down what it can't vouch for
-	}
 	agreed := postmark.Micros(ask.HolderTime)
-	if !tell.Stored {
-		member.keeper.Do(func() { agreed = max(member.copy.holderTime, postmark.Micros(tell.HolderTime)) })
-		member.env.Place.Report(bulletin.HolderTimeBound, map[string]any{"group": member.env.Group, "micros": ask.HolderTime - tell.HolderTime})
+	tells := gather(member, names(state.backups), member.env.Patience, func(name string) (*wire.ReplicateTell, error) {
+		backup := state.backups[slices.IndexFunc(state.backups, func(one *wire.Holder) bool { return one.Name == name })]
+		tell := &wire.ReplicateTell{}
+		return tell, member.call(name, wire.Kind_replicate, &wire.ReplicateAsk{To: name, From: ask.From, ToIncarnation: backup.Incarnation, Epoch: ask.Epoch,
+			PreviousEpoch: ask.PreviousEpoch, PreviousSequence: ask.PreviousSequence, HolderTime: ask.HolderTime}, tell)
+	}, nil)
+	for _, backup := range state.backups {
+		tell := tells[backup.Name]
+		if tell == nil || !tell.Stored && tell.Why != leapt {
+			return state // the batch itself will find out what is wrong, and a backup turns down what it can't vouch for
+		}
+		if !tell.Stored {
+			agreed = min(agreed, postmark.Micros(tell.HolderTime))
+		}
+	}
+	if agreed < postmark.Micros(ask.HolderTime) {
+		member.keeper.Do(func() { agreed = max(member.copy.holderTime, agreed) })
+		member.env.Place.Report(bulletin.HolderTimeBound, map[string]any{"group": member.env.Group, "micros": ask.HolderTime - int64(agreed)})
 	}
 	state.base, state.baseAt, state.exchanged = agreed, place.Now(), place.Now()
 	member.lock.Lock()
@@ -314,8 +371,8 @@
 
 // minding looks at how long a batch took to sync. Three slow ones in a row make the primary hand over, if it was its own
 // disk alone, or take another backup; both only if there is a third voter.
-func (member *Member) minding(backup *wire.Holder, slowBackup bool) {
-	slowOwn := false
+func (member *Member) minding(backups, slow []*wire.Holder) {
+	slowOwn, slowBackup := false, len(slow) > 0
 	member.keeper.Do(func() { slowOwn = member.copy.lastSync > member.env.SlowSync })
 	count := func(counter *int, slow bool) bool {
 		if *counter++; !slow {
@@ -323,11 +380,12 @@
 		}
 		return *counter >= 3
 	}
+	present, _ := member.configuration()
+	heavy := present.voters.heavy()
 	member.lock.Lock()
 	leave := count(&member.lead.slowSyncs, slowOwn && !slowBackup)
 	relieve := count(&member.lead.slowReplies, slowBackup)
-	heavy := member.roster().heavy()
-	prefer := heavy != "" && member.env.Name != heavy && backup.Name != heavy && !slowOwn && !slowBackup
+	prefer := heavy != "" && member.env.Name != heavy && !slices.Contains(names(backups), heavy) && !slowOwn && !slowBackup
 	value, due := member.value, member.env.Place.Now()-member.relieved >= reliefPause
 	member.lock.Unlock()
 	if !due || !leave && !relieve && !prefer {
@@ -337,13 +395,15 @@
 	if prefer && !leave && !relieve {
 		// The voter that counts double is to have a copy again, now that it's back.
 		if member.reachable(heavy) {
-			member.dropBackup(backup, "another is preferred")
+			member.dropBackups(backups, "another is preferred")
 			member.settle(nil)
 		}
 		return
 	}
 	// Without a third voter both disks are needed for every write, whoever leads.
-	spare := slices.ContainsFunc(member.candidates(value, backup), func(name string) bool { return name != backup.Name && member.reachable(name) })
+	spare := slices.ContainsFunc(member.candidates(value, backups), func(name string) bool {
+		return !slices.Contains(names(backups), name) && member.reachable(name)
+	})
 	if !spare {
 		return
 	}
@@ -352,90 +412,124 @@
 		member.handOver("own disk is slow")
 		return
 	}
-	member.dropBackup(backup, "its disk is slow")
-	member.settle(backup)
+	member.dropBackups(slow, "its disk is slow")
+	member.settle(slow)
 }
 
-// dropBackup stops answering until another backup is in step.
-func (member *Member) dropBackup(backup *wire.Holder, why string) {
-	member.env.Place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": why})
+// dropBackups stops answering until others are in step.
+func (member *Member) dropBackups(backups []*wire.Holder, why string) {
+	for _, backup := range backups {
+		member.env.Place.Report(bulletin.BackupLost, map[string]any{"group": member.env.Group, "backup": backup.Name, "error": why})
+	}
 	member.lock.Lock()
 	defer member.lock.Unlock()
-	member.lead.answering, member.lead.backup = false, nil
+	member.lead.answering, member.lead.backups = false, nil
 }
 
 // reachable asks a voter something small.
 func (member *Member) reachable(name string) bool {
-	return member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, &wire.RegisterReadTell{}) == nil
+	_, err := member.read(name)
+	return err == nil
 }
 
 // installPatience is how long a whole view may take to reach a new backup and be synced there.
 const installPatience = 5 * postmark.Second
 
-// settle brings a backup into step and names it in the register; only then does the primary answer.
-func (member *Member) settle(failed *wire.Holder) bool {
+// settle brings backups into step and names them in the register; only then does the primary answer. There may be fewer than
+// wanted where no further voter can be had, but never none.
+func (member *Member) settle(failed []*wire.Holder) bool {
 	member.lock.Lock()
 	epoch, value := member.lead.epoch, member.value
 	member.lock.Unlock()
 	if epoch == 0 {
 		return false
 	}
-	for _, name := range member.candidates(value, failed) {
+	backups, lastResort := member.instructed(epoch, member.candidates(value, failed), failed)
+	if len(backups) == 0 {
+		return false
+	}
+	fresh, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
+		if value == nil || value.Epoch != epoch || !sameHolder(value.Primary, member.self()) {
+			return nil, errUnchanged
+		}
+		settled := next(value, epoch+1, member.self(), backups)
+		settled.Settled, settled.Roster = true, withHolder(value.Roster, append([]*wire.Holder{member.self()}, backups...)...)
+		return settled, nil
+	})
+	if errors.Is(err, errUnchanged) {
+		member.learn(ballot, fresh)
+		member.stepDown(epoch, "another epoch began")
+		return false
+	}
+	if err != nil {
+		// Whether the ballot took effect is not known, so the epoch is read anew by taking over from scratch.
+		member.stepDown(epoch, "no majority for a new backup")
+		return false
+	}
+	member.learn(ballot, fresh)
+	// The copy's pair of epoch and sequence must match what the backups noted on installing.
+	member.keeper.Do(func() { member.copy.epoch = max(member.copy.epoch, epoch) })
+	member.lock.Lock()
+	if member.lead.epoch != epoch {
+		member.lock.Unlock()
+		return false
+	}
+	member.lead.epoch, member.lead.ballot, member.lead.chosen, member.lead.backups, member.lead.outbid = fresh.Epoch, ballot, fresh, backups, false
+	member.lead.failures, member.lead.slowSyncs, member.lead.slowReplies = 0, 0, 0
+	member.lead.exchanged = member.env.Place.Now()
+	member.lead.lastResort = lastResort
+	member.lock.Unlock()
+	member.renew()
+	if member.env.Settled != nil {
+		member.env.Settled(fresh.Epoch, member.HolderTime())
+	}
+	member.lock.Lock()
+	settled := member.lead.epoch == fresh.Epoch && member.env.Place.Now() < member.lead.until
+	member.lead.answering = settled
+	member.lock.Unlock()
+	if settled {
+		member.env.Place.Report(bulletin.Settled, map[string]any{"group": member.env.Group, "epoch": fresh.Epoch, "backup": backups[0].Name, "backups": names(backups)})
+	}
+	return settled
+}
+
+// instructed installs the present view on as many candidates as there are backups wanted, and tells whether one of them had
+// just failed.
+func (member *Member) instructed(epoch uint64, candidates []string, failed []*wire.Holder) (backups []*wire.Holder, lastResort bool) {
+	view := member.viewNow()
+	for len(candidates) > 0 && len(backups) < member.env.Copies-1 {
+		name := member.apart(candidates, backups)
+		candidates = slices.DeleteFunc(candidates, func(other string) bool { return other == name })
 		// A voter that doesn't answer a small ask isn't waited for with a large one.
 		if !member.reachable(name) {
 			continue
 		}
 		tell := &wire.InstallTell{}
-		err := member.env.Book.Call(name, wire.Kind_install, &wire.InstallAsk{To: name, From: member.self(), Epoch: epoch, View: member.viewNow()},
-			tell, installPatience)
+		err := member.env.Book.Call(name, wire.Kind_install, &wire.InstallAsk{To: name, From: member.self(), Epoch: epoch, View: view}, tell, installPatience)
 		if err != nil || !tell.Stored {
 			continue
 		}
-		backup := &wire.Holder{Name: name, Incarnation: tell.Incarnation}
-		fresh, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
-			if value == nil || value.Epoch != epoch || !sameHolder(value.Primary, member.self()) {
-				return nil, errUnchanged
-			}
-			return &wire.RegisterValue{Epoch: epoch + 1, Primary: member.self(), Backup: backup, Settled: true,
-				Roster: withHolder(value.Roster, member.self(), backup)}, nil
-		})
-		if errors.Is(err, errUnchanged) {
-			member.learn(ballot, fresh)
-			member.stepDown(epoch, "another epoch began")
-			return false
-		}
-		if err != nil {
-			// Whether the ballot took effect is not known, so the epoch is read anew by taking over from scratch.
-			member.stepDown(epoch, "no majority for a new backup")
-			return false
-		}
-		member.learn(ballot, fresh)
-		// The copy's pair of epoch and sequence must match what the backup noted on installing.
-		member.keeper.Do(func() { member.copy.epoch = max(member.copy.epoch, epoch) })
-		member.lock.Lock()
-		if member.lead.epoch != epoch {
-			member.lock.Unlock()
-			return false
-		}
-		member.lead.epoch, member.lead.ballot, member.lead.backup, member.lead.outbid = fresh.Epoch, ballot, backup, false
-		member.lead.failures, member.lead.slowSyncs, member.lead.slowReplies = 0, 0, 0
-		member.lead.exchanged = member.env.Place.Now()
-		member.lead.lastResort = failed != nil && failed.Name == name
-		member.lock.Unlock()
-		member.renew()
-		if member.env.Settled != nil {
-			member.env.Settled(fresh.Epoch, member.HolderTime())
-		}
-		member.lock.Lock()
-		settled := member.lead.epoch == fresh.Epoch && member.env.Place.Now() < member.lead.until
-		member.lead.answering = settled
-		member.lock.Unlock()
-		if settled {
-			member.env.Place.Report(bulletin.Settled, map[string]any{"group": member.env.Group, "epoch": fresh.Epoch, "backup": name})
+		backups = append(backups, &wire.Holder{Name: name, Incarnation: tell.Incarnation})
+		lastResort = lastResort || slices.Contains(names(failed), name)
+	}
+	return backups, lastResort
+}
+
+// apart picks the first candidate in a zone that has no copy yet, or else the first.
+func (member *Member) apart(candidates []string, backups []*wire.Holder) string {
+	if member.env.Zone == nil {
+		return candidates[0]
+	}
+	taken := map[string]bool{member.env.Zone(member.env.Name): true}
+	for _, backup := range backups {
+		taken[member.env.Zone(backup.Name)] = true
+	}
+	for _, name := range candidates {
+		if !taken[member.env.Zone(name)] {
+			return name
 		}
-		return settled
 	}
-	return false
+	return candidates[0]
 }
 
 func (member *Member) viewNow() (view *wire.View) {
@@ -445,15 +539,16 @@
 
 // candidates orders the other voters: the one that counts double first, so that its half of a split core has a copy, then the
 // present copy, and last one that just failed.
-func (member *Member) candidates(value *wire.RegisterValue, failed *wire.Holder) []string {
+func (member *Member) candidates(value *wire.RegisterValue, failed []*wire.Holder) []string {
+	present, _ := member.configuration()
 	var heavy, first, rest, last []string
 	for _, name := range member.others() {
 		switch {
-		case failed != nil && failed.Name == name:
+		case slices.Contains(names(failed), name):
 			last = append(last, name)
-		case name == member.roster().heavy():
+		case name == present.voters.heavy():
 			heavy = append(heavy, name)
-		case value != nil && value.Backup != nil && value.Backup.Name == name:
+		case slices.Contains(names(backupsOf(value)), name):
 			first = append(first, name)
 		default:
 			rest = append(rest, name)
@@ -490,9 +585,10 @@
 		along = member.env.Handing() // nothing is answered any more, so this is the last word
 	}
 	member.askTenure(state.epoch, state.ballot, true)
-	if state.backup != nil {
-		member.env.Place.Report(bulletin.HandedOver, map[string]any{"group": member.env.Group, "to": state.backup.Name, "why": why})
-		_ = member.call(state.backup.Name, wire.Kind_handover, &wire.HandoverAsk{To: state.backup.Name, Epoch: state.epoch, Content: along}, &wire.HandoverTell{})
+	if len(state.backups) > 0 {
+		heir := state.backups[0].Name
+		member.env.Place.Report(bulletin.HandedOver, map[string]any{"group": member.env.Group, "to": heir, "why": why})
+		_ = member.call(heir, wire.Kind_handover, &wire.HandoverAsk{To: heir, Epoch: state.epoch, Content: along}, &wire.HandoverTell{})
 	}
 	member.lock.Lock()
 	member.lastHeard = member.env.Place.Now() + 4*member.env.Tenure
--- a/internal/countersign/proposer.go
+++ b/internal/countersign/proposer.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"hash/crc32"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -42,76 +44,139 @@
 }
 
 func (member *Member) runBallot(alter func(value *wire.RegisterValue) (*wire.RegisterValue, error)) (*wire.RegisterValue, uint64, error) {
-	place := member.env.Place
-	started := place.Now()
-	ballot := member.nextBallot()
-	self := member.self()
-	promises := gather(member, member.env.Voters, member.env.Tenure, func(name string) (*wire.PromiseTell, error) {
-		ask := &wire.PromiseAsk{To: name, Ballot: ballot, Proposer: self, Voters: member.env.Voters}
-		if name == member.env.Name {
-			return member.answerPromise(ask)
-		}
-		tell := &wire.PromiseTell{}
-		return tell, member.write(name, wire.Kind_register_promise, ask, tell)
-	}, func(replies map[string]*wire.PromiseTell, _ int) bool {
-		return member.decides(granters(replies, (*wire.PromiseTell).GetGranted)) && replies[member.env.Name] != nil
-	})
-	var promised []string
-	var value *wire.RegisterValue
+	started := member.env.Place.Now()
+	round := &round{member: member, ballot: member.nextBallot(), self: member.self(), promises: map[string]*wire.PromiseTell{}}
+	// Who must promise is known from the value that they promise about, and from what it's altered to: the asks go on until
+	// both configurations' voters were asked.
+	ask, known := member.configuration()
+	var value, altered *wire.RegisterValue
 	var highest uint64
-	for _, name := range member.env.Voters {
-		reply := promises[name]
-		if reply == nil {
+	for {
+		round.prepare(ask, known)
+		value, highest = round.highest()
+		read := member.configurationOf(value)
+		if round.lacks(read) {
+			ask, known = read, highest
 			continue
 		}
-		member.sawBallot(reply.Promised)
-		if !reply.Granted {
-			continue
+		if !read.decides(round.promised()) || !round.promises[member.env.Name].GetGranted() {
+			return nil, 0, errNoMajority
 		}
-		promised = append(promised, name)
-		if reply.Accepted > highest {
-			highest, value = reply.Accepted, reply.Value
+		var err error
+		if altered, err = alter(value); err != nil {
+			// What was read may be accepted by a minority only, so it's no more than a hint.
+			return value, highest, err
+		}
+		written := member.configurationOf(altered)
+		if !round.lacks(written) {
+			break
 		}
+		ask, known = written, round.ballot
 	}
-	if !member.decides(promised) || promises[member.env.Name] == nil || !promises[member.env.Name].Granted {
+	if member.env.Place.Now()-started >= member.env.Tenure {
 		return nil, 0, errNoMajority
 	}
-	altered, err := alter(value)
-	if err != nil {
-		// What was read may be accepted by a minority only, so it's no more than a hint.
-		return value, highest, err
-	}
-	if place.Now()-started >= member.env.Tenure {
+	read, written := member.configurationOf(value), member.configurationOf(altered)
+	decided := func(names []string) bool { return read.decides(names) && written.decides(names) }
+	if !decided(round.promised()) {
 		return nil, 0, errNoMajority
 	}
 	// All voters are asked, so that one whose promise came too late to count doesn't stay behind; who hasn't promised refuses.
-	accepts := gather(member, member.env.Voters, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
-		ask := &wire.AcceptAsk{To: name, Ballot: ballot, Value: altered, Proposer: self}
+	accepts := gather(member, round.asked, member.env.Tenure, func(name string) (*wire.AcceptTell, error) {
+		ask := &wire.AcceptAsk{To: name, Ballot: round.ballot, Value: altered, Proposer: round.self}
 		if name == member.env.Name {
 			return member.answerAccept(ask)
 		}
 		tell := &wire.AcceptTell{}
 		return tell, member.write(name, wire.Kind_register_accept, ask, tell)
 	}, func(replies map[string]*wire.AcceptTell, _ int) bool {
-		return member.decides(granters(replies, (*wire.AcceptTell).GetGranted)) && replies[member.env.Name] != nil
+		return decided(granters(replies, (*wire.AcceptTell).GetGranted)) && replies[member.env.Name] != nil
 	})
 	for _, reply := range accepts {
 		member.sawBallot(reply.Promised)
 	}
-	if own := accepts[member.env.Name]; own == nil || !own.Granted || !member.decides(granters(accepts, (*wire.AcceptTell).GetGranted)) {
+	if !accepts[member.env.Name].GetGranted() || !decided(granters(accepts, (*wire.AcceptTell).GetGranted)) {
 		return nil, 0, errNoMajority
 	}
-	return altered, ballot, nil
+	return altered, round.ballot, nil
+}
+
+// round is the first half of a ballot: who was asked for a promise, and who gave it.
+type round struct {
+	member   *Member
+	ballot   uint64
+	self     *wire.Holder
+	asked    []string
+	promises map[string]*wire.PromiseTell
+}
+
+// lacks tells whether some voter of a configuration hasn't been asked yet.
+func (round *round) lacks(wanted configuration) bool {
+	return slices.ContainsFunc(wanted.all(), func(name string) bool { return !slices.Contains(round.asked, name) })
+}
+
+func (round *round) promised() []string {
+	return granters(round.promises, (*wire.PromiseTell).GetGranted)
+}
+
+// highest is the newest value among the promises.
+func (round *round) highest() (value *wire.RegisterValue, highest uint64) {
+	for _, name := range round.asked {
+		if reply := round.promises[name]; reply.GetGranted() && reply.Accepted > highest {
+			highest, value = reply.Accepted, reply.Value
+		}
+	}
+	return value, highest
 }
 
-// nextBallot is higher than any seen; its low byte is this voter's place, so no two voters share one.
+// prepare asks those of a configuration, and the own seat, who haven't been asked yet.
+func (round *round) prepare(wanted configuration, known uint64) {
+	member := round.member
+	var fresh []string
+	for _, name := range append(wanted.all(), member.env.Name) {
+		if !slices.Contains(round.asked, name) && !slices.Contains(fresh, name) {
+			fresh = append(fresh, name)
+		}
+	}
+	round.asked = append(round.asked, fresh...)
+	before := round.promised()
+	replies := gather(member, fresh, member.env.Tenure, func(name string) (*wire.PromiseTell, error) {
+		ask := &wire.PromiseAsk{To: name, Ballot: round.ballot, Proposer: round.self, Voters: wanted.voters, JointVoters: wanted.joint, Known: known}
+		if name == member.env.Name {
+			return member.answerPromise(ask)
+		}
+		tell := &wire.PromiseTell{}
+		return tell, member.write(name, wire.Kind_register_promise, ask, tell)
+	}, func(replies map[string]*wire.PromiseTell, _ int) bool {
+		own := round.promises[member.env.Name] != nil || replies[member.env.Name] != nil
+		return own && wanted.decides(append(granters(replies, (*wire.PromiseTell).GetGranted), before...))
+	})
+	for name, reply := range replies {
+		round.promises[name] = reply
+		member.sawBallot(reply.Promised)
+		if !reply.Granted {
+			member.learn(reply.Accepted, reply.Value)
+		}
+	}
+}
+
+// nextBallot is higher than any seen. Its low byte is this voter's place in the settings, or one made of its name: two that
+// come to share a ballot do no harm, since a voter promises it to one of them and accepts it from no other.
 func (member *Member) nextBallot() uint64 {
 	member.lock.Lock()
 	defer member.lock.Unlock()
-	member.highestBallot = (member.highestBallot>>8+1)<<8 | uint64(member.rank())
+	member.highestBallot = (member.highestBallot>>8+1)<<8 | member.mark()
 	return member.highestBallot
 }
 
+// mark is this voter's low byte of its ballots.
+func (member *Member) mark() uint64 {
+	if rank := member.rank(); rank > 0 {
+		return uint64(rank)
+	}
+	return uint64(64 + crc32.ChecksumIEEE([]byte(member.env.Name))%192)
+}
+
 func (member *Member) sawBallot(ballot uint64) {
 	member.lock.Lock()
 	defer member.lock.Unlock()
@@ -125,14 +190,17 @@
 	epoch, ballot := member.lead.epoch, member.lead.ballot
 	member.lock.Unlock()
 	asked := place.Now()
-	replies := member.askTenure(epoch, ballot, false)
-	granted := member.decides(granters(replies, (*wire.TenureTell).GetGranted))
+	present, replies := member.askTenure(epoch, ballot, false)
+	granted := present.decides(granters(replies, (*wire.TenureTell).GetGranted))
 	overtaken := false
 	for _, reply := range replies {
 		member.sawBallot(reply.Promised)
 		if reply.Value != nil && reply.Value.Epoch > epoch {
 			overtaken = true
 		}
+		if !reply.Granted {
+			member.learn(reply.Accepted, reply.Value)
+		}
 		if !reply.Granted && reply.Promised > ballot {
 			member.lock.Lock()
 			member.lead.outbid = true
@@ -141,7 +209,7 @@
 	}
 	member.lock.Lock()
 	if granted && member.lead.epoch == epoch {
-		member.lead.until = asked + member.env.Tenure
+		member.lead.until, member.lead.leased = asked+member.env.Tenure, present
 	}
 	expired := member.lead.epoch == epoch && place.Now() >= member.lead.until
 	outbid := member.lead.outbid
@@ -159,11 +227,7 @@
 			return value, nil
 		})
 		if err == nil {
-			member.lock.Lock()
-			if member.lead.epoch == epoch {
-				member.lead.ballot, member.lead.outbid = fresh, false
-			}
-			member.lock.Unlock()
+			member.won(epoch, fresh, value)
 		} else if errors.Is(err, errUnchanged) {
 			member.learn(fresh, value)
 			member.stepDown(epoch, "another epoch began")
@@ -171,20 +235,27 @@
 	}
 }
 
-func (member *Member) askTenure(epoch, ballot uint64, release bool) map[string]*wire.TenureTell {
+// askTenure asks everybody who votes, and tells by which configuration it asked.
+func (member *Member) askTenure(epoch, ballot uint64, release bool) (configuration, map[string]*wire.TenureTell) {
 	self, patience := member.self(), member.env.Tenure
 	if release {
 		patience = member.env.Patience
 	}
-	return gather(member, member.env.Voters, patience, func(name string) (*wire.TenureTell, error) {
-		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release, Voters: member.env.Voters}
+	present, known := member.configuration()
+	return present, gather(member, present.all(), patience, func(name string) (*wire.TenureTell, error) {
+		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release,
+			Voters: present.voters, JointVoters: present.joint, Known: known}
 		if name == member.env.Name {
 			return member.answerTenure(ask)
 		}
 		tell := &wire.TenureTell{}
-		return tell, member.env.Book.Call(name, wire.Kind_tenure_ask, ask, tell, patience)
+		err := member.env.Book.Call(name, wire.Kind_tenure_ask, ask, tell, patience)
+		if err == nil {
+			member.hear(name)
+		}
+		return tell, err
 	}, func(replies map[string]*wire.TenureTell, _ int) bool {
-		return member.decides(granters(replies, (*wire.TenureTell).GetGranted))
+		return present.decides(granters(replies, (*wire.TenureTell).GetGranted))
 	})
 }
 
--- /dev/null
+++ b/internal/countersign/roster.go
@@ -0,0 +1,248 @@
+package countersign
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// most is how many voters a roster grows to where no size is set.
+const most = 5
+
+// situation is what a primary knows when it looks whether the roster should be another.
+type situation struct {
+	voters  roster
+	size    int             // wanted number of voters, 0 for whoever is there
+	held    []string        // the primary and its backups, which stay
+	silence map[string]bool // voters that haven't answered lately
+	gone    map[string]bool // voters that have been silent past the bound; also among the silent
+	waiting []string        // processes in contact that aren't voters and keep a register
+}
+
+// next gives the roster to change to, one voter added, replaced or left out, or nothing.
+//
+// Invariants: the roster never has two changes at a time; whoever holds a copy stays; the voters that are left and answer are
+// a quorum of the roster before and of the one after, so that the change can be carried through.
+func (situation situation) next() roster {
+	for _, rule := range []func() roster{situation.replace, situation.grow, situation.shrink} {
+		if fresh := rule(); fresh != nil && situation.carries(fresh) {
+			return fresh
+		}
+	}
+	return nil
+}
+
+func (situation situation) carries(fresh roster) bool {
+	var live []string
+	for _, name := range append(slices.Clone(situation.voters), situation.waiting...) {
+		if !situation.silence[name] {
+			live = append(live, name)
+		}
+	}
+	return Decides(situation.voters, live) && Decides(fresh, live)
+}
+
+// leaver is the first voter that is past the bound and holds nothing, or -1.
+func (situation situation) leaver() int {
+	return slices.IndexFunc(situation.voters, func(name string) bool { return situation.gone[name] && !slices.Contains(situation.held, name) })
+}
+
+// replace puts a successor in the place of a voter that is gone.
+func (situation situation) replace() roster {
+	position := situation.leaver()
+	if position < 0 || len(situation.waiting) == 0 {
+		return nil
+	}
+	fresh := slices.Clone(situation.voters)
+	fresh[position] = situation.waiting[0]
+	return fresh
+}
+
+// grow takes one more in, while every voter answers: a silent one may have to be replaced instead.
+func (situation situation) grow() roster {
+	limit := situation.size
+	if limit == 0 {
+		limit = most
+	}
+	if len(situation.waiting) == 0 || len(situation.voters) >= limit || len(situation.silence) > 0 {
+		return nil
+	}
+	return append(slices.Clone(situation.voters), situation.waiting[0])
+}
+
+// shrink leaves a voter that is gone out where there are more than wanted.
+func (situation situation) shrink() roster {
+	position := situation.leaver()
+	if position < 0 || situation.size == 0 || len(situation.voters) <= situation.size {
+		return nil
+	}
+	return slices.Delete(slices.Clone(situation.voters), position, position+1)
+}
+
+// applicant is a process that asked to be taken into the roster.
+type applicant struct {
+	at     postmark.Micros
+	joined bool
+}
+
+// applicantPatience is how long after its last word an applicant counts as being in contact.
+const applicantPatience = 3 * postmark.Second
+
+// hear notes that a voter answered.
+func (member *Member) hear(name string) {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	member.heard[name] = member.env.Place.Now()
+}
+
+// look makes out the situation of an answering primary.
+func (member *Member) look() (epoch uint64, present configuration, leased bool, found situation) {
+	now := member.env.Place.Now()
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	state := member.lead
+	if state.epoch == 0 || !state.answering || now >= state.until {
+		return 0, configuration{}, false, situation{}
+	}
+	present = member.configurationOf(state.chosen)
+	found = situation{voters: present.voters, size: member.env.Size, held: append(names(state.backups), member.env.Name),
+		silence: map[string]bool{}, gone: map[string]bool{}}
+	for _, name := range present.voters {
+		silent := now - max(member.heard[name], state.since)
+		if name == member.env.Name {
+			continue
+		}
+		if silent > 2*member.env.Tenure {
+			found.silence[name] = true
+		}
+		if silent > member.env.Gone {
+			found.gone[name] = true
+		}
+	}
+	for name, one := range member.applicants {
+		if now-one.at > applicantPatience {
+			delete(member.applicants, name)
+		} else if one.joined && !present.has(name) {
+			found.waiting = append(found.waiting, name)
+		}
+	}
+	slices.Sort(found.waiting)
+	return state.epoch, present, state.leased.same(present), found
+}
+
+// tend changes the roster by one step, if a step is due: into a joint change, or out of one once the lease stands by both
+// quorums. Only one runs at a time.
+func (member *Member) tend() {
+	epoch, present, leased, found := member.look()
+	if epoch == 0 {
+		return
+	}
+	var fresh configuration
+	switch {
+	case len(present.joint) > 0 && !leased:
+		return
+	case len(present.joint) > 0:
+		fresh = configuration{voters: present.joint}
+	default:
+		if roster := found.next(); roster != nil {
+			fresh = configuration{voters: present.voters, joint: roster}
+		} else {
+			return
+		}
+	}
+	member.lock.Lock()
+	busy := member.tending
+	member.tending = true
+	if !busy {
+		// From now on no such process may begin anew as one that never voted: the ballot may count on it.
+		for _, name := range fresh.joint {
+			member.proposed[name] = true
+		}
+	}
+	member.lock.Unlock()
+	if busy {
+		return
+	}
+	member.env.Place.Go(func() {
+		defer func() {
+			member.lock.Lock()
+			member.tending = false
+			member.lock.Unlock()
+		}()
+		value, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
+			if value == nil || value.Epoch != epoch || !sameHolder(value.Primary, member.self()) || !member.configurationOf(value).same(present) {
+				return nil, errUnchanged
+			}
+			altered := proto.Clone(value).(*wire.RegisterValue)
+			altered.Voters, altered.JointVoters = fresh.voters, fresh.joint
+			return altered, nil
+		})
+		if err != nil {
+			return // the next look finds out what came of it, if only by a lease refused
+		}
+		member.won(epoch, ballot, value)
+		member.env.Place.Report(bulletin.RosterChanged, map[string]any{"group": member.env.Group, "voters": value.Voters, "joint": value.JointVoters})
+		member.renew()
+	})
+}
+
+// won notes a value that this primary's own ballot had chosen.
+func (member *Member) won(epoch, ballot uint64, value *wire.RegisterValue) {
+	member.learn(ballot, value)
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	if member.lead.epoch == epoch && member.lead.ballot < ballot {
+		member.lead.ballot, member.lead.chosen, member.lead.outbid = ballot, value, false
+	}
+}
+
+// answerEnroll hears a process that wants to be a voter, and gives it the register to begin with.
+func (member *Member) answerEnroll(ask *wire.EnrollAsk) (*wire.EnrollTell, error) {
+	answering := member.Answering()
+	present, _ := member.configuration()
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	if !answering {
+		return &wire.EnrollTell{Ballot: member.valueBallot, Value: member.value}, nil
+	}
+	if present.has(ask.Name) || member.configurationOf(member.lead.chosen).has(ask.Name) || !ask.Joined && member.proposed[ask.Name] {
+		return &wire.EnrollTell{Ballot: member.valueBallot, Value: member.value}, nil
+	}
+	member.applicants[ask.Name] = applicant{at: member.env.Place.Now(), joined: ask.Joined}
+	return &wire.EnrollTell{Taken: true, Ballot: member.lead.ballot, Value: member.lead.chosen}, nil
+}
+
+// enroll asks the primary to take this process into the roster. A process without a register begins with the primary's:
+// no roster that may decide names it, so nothing that it may have forgotten counts.
+func (member *Member) enroll(joined bool) {
+	leader := member.env.Book.Leader(member.env.Group)
+	member.lock.Lock()
+	if leader == "" && member.value != nil {
+		leader = member.value.Primary.Name
+	}
+	member.lock.Unlock()
+	if leader == "" || leader == member.env.Name {
+		return
+	}
+	tell := &wire.EnrollTell{}
+	if member.call(leader, wire.Kind_enroll, &wire.EnrollAsk{To: leader, Name: member.env.Name, Joined: joined}, tell) != nil {
+		return
+	}
+	member.learn(tell.Ballot, tell.Value)
+	if joined || !tell.Taken || tell.Value == nil || member.configurationOf(tell.Value).has(member.env.Name) {
+		return
+	}
+	member.seat.Do(func() {
+		member.voter.votesFrom = member.env.Place.Now() + member.env.Tenure
+		err := member.changeRecord(func(record *wire.RegisterRecord) {
+			record.Joined, record.Promised, record.Accepted, record.Value = true, tell.Ballot, tell.Ballot, tell.Value
+		})
+		if err == nil {
+			member.env.Place.Report(bulletin.Enrolled, map[string]any{"group": member.env.Group, "primary": leader, "voters": tell.Value.Voters})
+		}
+	})
+}
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -116,26 +116,35 @@
 
 func (member *Member) answerRegisterRead(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
 	tell := &wire.RegisterReadTell{}
-	if why := member.differs(ask.Voters); why != "" {
-		return nil, seal.Invalid.New("%s", why)
-	}
+	var why string
 	member.seat.Do(func() {
 		record := member.voter.record
+		// A reader by an older roster is told of the newer one. Only settings that differ are a fault.
+		if record.Value == nil {
+			if why = member.differs(ask.Voters); why != "" {
+				return
+			}
+		}
+		tell.Genesis = member.env.Genesis
 		tell.Intact, tell.Blank = record.Joined, !record.Joined
 		tell.Incarnation, tell.Promised, tell.Accepted, tell.Value = record.Incarnation, record.Promised, record.Accepted, record.Value
 	})
+	if why != "" {
+		return nil, seal.Invalid.New("%s", why)
+	}
 	return tell, nil
 }
 
 func (member *Member) answerPromise(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
 	tell := &wire.PromiseTell{}
 	var err error
-	if tell.Why = member.differs(ask.Voters); tell.Why != "" {
-		return tell, nil
-	}
 	member.seat.Do(func() {
 		record := member.voter.record
 		tell.Promised, tell.Incarnation = record.Promised, record.Incarnation
+		if tell.Why = member.outdated(configuration{ask.Voters, ask.JointVoters}, ask.Known); tell.Why != "" {
+			tell.Accepted, tell.Value = record.Accepted, record.Value
+			return
+		}
 		if tell.Why = member.objection(ask.Proposer, ask.Ballot <= record.Promised); tell.Why != "" {
 			return
 		}
@@ -149,6 +158,19 @@
 	return tell, err
 }
 
+// outdated names why an asker's configuration isn't heard: this seat accepted a newer one, which the asker is told, or the two
+// processes' settings differ.
+func (member *Member) outdated(asked configuration, known uint64) string {
+	record := member.voter.record
+	switch {
+	case len(asked.voters) == 0 || known > record.Accepted || asked.same(member.configurationOf(record.Value)):
+		return ""
+	case record.Value == nil || known == 0 && len(record.Value.Voters) == 0:
+		return member.differs(asked.voters)
+	}
+	return fmt.Sprintf("the voters are others by now: %v", record.Value.Voters)
+}
+
 // differs tells both rosters where an asker's isn't this voter's: by two rosters two parts could each think themselves a
 // quorum.
 func (member *Member) differs(voters []string) string {
@@ -188,7 +210,7 @@
 		voter := &member.voter
 		tell.Promised = voter.record.Promised
 		fresh := voter.promisedTo != nil && member.env.Place.Now()-voter.promisedAt <= member.env.Tenure
-		if tell.Why = member.objection(ask.Proposer, ask.Ballot != voter.record.Promised || !fresh); tell.Why != "" {
+		if tell.Why = member.objection(ask.Proposer, ask.Ballot != voter.record.Promised || !fresh || !sameHolder(ask.Proposer, voter.promisedTo)); tell.Why != "" {
 			return
 		}
 		err = member.changeRecord(func(record *wire.RegisterRecord) {
@@ -201,18 +223,18 @@
 
 func (member *Member) answerTenure(ask *wire.TenureAsk) (*wire.TenureTell, error) {
 	tell := &wire.TenureTell{}
-	if tell.Why = member.differs(ask.Voters); tell.Why != "" {
-		return tell, nil
-	}
 	member.seat.Do(func() {
 		voter := &member.voter
-		tell.Promised, tell.Value = voter.record.Promised, voter.record.Value
+		tell.Promised, tell.Accepted, tell.Value = voter.record.Promised, voter.record.Accepted, voter.record.Value
 		if ask.Release {
 			if sameHolder(voter.grant.holder, ask.Holder) {
 				voter.grant = grant{}
 			}
 			return
 		}
+		if tell.Why = member.outdated(configuration{ask.Voters, ask.JointVoters}, ask.Known); tell.Why != "" {
+			return
+		}
 		// A primary's own ballot, under way or accepted, doesn't stand in the way of its tenure: it's the only one that
 		// can bring that ballot about, and it answers nothing until it knows what came of it.
 		rival := voter.record.Promised > ask.Ballot && !sameHolder(voter.promisedTo, ask.Holder)
@@ -227,26 +249,23 @@
 	return tell, nil
 }
 
-// join brings a voter with a blank folder in: at genesis, when every voter of the group is blank and in contact, or
-// later, from the register of enough intact others that any majority of the past is among them.
+// join brings a process with a blank folder in: at genesis, when every voter of the settings is blank, in contact and there for
+// it; later, where the roster names it, from the register of enough intact others that any majority of the past is among them;
+// and where no roster names it, by asking the primary.
 func (member *Member) join() {
-	others := member.others()
-	replies := gather(member, others, member.env.Patience, func(name string) (*wire.RegisterReadTell, error) {
-		tell := &wire.RegisterReadTell{}
-		return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
-	}, nil)
-	virgin, intact := 0, []string{}
+	others := member.acquaintances()
+	replies := gather(member, others, member.env.Patience, member.read, nil)
+	intact, virgin := []string{}, member.env.Genesis && slices.Contains(member.env.Voters, member.env.Name)
 	var highestPromise, highestAccepted uint64
 	var value *wire.RegisterValue
 	for _, name := range others {
 		reply := replies[name]
 		if reply == nil {
+			virgin = virgin && !slices.Contains(member.env.Voters, name)
 			continue
 		}
 		// A promise alone is no value: a first ballot may have failed because this voter hadn't joined yet.
-		if reply.Accepted == 0 {
-			virgin++
-		}
+		virgin = virgin && reply.Accepted == 0 && (reply.Genesis || !slices.Contains(member.env.Voters, name))
 		highestPromise = max(highestPromise, reply.Promised)
 		if !reply.Intact {
 			continue
@@ -256,12 +275,17 @@
 			highestAccepted, value = reply.Accepted, reply.Value
 		}
 	}
-	genesis := virgin == len(others)
-	if !genesis && member.roster().of(intact) < member.roster().reading() {
+	present := member.configurationOf(value)
+	if !virgin && !present.has(member.env.Name) {
+		member.learn(highestAccepted, value)
+		member.enroll(false)
+		return
+	}
+	if !virgin && !present.heard(intact) {
 		return
 	}
 	member.seat.Do(func() {
-		if !genesis {
+		if !virgin {
 			member.voter.votesFrom = member.env.Place.Now() + member.env.Tenure
 		} else {
 			member.voter.votesFrom = member.env.Place.Now()
@@ -270,7 +294,13 @@
 			record.Joined, record.Promised, record.Accepted, record.Value = true, highestPromise, highestAccepted, value
 		})
 		if err == nil {
-			member.env.Place.Report(bulletin.VoterJoined, map[string]any{"group": member.env.Group, "genesis": genesis, "promised": highestPromise})
+			member.env.Place.Report(bulletin.VoterJoined, map[string]any{"group": member.env.Group, "genesis": virgin, "promised": highestPromise})
 		}
 	})
 }
+
+// read asks another process for its register.
+func (member *Member) read(name string) (*wire.RegisterReadTell, error) {
+	tell := &wire.RegisterReadTell{}
+	return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
+}
--- a/internal/countersign/weights.go
+++ b/internal/countersign/weights.go
@@ -55,10 +55,3 @@
 
 // Decides tells whether some of a group's voters are a quorum of it.
 func Decides(voters, some []string) bool { return roster(voters).of(some) >= roster(voters).quorum() }
-
-func (member *Member) roster() roster { return member.env.Voters }
-
-// decides tells whether those who granted something are a quorum.
-func (member *Member) decides(names []string) bool {
-	return Decides(member.env.Voters, names)
-}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -189,7 +189,7 @@
 			}
 		}
 		if group == "sorter" {
-			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust,
+			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust,
 				Prepare: func(state *rack.Rack) {
 					state.Guards.Broken = mesh.breakage.Guards
 				}})
@@ -203,7 +203,7 @@
 			one.Start()
 			return table, nil
 		}
-		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust})
+		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -42,8 +42,10 @@
 	Place  office.Office
 	Book   *gazetteer.Book
 	Name   string
-	Voters []string
-	Adjust func(*countersign.Env)
+	Voters []string // of a first start
+	// Genesis tells that this process may take part in a first start.
+	Genesis bool
+	Adjust  func(*countersign.Env)
 	// Kept is told all accepted states, oldest first, whenever this process as primary accepts one or starts to answer;
 	// it must not block.
 	Kept func(states []*wire.DesiredKept)
@@ -79,7 +81,7 @@
 // Open reads the disk.
 func Open(env Env) (*Postmaster, error) {
 	master := &Postmaster{env: env, ledger: ledger.New(), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
-	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
+	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis,
 		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
 	if env.Adjust != nil {
 		env.Adjust(&core)
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -25,7 +25,9 @@
 	Place  office.Office
 	Book   *gazetteer.Book
 	Name   string
-	Voters []string
+	Voters []string // of a first start
+	// Genesis tells that this process may take part in a first start.
+	Genesis bool
 	// Adjust lets tests and the simulator change the core's figures.
 	Adjust func(*countersign.Env)
 	// Prepare lets rehearsals of the checkers change the replicated state's manner.
@@ -47,7 +49,7 @@
 	if env.Prepare != nil {
 		env.Prepare(sorter.rack)
 	}
-	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Machine: sorter.rack,
+	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis, Machine: sorter.rack,
 		Settled: func(uint64, postmark.Micros) { sorter.led.Store(int64(env.Place.Now())) }}
 	if env.Adjust != nil {
 		env.Adjust(&core)
@@ -202,7 +204,7 @@
 func (sorter *Sorter) gossip() {
 	for {
 		sorter.env.Place.Sleep(500 * postmark.Millisecond)
-		for _, name := range sorter.env.Voters {
+		for _, name := range sorter.Member.Voters() {
 			if name == sorter.env.Name {
 				continue
 			}
