--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -42,8 +42,10 @@
 	Place  office.Office
 	Book   *gazetteer.Book
 	Name   string
-	Voters []string
-	Adjust func(*countersign.Env)
+	Voters []string // of a first start
+	// Genesis tells that this process may take part in a first start.
+	Genesis bool
+	Adjust  func(*countersign.Env)
 	// Read reads contents as they are applied and stored, franking.Parse if left out.
 	Read franking.Reader
 	// History is how many accepted states are kept at most, all for zero. It must be the same at every postmaster.
@@ -86,7 +88,7 @@
 		env.Read = franking.Parse
 	}
 	master := &Postmaster{env: env, ledger: ledger.New(env.History), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
-	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
+	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis,
 		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
 	if env.Adjust != nil {
 		env.Adjust(&core)
