Passage: choice by expected time, free moves past full gates, the last choice may wait

Cause: a caller chose by its own requests in flight alone, which says nothing of others' nor of a backend's pace; and a full gate's refusal cost a pause and a further try, though no backend had seen the request.

Now, where backends tell their slots: the chooser expects of each the wait for a slot (own requests, others' as last told and fading), part of the work time and far-penalty beyond the zone, and picks by chance among the near-best. A refusal that came no further than a gate moves the request on at once, three times at most, to backends not asked yet; the last is asked with patience. Moves are no tries: the budget's rule is as before, and a paid try that moves stays paid. The final refusal tells the least wait, as measured. The caller's early refusal stays for backends of unknown slots.

Ruled out: the whole work time in the choice, which fills quick backends first and moves six times as much.

TestSlots: with claims away for 1.5 s, lost answers, and backends that leave, no backend of 3 slots had a fourth request.

--- a/cmd/carrier/main.go
+++ b/cmd/carrier/main.go
@@ -10,6 +10,7 @@
 	"snowflow/internal/carrier/delivery"
 	"snowflow/internal/env"
 	"snowflow/internal/house"
+	"snowflow/internal/postmark"
 )
 
 func main() {
@@ -19,7 +20,7 @@
 func build(home *house.House) error {
 	tally := house.NewTally(home.Registry)
 	mover := carrier.New(carrier.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Domain: home.Values["domain"],
-		Address: home.Values["advertise"], Blind: home.Values["choice"] == "blind", Delivery: delivery.New(home.Place), Finished: tally.Finished})
+		Address: home.Values["advertise"], Blind: home.Values["choice"] == "blind", FarPenalty: postmark.Micros(home.Values.Number("far-penalty")), Delivery: delivery.New(home.Place), Finished: tally.Finished})
 	mover.Register(home.Table)
 	home.Gauges([]house.Gauge{
 		{Name: "snowflow_requests_running", Help: "Callers' requests under way.", Read: func() float64 { return float64(mover.Passage.Running()) }},
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -28,14 +28,16 @@
 
 // Env is what a carrier is made of.
 type Env struct {
-	Place    office.Office
-	Book     *gazetteer.Book
-	Name     string
-	Domain   string
-	Address  string
-	Blind    bool // choose backends without looking at zones
-	Delivery gate.Delivery
-	Finished func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
+	Place   office.Office
+	Book    *gazetteer.Book
+	Name    string
+	Domain  string
+	Address string
+	Blind   bool // choose backends without looking at zones
+	// FarPenalty is what the way to another zone counts for, in the choice among backends that tell their slots.
+	FarPenalty postmark.Micros
+	Delivery   gate.Delivery
+	Finished   func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
 }
 
 // Carrier puts the parts together. Invariant: incarnation is new in every life of the process.
@@ -68,7 +70,7 @@
 	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk,
 		Hutch: carrier.Hutch, Shelf: restante.New(env.Place), Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
-		Domain: env.Domain, Blind: env.Blind, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
+		Domain: env.Domain, Blind: env.Blind, FarPenalty: env.FarPenalty, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
 		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished})
 	carrier.vigil.OnLeap(carrier.Hutch.Forgive)
 	carrier.vigil.OnLeap(func(postmark.Micros) { carrier.Purse.Forfeit() })
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -176,7 +176,7 @@
 	if service == nil {
 		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial))
 	}
-	stay, earlier, fault := gate.stay(ask, service.Limits.GetInFlightPerBackend(), cutoff)
+	stay, earlier, fault := gate.stay(ask, service, cutoff)
 	if fault != nil {
 		return gate.refused(ask, fault)
 	}
--- a/internal/carrier/gate/slots/slots.go
+++ b/internal/carrier/gate/slots/slots.go
@@ -41,6 +41,7 @@
 	Priority uint32          // zero goes first
 	Aim      postmark.Micros // the moment up to which the answer has its full worth; zero if not known
 	Cutoff   postmark.Micros
+	StartBy  postmark.Micros // the moment by which it must have its slot; zero if only the cutoff bounds that
 	Patient  bool
 }
 
@@ -158,7 +159,7 @@
 		place--
 	}
 	wait := slots.wait(now, place)
-	if wait+slots.Work() > ask.Cutoff-now || !ask.Patient && wait > slots.mostWait(now, ask) {
+	if wait+slots.Work() > ask.Cutoff-now || now+wait > slots.tooLate(ticket) || !ask.Patient && wait > slots.mostWait(now, ask) {
 		slots.refuse(ticket, wait)
 		return ticket
 	}
@@ -226,9 +227,13 @@
 	}
 }
 
-// tooLate is the moment from which a waiter is no longer worth starting.
+// tooLate is the moment from which a waiter is no longer worth starting, or may not be.
 func (slots *Slots) tooLate(ticket *Ticket) postmark.Micros {
-	return ticket.ask.Cutoff - slots.Work()/2
+	moment := ticket.ask.Cutoff - slots.Work()/2
+	if ticket.ask.StartBy > 0 {
+		moment = min(moment, ticket.ask.StartBy)
+	}
+	return moment
 }
 
 // Advance lets time pass: lingering slots come free, waiters that are too late are refused, and free slots are given out.
--- a/internal/carrier/gate/slots/slots_test.go
+++ b/internal/carrier/gate/slots/slots_test.go
@@ -211,6 +211,21 @@
 	one.is("the next", next, slots.Running)
 }
 
+// TestStartBy: whoever must have started before its cutoff comes near is refused then, and at once if that's to be expected.
+func TestStartBy(t *testing.T) {
+	one := newDoor(t, 2, slots.Default()).measured(100 * ms)
+	one.fill()
+	ask := slots.Ask{Cutoff: one.now + 5*postmark.Second, StartBy: one.now + 60*ms, Patient: true}
+	ticket := one.Enter(one.now, ask)
+	one.is("the first", ticket, slots.Waiting)
+	if one.WakeAt(ticket) != ask.StartBy {
+		t.Errorf("wakes after %d", one.WakeAt(ticket)-one.now)
+	}
+	one.is("the second, which has to expect 100 ms", one.Enter(one.now, ask), slots.Refused)
+	one.pass(60 * ms)
+	one.is("its moment is past", ticket, slots.Refused)
+}
+
 func TestLingering(t *testing.T) {
 	one := newDoor(t, 2, slots.Default()).measured(100 * ms)
 	first := one.ask(0, 0, 400*ms, false)
--- a/internal/carrier/gate/stay.go
+++ b/internal/carrier/gate/stay.go
@@ -4,6 +4,7 @@
 	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/letter"
+	"snowflow/internal/franking"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -15,13 +16,18 @@
 	startBy postmark.Micros
 }
 
+// guardShare is the part of the guard's wait in open, as a divisor, that a request may wait for a slot. It was let in
+// while the guard was closed, and must not come to the backend in the trial that follows the wait.
+const guardShare = 2
+
 // stay gets a request its place, or the recorded answer of an earlier run. On a fault neither slot nor claim is left behind.
-func (gate *Gate) stay(ask *wire.PassAsk, limit uint32, cutoff postmark.Micros) (*stay, *letter.Answer, *seal.Fault) {
+func (gate *Gate) stay(ask *wire.PassAsk, service *franking.Service, cutoff postmark.Micros) (*stay, *letter.Answer, *seal.Fault) {
 	admission := hutch.Admission{Instance: ask.Instance, Service: ask.Service, Once: ask.Once,
 		Ask: slots.Ask{Priority: ask.Priority, Aim: gate.env.Hutch.Remaining(ask.Aim), Cutoff: cutoff, Patient: ask.Patient}}
+	admission.StartBy = min(cutoff, gate.env.Place.Now()+postmark.Micros(service.Guard.GetWaitOpenMicros())/guardShare)
 	claims := ask.Once && !gate.unclaimed
 	if !gate.env.Hutch.Counted(ask.Instance) {
-		return gate.placed(ask, admission, claims, limit)
+		return gate.placed(ask, admission, claims, service.Limits.GetInFlightPerBackend())
 	}
 	pass, fault := gate.env.Hutch.Admit(admission)
 	if fault != nil || !claims {
@@ -50,7 +56,7 @@
 	if startBy, earlier, fault = gate.settled(ask, cutoff); fault != nil || earlier != nil {
 		return nil, earlier, fault
 	}
-	admission.Cutoff, admission.Patient = startBy, true
+	admission.StartBy, admission.Patient = startBy, true
 	if pass, fault = gate.env.Hutch.Admit(admission); fault != nil {
 		gate.free(ask)
 		return nil, nil, fault
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -33,6 +33,11 @@
 	avoided  map[string]postmark.Micros
 	owing    map[string]*debt
 	faults   map[string]int
+	far      postmark.Micros
+	readings map[string]*reading
+	fit      []roll.Candidate // room for choose
+	worse    []roll.Candidate
+	scores   []float64
 }
 
 type debt struct {
@@ -42,8 +47,8 @@
 	asked   bool // a sign of life was asked for and has not come
 }
 
-func newChooser(place office.Office, domain string, blind bool) *chooser {
-	return &chooser{place: place, domain: domain, blind: blind, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
+func newChooser(place office.Office, domain string, blind bool, far postmark.Micros) *chooser {
+	return &chooser{place: place, domain: domain, blind: blind, far: far, readings: map[string]*reading{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
 func (chooser *chooser) shun(name string) {
@@ -106,16 +111,17 @@
 	return present
 }
 
-// choose picks a backend of a service. leave must be called once the pass is over.
-func (chooser *chooser) choose(directory *roll.Directory, service string, avoid map[string]bool) (roll.Candidate, func(), *seal.Fault) {
+// choose picks a backend of a service; last tells that no other one is left that is fit and not to be avoided. leave must be
+// called once the pass is over.
+func (chooser *chooser) choose(directory *roll.Directory, service string, avoid map[string]bool) (chosen roll.Candidate, last bool, leave func(), fault *seal.Fault) {
 	chooser.lock.Lock()
 	defer chooser.lock.Unlock()
 	now := chooser.place.Now()
 	all := directory.Candidates[service]
 	if len(all) == 0 {
-		return roll.Candidate{}, nil, seal.New(seal.NoBackend, seal.NotRun, "no backend of %s is known", service)
+		return roll.Candidate{}, true, nil, seal.New(seal.NoBackend, seal.NotRun, "no backend of %s is known", service)
 	}
-	var fit, worse []roll.Candidate
+	fit, worse := chooser.fit[:0], chooser.worse[:0]
 	for _, candidate := range all {
 		if avoid[candidate.Instance] || chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.silent(candidate.Carrier, now) {
 			worse = append(worse, candidate)
@@ -123,10 +129,16 @@
 		}
 		fit = append(fit, candidate)
 	}
+	chooser.fit, chooser.worse = fit, worse
+	last = len(fit) <= 1
 	if len(fit) == 0 {
 		fit = worse
 	}
-	chosen := chooser.lighter(chooser.near(directory, fit))
+	if counted(fit) {
+		chosen = chooser.soonest(fit, now)
+	} else {
+		chosen = chooser.lighter(chooser.near(directory, fit))
+	}
 	chooser.inFlight[chosen.Instance]++
 	owed := chooser.owing[chosen.Carrier]
 	if owed == nil {
@@ -134,7 +146,7 @@
 		chooser.owing[chosen.Carrier] = owed
 	}
 	owed.passes++
-	return chosen, func() {
+	return chosen, last, func() {
 		chooser.lock.Lock()
 		defer chooser.lock.Unlock()
 		if chooser.inFlight[chosen.Instance]--; chooser.inFlight[chosen.Instance] == 0 {
--- a/internal/carrier/passage/later.go
+++ b/internal/carrier/passage/later.go
@@ -17,6 +17,7 @@
 
 // later spreads the return of callers that are refused for the same cause, the wider the longer it lasts: those who
 // waited through an outage must not all come back in the moment of its end.
+// A measured wait is told as it is: it comes from a queue, which lets callers in one by one.
 // Invariant: a series is one cause's refusals with no pause of quietFor between them.
 type later struct {
 	place  office.Office
@@ -34,7 +35,7 @@
 
 // put gives a refusal the time after which its caller should come back, if coming back helps at all.
 func (later *later) put(fault *seal.Fault) {
-	if fault.RetryAfter == 0 || later.together {
+	if fault.RetryAfter == 0 || fault.Measured || later.together {
 		return
 	}
 	later.lock.Lock()
--- /dev/null
+++ b/internal/carrier/passage/moves_test.go
@@ -0,0 +1,193 @@
+package passage
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/carrier/purse"
+	"snowflow/internal/carrier/roll"
+	"snowflow/internal/franking"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+type clock struct{ now postmark.Micros }
+
+func (clock *clock) Now() postmark.Micros { return clock.now }
+
+func overloaded(wait postmark.Micros) *seal.Fault {
+	fault := seal.New(seal.Overloaded, seal.NotRun, "full")
+	fault.RetryAfter = wait
+	return fault
+}
+
+// TestMoves: a request that no backend has seen moves on without cost, at most so often, and only while another backend is
+// left. What may have reached one never does, and whatever a further try cost stays spent unless none was reached.
+func TestMoves(t *testing.T) {
+	unreached, lost := seal.New(seal.PassUnreachable, seal.NotRun, ""), seal.New(seal.PassLost, seal.MayHaveRun, "")
+	declined, older := seal.New(seal.NotExecuted, seal.NotRun, ""), seal.New(seal.SerialOlder, seal.NotRun, "")
+	type try struct {
+		fault *seal.Fault
+		last  bool
+		moves bool
+	}
+	for _, row := range []struct {
+		what    string
+		paid    bool
+		tries   []try
+		left    int // further tries that the budget still allows
+		refused postmark.Micros
+	}{
+		{"full, full, taken: a first try", false, []try{{overloaded(30), false, true}, {overloaded(20), false, true}, {nil, false, false}}, 3, 20},
+		{"three moves at most", false, []try{{overloaded(40), false, true}, {overloaded(30), false, true}, {unreached, false, true}, {overloaded(90), false, false}}, 2, 30},
+		{"no other backend left", false, []try{{overloaded(40), true, false}}, 2, 40},
+		{"its answer was lost", false, []try{{lost, false, false}}, 3, 0},
+		{"the backend itself declined", false, []try{{declined, false, false}}, 3, 0},
+		{"not resolved by this serial: no other backend helps", false, []try{{older, false, false}}, 2, 0},
+		{"a paid try that moves stays paid", true, []try{{overloaded(10), false, true}, {nil, false, false}}, 1, 10},
+		{"a paid try that ends unreached is given back", true, []try{{overloaded(10), false, true}, {overloaded(20), true, false}}, 2, 10},
+		{"a paid try that was lost", true, []try{{lost, false, false}}, 1, 0},
+	} {
+		time := &clock{now: postmark.Minute}
+		budget := purse.New(time, func(uint32) float64 { return 4 })
+		trip := &Trip{Service: &franking.Service{Name: "forms", Retry: &wire.Retry{BudgetRatio: proto.Float64(1), Allowance: proto.Uint32(4)}}}
+		if !budget.Spend("forms", 4) || !budget.Spend("forms", 4) { // two are left of the four that it begins with
+			t.Fatal("nothing to spend")
+		}
+		if row.paid {
+			trip.moves.paid = budget.Spend("forms", 4)
+		}
+		for number, try := range row.tries {
+			if moved := trip.moves.ended(budget, trip, try.fault, true, try.last); moved != try.moves {
+				t.Errorf("%s, try %d: moved %v", row.what, number, moved)
+			}
+		}
+		left := 0
+		for left < 9 && budget.Spend("forms", 4) {
+			left++
+		}
+		if left != row.left {
+			t.Errorf("%s: %d further tries are left, not %d", row.what, left, row.left)
+		}
+		if trip.moves.refused != row.refused {
+			t.Errorf("%s: told to come back after %d", row.what, trip.moves.refused)
+		}
+	}
+}
+
+// TestMeasuredWaitIsKept: a gate's expected wait reaches the caller as it is, however long refusals have lasted.
+func TestMeasuredWaitIsKept(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	ended := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		spread := newLater(place)
+		for range 20 {
+			spread.put(overloaded(70 * ms))
+			measured := overloaded(70 * ms)
+			measured.Measured = true
+			spread.put(measured)
+			if measured.RetryAfter != 70*ms {
+				t.Errorf("told %d", measured.RetryAfter)
+			}
+			place.Sleep(postmark.Second)
+		}
+		ended = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + postmark.Minute)
+	if !ended {
+		t.Fatal(simulated.Panicked)
+	}
+}
+
+// TestLastChoice: the chooser tells when no other backend is left, and asks none twice while there is one.
+func TestLastChoice(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	ended := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		choices := newChooser(place, "a", false, 0)
+		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{}}
+		for index := range 4 {
+			directory.Candidates["forms"] = append(directory.Candidates["forms"], roll.Candidate{Carrier: fmt.Sprint("carrier-", index), Instance: fmt.Sprint(index), Service: "forms", Slots: 2})
+		}
+		choices.shun("3")
+		avoid := map[string]bool{}
+		for number := range 4 {
+			candidate, last, leave, fault := choices.choose(directory, "forms", avoid)
+			if fault != nil || last != (number >= 2) {
+				t.Errorf("choice %d: last %v, %v", number, last, fault)
+			}
+			if number < 3 && (avoid[candidate.Instance] || candidate.Instance == "3") {
+				t.Errorf("choice %d: %s, though others are left", number, candidate.Instance)
+			}
+			avoid[candidate.Instance] = true
+			leave()
+		}
+		ended = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + postmark.Second)
+	if !ended {
+		t.Fatal(simulated.Panicked)
+	}
+}
+
+// TestReadings: what others had at a backend counts less as it gets older, and one not heard of for long counts like
+// its siblings.
+func TestReadings(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	ended := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		choices := newChooser(place, "a", false, 20*ms)
+		near, far := roll.Candidate{Instance: "near", Domain: "a", Slots: 6}, roll.Candidate{Instance: "far", Domain: "b", Slots: 6}
+		pick := func() string { return choices.soonest([]roll.Candidate{near, far}, place.Now()).Instance }
+		tell := func(instance string, running, waiting uint32, work postmark.Micros) {
+			choices.inFlight[instance] = 1 // the pass that brings it
+			choices.heard(instance, &wire.Load{Slots: 6, Running: running, Waiting: waiting, WorkMicros: int64(work)})
+			delete(choices.inFlight, instance)
+		}
+		for range 30 {
+			tell("near", 2, 0, 100*ms)
+			tell("far", 1, 0, 100*ms)
+		}
+		if pick() != "near" {
+			t.Error("the own zone has slots free, and another was chosen")
+		}
+		tell("near", 6, 6, 100*ms)
+		if pick() != "far" {
+			t.Error("the own zone is full, and it was chosen")
+		}
+		place.Sleep(500 * ms)
+		if pick() != "near" {
+			t.Error("what was full half a second ago is still taken for full")
+		}
+		for range 200 {
+			tell("near", 6, 4, 900*ms)
+			tell("far", 1, 0, 100*ms)
+		}
+		if pick() != "far" {
+			t.Error("slow and full as a rule, and it was chosen")
+		}
+		for range 50 { // the other one is heard of on and on
+			place.Sleep(postmark.Second)
+			tell("far", 1, 0, 100*ms)
+		}
+		if pick() != "near" {
+			t.Error("not heard of for long, it's never asked again")
+		}
+		ended = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + 2*postmark.Minute)
+	if !ended {
+		t.Fatal(simulated.Panicked)
+	}
+}
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -38,6 +38,7 @@
 	Address     string
 	Domain      string
 	Blind       bool
+	FarPenalty  postmark.Micros // what the way to another zone counts for
 	Desk        *desk.Desk
 	Roll        *roll.Roll
 	Wicket      *wicket.Wicket
@@ -79,13 +80,15 @@
 	// Doubt is set once some try may have run; from then on no refusal says not run.
 	Doubt  bool
 	errand *lastpost.Errand
+	moves  moves
+	last   bool // the backend of this try is the last one it may be brought to
 	// Final is set once the verdict was checked against the claims.
 	Final bool
 }
 
 // New makes a passage.
 func New(env Env) *Passage {
-	passage := &Passage{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), later: newLater(env.Place), choices: newChooser(env.Place, env.Domain, env.Blind)}
+	passage := &Passage{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), later: newLater(env.Place), choices: newChooser(env.Place, env.Domain, env.Blind, env.FarPenalty)}
 	passage.policies = passage.Policies()
 	return passage
 }
@@ -201,10 +204,19 @@
 	avoid := map[string]bool{}
 	for {
 		answer, fault, retriable := passage.try(trip, avoid)
+		moved := trip.moves.ended(passage.env.Purse, trip, fault, retriable, trip.last)
 		if fault == nil {
 			return answer, nil
 		}
 		trip.Doubt = trip.Doubt || !fault.NotRun()
+		if moved {
+			continue
+		}
+		if fault.Cause == seal.Overloaded {
+			// Each backend that could be asked is full: its caller hears so at once, and the least of the waits.
+			fault.RetryAfter = trip.moves.refused
+			return nil, fault
+		}
 		retry := trip.Service.Retry
 		if !retriable || trip.Tries >= int(retry.GetMostTries()) {
 			return nil, fault
@@ -218,6 +230,7 @@
 			spent := seal.New(seal.BudgetSpent, fault.Verdict, "no further try is left; the last said: %s", fault.Detail)
 			return nil, spent
 		}
+		trip.moves.paid = true
 		if fault.Cause == seal.SerialOlder || fault.Cause == seal.SerialBehind {
 			passage.repin(trip)
 		}
@@ -241,6 +254,7 @@
 // try makes one try. retriable tells that another one can't make the request run twice.
 func (passage *Passage) try(trip *Trip, avoid map[string]bool) (answer *letter.Answer, fault *seal.Fault, retriable bool) {
 	place := passage.env.Place
+	trip.last = true
 	view, live := passage.env.Desk.Current()
 	if !live {
 		return nil, seal.New(seal.TenureEnded, seal.NotRun, "the tenure to serve by serial %d has ended", view.Serial), false
@@ -252,15 +266,17 @@
 	if fault != nil {
 		return nil, fault, false
 	}
-	candidate, leave, fault := passage.choices.choose(passage.env.Roll.Directory(), trip.Service.Name, avoid)
+	candidate, last, leave, fault := passage.choices.choose(passage.env.Roll.Directory(), trip.Service.Name, avoid)
 	if fault != nil {
 		ticket.Done(wicket.Neutral)
 		return nil, fault, false
 	}
 	defer leave()
 	avoid[candidate.Instance] = true
-	trip.Tries++
-	defer passage.account(trip, trip.Tries, &fault)
+	if !trip.moves.moving {
+		trip.Tries++
+	}
+	trip.last = last || trip.moves.made == mostMoves
 	remaining := trip.Cutoff - place.Now()
 	if remaining <= 0 {
 		ticket.Done(wicket.Neutral)
@@ -270,7 +286,7 @@
 		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
 		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
-		AnswerLimit: trip.Service.Limits.GetAnswerBytes()}
+		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Patient: trip.last}
 	if trip.Once {
 		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
 	}
@@ -282,6 +298,7 @@
 	if err != nil {
 		return passage.lost(trip, ticket, candidate, ask, err)
 	}
+	passage.choices.heard(candidate.Instance, tell.Load)
 	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once
@@ -298,19 +315,6 @@
 	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance, Serial: trip.View.Serial}, nil, false
 }
 
-// account settles a try with the budget: one that certainly never reached a backend was no traffic of the service, neither as
-// a first try that pays for others nor as a further one.
-func (passage *Passage) account(trip *Trip, number int, ended **seal.Fault) {
-	fault, service, retry := *ended, trip.Service.Name, trip.Service.Retry
-	reached := fault == nil || !fault.NotRun() || fault.Cause == seal.NotExecuted
-	if number == 1 && reached {
-		passage.env.Purse.First(service, retry.GetBudgetRatio(), retry.GetAllowance())
-	}
-	if number > 1 && !reached {
-		passage.env.Purse.Refund(service, retry.GetAllowance())
-	}
-}
-
 // send passes a request on; to this carrier's own gate without a connection.
 func (passage *Passage) send(candidate roll.Candidate, ask *wire.PassAsk, patience postmark.Micros) (*wire.PassTell, error) {
 	if candidate.Carrier == passage.env.Carrier && candidate.Incarnation == passage.env.Incarnation {
@@ -343,7 +347,7 @@
 // turnedDown handles a refusal by the server's side.
 func (passage *Passage) turnedDown(trip *Trip, ticket *wicket.Ticket, candidate roll.Candidate, tell *wire.PassTell) (*letter.Answer, *seal.Fault, bool) {
 	fault := &seal.Fault{Cause: seal.Cause(tell.Cause), Verdict: seal.Verdict(tell.Verdict), RetryAfter: postmark.Micros(tell.RetryAfter),
-		Detail: tell.Detail, Backend: tell.BackendFault}
+		Detail: tell.Detail, Backend: tell.BackendFault, Measured: seal.Cause(tell.Cause) == seal.Overloaded && tell.Load.GetSlots() > 0}
 	outcome := wicket.Neutral
 	if fault.Backend {
 		outcome = wicket.Failure
--- a/internal/carrier/passage/policies.go
+++ b/internal/carrier/passage/policies.go
@@ -93,9 +93,15 @@
 	return nil
 }
 
-// crowd refuses early what couldn't be served in time: more requests under way than all backends may have at once.
+// crowd refuses early what couldn't be served in time: more requests under way than all backends may have at once. Where
+// each backend says how many slots it has, their gates know better.
 func (passage *Passage) crowd(trip *Trip) *seal.Fault {
-	backends := len(passage.env.Roll.Directory().Candidates[trip.Service.Name])
+	candidates := passage.env.Roll.Directory().Candidates[trip.Service.Name]
+	backends := len(candidates)
+	if backends > 0 && counted(candidates) {
+		passage.count(trip.Service.Name).Inc()
+		return nil
+	}
 	limit := int64(max(1, backends)) * int64(trip.Service.Limits.GetInFlightPerBackend())
 	count := passage.count(trip.Service.Name)
 	if count.Inc() > limit {
--- /dev/null
+++ b/internal/carrier/passage/readings.go
@@ -0,0 +1,153 @@
+package passage
+
+import (
+	"maps"
+	"math"
+
+	"snowflow/internal/carrier/roll"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+const (
+	// loadHalves is the time in which what was told of others' load loses half its weight against the backend's usual load.
+	loadHalves = 100 * postmark.Millisecond
+	// usualHalves is that in which the usual load and the work time lose half their weight against those of its siblings, so that one
+	// that was slow, or full, is tried again.
+	usualHalves = 5 * postmark.Second
+	// usualMemory is the number of readings over which the usual load is taken.
+	usualMemory = 16
+	// firstWork is taken for the work time while none of the service is known, as the gates do.
+	firstWork = float64(50 * postmark.Millisecond)
+	// warmingFactor is what an unmeasured backend that is warming up counts as slower.
+	warmingFactor = 1.5
+	// workWeight is what the work time counts for beside the wait. By its whole, a quick backend is filled before any other gets
+	// work, from beyond the zone too, and what is short of slots next is the queue there.
+	workWeight = 0.25
+	// level is the part by which two expected times may differ and count as the same: what they are made of is no
+	// better known, and callers that all took the least one would all go to the same backend.
+	level = 0.1
+)
+
+// reading is the last load that a backend's gate told.
+// Invariant: others counts what other callers had there, so that the own requests, known exactly, can be added.
+type reading struct {
+	slots  float64
+	work   float64 // microseconds; zero while not measured
+	others float64
+	usual  float64
+	at     postmark.Micros
+}
+
+// heard takes a told load. The pass whose answer told it is still counted as in flight here, and no longer there.
+func (chooser *chooser) heard(instance string, load *wire.Load) {
+	if load == nil || load.Slots == 0 {
+		return
+	}
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	present := chooser.readings[instance]
+	others := math.Max(0, float64(load.Running+load.Waiting)-float64(chooser.inFlight[instance]-1))
+	if present == nil {
+		present = &reading{usual: others}
+		chooser.forget()
+		chooser.readings[instance] = present
+	}
+	present.usual += (others - present.usual) / usualMemory
+	present.slots, present.work, present.others, present.at = float64(load.Slots), float64(load.WorkMicros), others, chooser.place.Now()
+}
+
+// forget leaves out readings of backends that were not heard of for long: most of them are gone.
+func (chooser *chooser) forget() {
+	now := chooser.place.Now()
+	maps.DeleteFunc(chooser.readings, func(_ string, known *reading) bool { return now-known.at >= postmark.Minute })
+}
+
+// counted tells whether each of the candidates has told its slots.
+func counted(candidates []roll.Candidate) bool {
+	for index := range candidates {
+		if candidates[index].Slots == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func halved(age, half postmark.Micros) float64 { return math.Exp2(-float64(age) / float64(half)) }
+
+// siblings is what a service's backends are like, those heard of lately above all.
+func (chooser *chooser) siblings(fit []roll.Candidate, now postmark.Micros) sibling {
+	var works, measured, loads, slots float64
+	for index := range fit {
+		known := chooser.readings[fit[index].Instance]
+		if known == nil {
+			continue
+		}
+		weight := halved(now-known.at, usualHalves)
+		loads, slots = loads+weight*known.usual, slots+weight*known.slots
+		if known.work > 0 {
+			works, measured = works+weight*known.work, measured+weight
+		}
+	}
+	mean := sibling{work: firstWork}
+	if measured > 0 {
+		mean.work = works / measured
+	}
+	if slots > 0 {
+		mean.load = loads / slots
+	}
+	return mean
+}
+
+// soonest is one of the candidates that are expected to answer first.
+func (chooser *chooser) soonest(fit []roll.Candidate, now postmark.Micros) roll.Candidate {
+	siblings := chooser.siblings(fit, now)
+	chooser.scores = chooser.scores[:0]
+	best := math.Inf(1)
+	for index := range fit {
+		score := chooser.expected(&fit[index], siblings, now)
+		best = min(best, score)
+		chooser.scores = append(chooser.scores, score)
+	}
+	chosen, alike := 0, uint64(0)
+	for index, score := range chooser.scores {
+		if score > best*(1+level) {
+			continue
+		}
+		alike++
+		if chooser.place.Random()%alike == 0 {
+			chosen = index
+		}
+	}
+	return fit[chosen]
+}
+
+// sibling is the mean of a service's backends; load is by slot.
+type sibling struct{ work, load float64 }
+
+// expected is the time in microseconds after which a backend may be expected to answer.
+func (chooser *chooser) expected(candidate *roll.Candidate, siblings sibling, now postmark.Micros) float64 {
+	slots, work := float64(candidate.Slots), siblings.work
+	others := siblings.load * slots
+	if known := chooser.readings[candidate.Instance]; known != nil {
+		weight := halved(now-known.at, usualHalves)
+		others += (known.usual - others) * weight
+		others += (known.others - known.usual) * halved(now-known.at, loadHalves)
+		if known.work > 0 {
+			work += (known.work - work) * weight
+		}
+	} else if candidate.Warming {
+		work *= warmingFactor
+	}
+	time := score(float64(chooser.inFlight[candidate.Instance])+math.Max(0, others), slots, work)
+	if !chooser.blind && candidate.Domain != chooser.domain {
+		time += float64(chooser.far)
+	}
+	return time
+}
+
+// score is the work time, and the wait for a slot: with fewer there than slots none is to be expected, but what is known of
+// others' requests is old and rough, so the bend is rounded.
+func score(present, slots, work float64) float64 {
+	return workWeight*work + work/slots*math.Log1p(math.Exp(min(present+1-slots, 30))) + work/slots*max(present+1-slots-30, 0)
+}
--- a/internal/env/env.go
+++ b/internal/env/env.go
@@ -203,6 +203,15 @@
 	return err
 }
 
+// Penalty checks a number of microseconds from 0 to 10000000.
+func Penalty(value string) error {
+	number, err := strconv.Atoi(value)
+	if err == nil && (number < 0 || number > 10000000) {
+		return fmt.Errorf("%d is not from 0 to 10000000", number)
+	}
+	return err
+}
+
 // Span checks a span of time such as 8s.
 func Span(value string) error {
 	span, err := time.ParseDuration(value)
@@ -259,6 +268,7 @@
 	return append(Common(),
 		Field{Name: "callers", Help: "HTTP address for callers", Check: Address},
 		Field{Name: "choice", Help: "near prefers backends of the own zone while the load stays even; blind doesn't look at zones", Default: "near", Check: OneOf("near", "blind")},
+		Field{Name: "far-penalty", Help: "microseconds that the way to another zone counts for in the choice", Default: "20000", Check: Penalty},
 		Field{Name: "desk", Help: "HTTP address for this machine's backends, the platform and operators", Check: Address},
 		Field{Name: "grace", Help: "how long a planned stop may take", Default: "2.5s", Check: Span},
 	)
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -66,7 +66,8 @@
 // Sizes of a simulated mesh.
 type Sizes struct {
 	Cores, Carriers, Zones int
-	Backends               int // per service
+	Backends               int    // per service
+	Slots                  uint32 // how many requests each backend says that it runs at once; zero: it doesn't say
 }
 
 // Breakage turns a part of the mesh off, to show that the checkers see it.
@@ -97,6 +98,9 @@
 	manner   string
 	leaving  bool
 	quiet    postmark.Micros // how long it listens before it registers
+	reports  uint64
+	running  int // requests that it has, and the most that it ever had
+	most     int
 }
 
 // Desired is the simulated mesh's configuration; variant makes contents differ. Among the variants, some have submissions as
@@ -275,6 +279,11 @@
 			if one.leaving && !mesh.breakage.LeaveIgnored {
 				condition = hutch.Leaving
 			}
+			if mesh.sizes.Slots > 0 {
+				one.reports++
+				_, err := keeper.Tell(hutch.Report{Backend: hutch.Backend{Service: one.service, Instance: one.instance, Address: one.address}, Slots: mesh.sizes.Slots, Condition: condition, Sequence: one.reports})
+				return nil, err
+			}
 			if !registered {
 				return nil, keeper.Register(hutch.Backend{Service: one.service, Instance: one.instance, Address: one.address}, condition)
 			}
@@ -344,6 +353,9 @@
 		return nil, fault
 	}
 	// From here on the bytes are on their way.
+	found.running++
+	found.most = max(found.most, found.running)
+	defer func() { found.running-- }()
 	pause()
 	if courier.place.Now() >= order.Cutoff {
 		return nil, seal.New(seal.AnswerLate, seal.MayHaveRun, "late")
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -427,6 +427,65 @@
 	}
 }
 
+// TestSlots: backends that say how many requests they run at once never get more, also while claims take long, while some lose
+// answers, and while carriers stop as planned; and reads go on while claims can't be had.
+func TestSlots(t *testing.T) {
+	t.Parallel()
+	for name, course := range map[string]Course{
+		"core": {First: []fault{{"power off the core", func(mesh *Mesh) { mesh.down(mesh.allCore(), 1500*postmark.Millisecond, mesh.World.PowerLoss) }}}},
+		"mixed": {First: []fault{{"mixed backends", func(mesh *Mesh) {
+			for _, one := range mesh.live("") {
+				one.manner = "mixed"
+			}
+		}}}},
+		"leaving": {First: []fault{{"backends leave", func(mesh *Mesh) {
+			for _, service := range []string{"forms", "households"} {
+				one := mesh.live(service)[0]
+				mesh.leave(one)
+				mesh.startBackend(service, one.carrier, one.address+"0", 0)
+			}
+		}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mesh *Mesh
+			course.Name, course.Length, course.Rate, course.Every, course.Faults = "slots", 40*postmark.Second, 60, 8*postmark.Second, []fault{nothing}
+			course.Sizes = small
+			course.Sizes.Slots = 3
+			course.Prepare = func(built *Mesh) {
+				mesh = built
+				mesh.labour = 60 * postmark.Millisecond
+			}
+			result := Run(course, 1, Breakage{})
+			for _, finding := range result.Findings {
+				t.Error(finding)
+			}
+			forms, refused, overloaded, most := 0, 0, 0, 0
+			for _, attempt := range mesh.History.Attempts {
+				if attempt.Cause == int(seal.Overloaded) {
+					overloaded++
+				}
+				if attempt.Kind == "form" {
+					forms++
+					if attempt.Mesh {
+						refused++
+					}
+				}
+			}
+			for _, one := range mesh.backends {
+				most = max(most, one.most)
+			}
+			t.Logf("%d of %d served; %d refused for want of a slot; %d of %d reads refused; at most %d at a backend", result.Served, result.Sent, overloaded, refused, forms, most)
+			if most != 3 {
+				t.Errorf("%d requests at a backend of 3 slots", most)
+			}
+			if name == "core" && refused*50 > forms {
+				t.Errorf("%d of %d reads refused while claims couldn't be had", refused, forms)
+			}
+		})
+	}
+}
+
 // TestYoungSorter: sorters are killed one after another and come back with empty directories. A carrier that is told of
 // nobody by a sorter that has only just begun to be told must not forget the backends that it knows.
 func TestYoungSorter(t *testing.T) {
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -43,6 +43,8 @@
 	Detail     string
 	// Backend is true when the fault is the backend's, and so counts against its guard.
 	Backend bool
+	// Measured is true when RetryAfter is a wait that a gate measured, not the catalogue's.
+	Measured bool
 	// Local is true when the fault lies with this node's own network and says nothing of the backend.
 	Local bool
 }
