Serving on while out of touch, bounds that can be set, a store that other doors can use

Cause: carriers out of the core's reach refuse everything after their lease, and an apply waits up to 4.5 s for a dead one; neither suits an operator who wants the last known state served on. The bounds were constants. What an operators' door needs of the postmasters was part of the HTTP door.

What changed: - carrier.Env.ServeOn and postmaster.Bounds.ServeOn: a view is served by until the carrier's release; gates take passes of any serial, also for services their own view doesn't have. An apply is acknowledged once all carriers heard within the last lease have adopted, or Wait after its commit. Asking again doesn't wait again. - postmaster.Bounds: lease, slack, poll hold and wait, checked against each other at start; defaults as before. A poll's answer tells the hold, and the desk's patience goes by it. - door.Store: Apply tells ErrNotTaken from ErrUnknown, within its patience; Newest. The HTTP door goes through it. An ask for the leader no longer holds a store up: one took 3.2 s of a patience of 3 s.

Ruled out: acknowledging at once after a takeover. The new primary doesn't know yet who was in touch, so it waits, but never longer than Wait.

Ran: go vet ./..., go test -p 4 of internal/... without depot/scenario: all passed.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -37,7 +37,9 @@
 	Blind    bool // choose backends without looking at zones
 	Delivery gate.Delivery
 	// Read reads accepted desired states, franking.Accepted if left out.
-	Read     franking.Reader
+	Read franking.Reader
+	// ServeOn: this carrier serves on while out of touch, by the newest desired state it has heard of. The postmasters must know.
+	ServeOn  bool
 	Finished func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
 }
 
@@ -60,7 +62,7 @@
 // New makes a carrier.
 func New(env Env) *Carrier {
 	carrier := &Carrier{env: env, incarnation: env.Place.Random() | 1, vigil: vigil.New(env.Place)}
-	carrier.Desk = desk.New(desk.Env{Place: env.Place, Book: env.Book, Carrier: env.Name, Incarnation: carrier.incarnation, Vigil: carrier.vigil, Read: env.Read})
+	carrier.Desk = desk.New(desk.Env{Place: env.Place, Book: env.Book, Carrier: env.Name, Incarnation: carrier.incarnation, Vigil: carrier.vigil, Read: env.Read, ServeOn: env.ServeOn})
 	carrier.Roll = roll.New(env.Place, env.Book, carrier.session, carrier.vigil)
 	carrier.Hutch = hutch.New(env.Place, carrier.Roll.Soon)
 	carrier.Wicket = wicket.New(wicket.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Call: carrier.callPrimaryOnce})
@@ -68,7 +70,7 @@
 	carrier.Roll.Guards = func(records []*wire.GuardRecord, reached bool) { carrier.Wicket.Polled(records, reached) }
 	carrier.Rota = rota.New(rota.Env{Place: env.Place, Carrier: env.Name, Present: carrier.Hutch.Present, CallPrimary: carrier.Roll.CallPrimary})
 	carrier.Purse = purse.New(env.Place, carrier.Roll.Share)
-	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk,
+	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk, ServeOn: env.ServeOn,
 		Hutch: carrier.Hutch, Shelf: restante.New(env.Place), Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
 		Domain: env.Domain, Blind: env.Blind, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -24,11 +24,13 @@
 	Vigil       *vigil.Vigil
 	// Read reads accepted contents, franking.Accepted if left out.
 	Read franking.Reader
+	// ServeOn: a view is served by for as long as none newer is heard of, tenure or not.
+	ServeOn bool
 }
 
 // Desk follows the postmasters.
 // Invariants: the serial never falls; until counts from before the poll that gave the tenure; a view is only served
-// by before until.
+// by before until, unless ServeOn is set, and never once released.
 type Desk struct {
 	env   Env
 	place office.Office
@@ -40,6 +42,8 @@
 	adopted postmark.Micros
 	lapsed  bool
 	waiters []office.Signal
+	// hold is how long the postmasters hold a poll open, as they last told.
+	hold postmark.Micros
 	// released is set once it serves no more and takes no tenure.
 	released bool
 	// untenured lets it serve without a live tenure; only rehearsals of the checkers set it.
@@ -57,11 +61,11 @@
 	return &Desk{env: env, place: env.Place, book: env.Book}
 }
 
-// Current is the view to serve by; live tells whether the tenure still stands.
+// Current is the view to serve by; live tells whether it may be: the tenure still stands, or none is needed.
 func (desk *Desk) Current() (view *franking.View, live bool) {
 	desk.lock.Lock()
 	defer desk.lock.Unlock()
-	return desk.view, desk.view != nil && (desk.untenured || desk.place.Now() < desk.until && !desk.env.Vigil.Behind())
+	return desk.view, desk.view != nil && (desk.untenured || desk.env.ServeOn && !desk.released || desk.place.Now() < desk.until && !desk.env.Vigil.Behind())
 }
 
 // Serial is the adopted serial and how long ago it was adopted.
@@ -115,10 +119,13 @@
 		return false
 	}
 	serial, _ := desk.Serial()
+	desk.lock.Lock()
+	patience := max(desk.hold, postmark.Second) + 500*postmark.Millisecond
+	desk.lock.Unlock()
 	asked := desk.place.Now()
 	tell := &wire.DesiredPollTell{}
 	err := desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation,
-		Have: serial, First: first}, tell, 1500*postmark.Millisecond)
+		Have: serial, First: first}, tell, patience)
 	if err != nil {
 		desk.book.Ask()
 		return false
@@ -146,6 +153,7 @@
 		fresh = franking.Compile(state, tell.Serial, franking.Digest(tell.Content))
 	}
 	desk.lock.Lock()
+	desk.hold = postmark.Micros(tell.Hold)
 	if fresh != nil {
 		desk.view, desk.adopted = fresh, desk.place.Now()
 	}
@@ -180,7 +188,7 @@
 
 func (desk *Desk) noteLapse() {
 	desk.lock.Lock()
-	lapsed := desk.view != nil && desk.place.Now() >= desk.until && !desk.lapsed
+	lapsed := desk.view != nil && !desk.env.ServeOn && desk.place.Now() >= desk.until && !desk.lapsed
 	desk.lapsed = desk.lapsed || lapsed
 	desk.lock.Unlock()
 	if lapsed {
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -11,6 +11,7 @@
 	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
 	"snowflow/internal/carrier/restante"
+	"snowflow/internal/franking"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
@@ -58,6 +59,8 @@
 	Hutch       *hutch.Hutch
 	Shelf       *restante.Shelf
 	Delivery    Delivery
+	// ServeOn: passes are taken whatever desired state they were resolved by, and whether or not this carrier has a tenure.
+	ServeOn bool
 	// CallPrimary asks the primary sorter until patience ends.
 	CallPrimary func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
 	// CallCarrier asks another carrier by name.
@@ -114,13 +117,11 @@
 		}
 		return nil
 	},
+	func(gate *Gate, _ *wire.PassAsk) *seal.Fault { return gate.leased() },
 	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
-		if _, live := gate.env.Desk.Current(); !live {
-			return seal.New(seal.TenureEnded, seal.NotRun, "carrier %s has no tenure to serve", gate.env.Carrier)
+		if gate.env.ServeOn {
+			return nil
 		}
-		return nil
-	},
-	func(gate *Gate, ask *wire.PassAsk) *seal.Fault {
 		serial, age := gate.env.Desk.Serial()
 		if ask.Serial < serial && (ask.Serial+1 < serial || age > olderGrace) {
 			return seal.New(seal.SerialOlder, seal.NotRun, "resolved by serial %d, %d is in force", ask.Serial, serial)
@@ -132,6 +133,26 @@
 	},
 }
 
+// leased refuses without a tenure, where one is needed.
+func (gate *Gate) leased() *seal.Fault {
+	if _, live := gate.env.Desk.Current(); !live && !gate.env.ServeOn {
+		return seal.New(seal.TenureEnded, seal.NotRun, "carrier %s has no tenure to serve", gate.env.Carrier)
+	}
+	return nil
+}
+
+// service finds a pass's service in the view that counts from here on: it may have changed since the checks.
+func (gate *Gate) service(ask *wire.PassAsk) (*franking.Service, *seal.Fault) {
+	view, _ := gate.env.Desk.Current()
+	if view != nil && view.Services[ask.Service] != nil {
+		return view.Services[ask.Service], nil
+	}
+	if gate.env.ServeOn {
+		return franking.Unlisted(ask.Service), nil // whoever resolved it has another view
+	}
+	return nil, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial)
+}
+
 // telling are the events of faults that operators should hear of, beyond the caller's refusal.
 var telling = map[seal.Cause]int{seal.AnswerBroken: bulletin.AnswerBrokenSeen, seal.BackendIdentity: bulletin.IdentityMismatch}
 
@@ -165,11 +186,9 @@
 			return gate.refused(ask, fault)
 		}
 	}
-	// The view may have changed since the checks; from here on this one counts.
-	view, _ := gate.env.Desk.Current()
-	service := view.Services[ask.Service]
-	if service == nil {
-		return gate.refused(ask, seal.New(seal.SerialOlder, seal.NotRun, "service %s is not in serial %d", ask.Service, view.Serial))
+	service, fault := gate.service(ask)
+	if fault != nil {
+		return gate.refused(ask, fault)
 	}
 	// A claim may take long; no place is held meanwhile. Whom there is no place for now isn't claimed for.
 	limit, startBy := service.Limits.GetInFlightPerBackend(), cutoff
@@ -203,8 +222,8 @@
 		if gate.env.Place.Now() >= startBy {
 			return seal.New(seal.ClaimLate, seal.NotRun, "too late to start")
 		}
-		if _, live := gate.env.Desk.Current(); !live {
-			return seal.New(seal.TenureEnded, seal.NotRun, "carrier %s has no tenure to serve", gate.env.Carrier)
+		if fault := gate.leased(); fault != nil {
+			return fault
 		}
 		if fault := gate.env.Hutch.Still(backend.Instance, backend.Service); fault != nil {
 			return fault
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -67,6 +67,8 @@
 type Sizes struct {
 	Cores, Carriers, Zones int
 	Backends               int // per service
+	// Bounds are the postmasters'; carriers serve on where they say so.
+	Bounds postmaster.Bounds
 }
 
 // Breakage turns a part of the mesh off, to show that the checkers see it.
@@ -203,7 +205,7 @@
 			one.Start()
 			return table, nil
 		}
-		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust})
+		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Adjust: adjust, Bounds: mesh.sizes.Bounds})
 		if err != nil {
 			return nil, err
 		}
@@ -239,7 +241,7 @@
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
 		one := carrier.New(carrier.Env{Place: place, Book: book, Name: name, Domain: fmt.Sprintf("zone-%d", index%mesh.sizes.Zones+1),
-			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}})
+			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}, ServeOn: mesh.sizes.Bounds.ServeOn})
 		one.Gate.Unclaimed(mesh.breakage.NoClaims)
 		one.Desk.Untenured(mesh.breakage.NoTenure)
 		one.Rota.Stubborn(mesh.breakage.Stubborn)
@@ -396,8 +398,8 @@
 func (mesh *Mesh) lookup(order gate.Order, from *backend) {
 	mesh.number++
 	attempt := &inspector.Attempt{ID: fmt.Sprintf("lookup-%d", mesh.number), Kind: "lookup", Caller: from.carrier, Method: "GET", Path: fmt.Sprintf("/forms/%d", mesh.number), Sent: mesh.World.Now()}
-	if mesh.World.Chance().IntN(4) == 0 {
-		attempt.Kind, attempt.Method, attempt.Path, attempt.Key = "submission", order.Method, order.Target, letter.Header(order.Headers, letter.KeyHeader)
+	if key := letter.Header(order.Headers, letter.KeyHeader); mesh.World.Chance().IntN(4) == 0 && key != "" {
+		attempt.Kind, attempt.Method, attempt.Path, attempt.Key = "submission", order.Method, order.Target, key
 	}
 	mesh.Outside.Go(func() {
 		mesh.History.Send(attempt)
--- /dev/null
+++ b/internal/mailround/round/routes_test.go
@@ -0,0 +1,141 @@
+package round
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/inspector"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// routed is a desired state whose services have no paths, only routes.
+func routed(variant int) []byte {
+	return []byte(fmt.Sprintf(`{"note":"variant %d","groups":[{"name":"field",
+"guard":{"windowCalls":30,"minimumCalls":8,"failureRate":0.5,"waitOpenMicros":2000000,"permittedHalfOpen":4,"probeTenureMicros":4000000},
+"retry":{"mostTries":3,"budgetRatio":0.2,"allowance":10},"limits":{"cutoffMicros":4000000},
+"services":[{"name":"forms"},{"name":"households"}]}],
+"routes":[{"name":"forms","prefix":"/forms","class":"read","split":[{"service":"forms","weight":1}]},
+{"name":"households","method":"POST","prefix":"/households","class":"once","split":[{"service":"households","weight":1}]},
+{"name":"single","host":"a.example","method":"POST","prefix":"/single/","class":"single","cutoffMicros":1500000,"priority":2,"mostTries":4,
+"split":[{"service":"forms","weight":3},{"service":"households","weight":%d}]}]}`, variant, variant%2))
+}
+
+// TestRoutes: a mesh that goes by routes alone, among failures, with requests that may run at most once and have no key. None may
+// be executed twice, none that was told not run may have been, and none held longer than its route's cutoff.
+func TestRoutes(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2, 3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			var mesh *Mesh
+			singles := map[string]*inspector.Attempt{}
+			late, variant := 0, 0
+			losing := fault{"a backend loses its answers, another executes nothing", func(mesh *Mesh) {
+				for index, manner := range []string{"losing", "not_executed"} {
+					if live := mesh.live("forms"); index < len(live) {
+						live[index].manner = manner
+						mesh.later(2*postmark.Second, func() { live[index].manner = "" })
+					}
+				}
+			}}
+			frozen := map[string]postmark.Micros{} // until when, of each carrier that was: nobody can answer in time while frozen
+			freeze := fault{"freeze a carrier", func(mesh *Mesh) {
+				name, span := pick(mesh, mesh.carriers), mesh.span(300*postmark.Millisecond, 8*postmark.Second)
+				frozen[name] = max(frozen[name], mesh.World.Now()+span)
+				mesh.freeze(mesh.World.Node(name), span)
+			}}
+			change := fault{"apply the next variant", func(mesh *Mesh) {
+				variant++
+				content := routed(variant)
+				mesh.Outside.Go(func() { mesh.apply(content, true, 0, 20*postmark.Second) })
+			}}
+			send := func(number int) {
+				caller := pick(mesh, mesh.carriers)
+				attempt := &inspector.Attempt{ID: fmt.Sprintf("single-%d", number), Kind: "single", Caller: caller, Method: "POST", Path: fmt.Sprintf("/single/%d", number), Sent: mesh.World.Now()}
+				singles[attempt.ID] = attempt
+				mesh.History.Send(attempt)
+				content, err := mesh.Outside.Transact(mesh.World.Node(caller).Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
+					life, began := mesh.lives[caller], mesh.lives[caller].Now()
+					answer, fault := life.Passage.Carry(&letter.Request{ID: attempt.ID, Host: "A.example:8080", Method: "POST", Target: attempt.Path, ReadAt: life.Moment()})
+					if life.Now()-began > 1600*postmark.Millisecond && frozen[caller] < attempt.Sent {
+						late++
+					}
+					if fault != nil {
+						return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter})
+					}
+					return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body), Sum: sum(answer.Body)})
+				})
+				attempt.Ended = mesh.World.Now()
+				if err != nil {
+					attempt.Transport = "lost"
+					return
+				}
+				var reply told
+				_ = json.Unmarshal(content, &reply)
+				attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole, attempt.Sum = int(reply.Status), reply.Serial, reply.Echo, reply.Whole, reply.Sum
+				attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry > 0
+			}
+			result := Run(Course{Name: "routes", Sizes: small, Length: 60 * postmark.Second, Rate: 20, Every: 2 * postmark.Second, Content: routed,
+				Rules: []int{1, 2, 3, 5, 8}, First: []fault{change, losing, manners, killCarrier},
+				Faults: []fault{change, change, manners, killCarrier, freeze, cutCarriers, replaceBackend, killLeader, serviceFails},
+				Prepare: func(built *Mesh) {
+					mesh = built
+					for _, service := range []string{"forms", "households"} {
+						mesh.History.Allow("single", service, 0)
+					}
+					mesh.Outside.Go(func() {
+						for number := 0; mesh.serving || number == 0; number++ {
+							mesh.Outside.Sleep(postmark.Micros(mesh.World.Chance().Uint64N(uint64(60 * postmark.Millisecond))))
+							mesh.Outside.Go(func() { send(number) })
+						}
+					})
+				}}, seed, Breakage{})
+			for _, finding := range result.Findings {
+				t.Error(finding)
+			}
+			executed, again, services := map[string]int{}, 0, map[string]int{}
+			for _, run := range mesh.History.Runs {
+				attempt := singles[run.Attempt]
+				if attempt == nil {
+					continue
+				}
+				services[run.Service]++
+				if run.Executed {
+					executed[run.Attempt]++
+				}
+				if run.Try > 1 {
+					again++
+				}
+			}
+			counts := map[string]int{}
+			for id, attempt := range singles {
+				if executed[id] > 1 {
+					t.Errorf("%s was executed %d times", id, executed[id])
+				}
+				if attempt.Mesh && attempt.NotRun && executed[id] > 0 {
+					t.Errorf("%s was told not run by cause %d, and was executed", id, attempt.Cause)
+				}
+				switch {
+				case attempt.Transport != "":
+					counts["carrier lost"]++
+				case !attempt.Mesh:
+					counts["answered"]++
+				case attempt.NotRun:
+					counts["not run"]++
+				default:
+					counts["may have run"]++
+				}
+				if attempt.Cause == int(seal.NoKey) || attempt.Cause == int(seal.UnknownPath) {
+					t.Errorf("%s was refused with cause %d", id, attempt.Cause)
+				}
+			}
+			t.Logf("%d singles: %v; runs by service %v, %d of them at a further try", len(singles), counts, services, again)
+			if counts["answered"] < 500 || counts["may have run"] == 0 || again == 0 || services["forms"] == 0 || services["households"] == 0 || late > 0 {
+				t.Errorf("%v, %d further tries, services %v, %d late", counts, again, services, late)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/mailround/round/serve_on_test.go
@@ -0,0 +1,219 @@
+package round
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/franking"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster"
+	"snowflow/internal/postmaster/door"
+	"snowflow/internal/postmaster/ledger"
+)
+
+var servingOn = postmaster.Bounds{ServeOn: true, PollHold: 2 * postmark.Second}
+
+// started makes a small mesh that has adopted a first desired state, under version 10.
+func started(t *testing.T, bounds postmaster.Bounds) *Mesh {
+	t.Helper()
+	sizes := small
+	sizes.Bounds = bounds
+	mesh := Build(3, sizes, Breakage{})
+	t.Cleanup(mesh.World.Close)
+	mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
+	if tell, err, _ := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != ledger.Accepted || tell.Serial != 10 {
+		t.Fatalf("%v %v", tell, err)
+	}
+	mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
+	return mesh
+}
+
+// raise applies a state under a version through a door's store, and tells how long that took.
+func (mesh *Mesh) raise(version uint64, patience postmark.Micros) (tell *wire.DesiredApplyTell, err error, took postmark.Micros) {
+	began, done := mesh.World.Now(), false
+	mesh.Outside.Go(func() {
+		tell, err = door.NewStore(mesh.Outside, mesh.book).Apply(patience, &wire.DesiredApplyAsk{Content: Desired(int(version)), Version: version})
+		took, done = mesh.World.Now()-began, true
+	})
+	for limit := began + patience + postmark.Minute; !done && mesh.World.Now() < limit; {
+		mesh.World.Run(mesh.World.Now() + 10*postmark.Millisecond)
+	}
+	if !done {
+		err = errors.New("it took no end")
+	}
+	return tell, err, took
+}
+
+// TestServeOnAcknowledgement: where carriers serve on, a dead one delays an apply by about Wait, not by its lease, and only until
+// its lease has ended; one that comes again isn't delayed at all.
+func TestServeOnAcknowledgement(t *testing.T) {
+	t.Parallel()
+	mesh := started(t, servingOn)
+	wait := postmaster.Defaults.Wait
+	raise := func(what string, version, serial uint64, least, most postmark.Micros, everywhere bool) {
+		t.Helper()
+		tell, err, took := mesh.raise(version, 10*postmark.Second)
+		t.Logf("%s: acknowledged after %d microseconds", what, took)
+		if err != nil || tell.Outcome != ledger.Accepted || tell.Serial != serial || tell.Spread != everywhere || took < least || took > most {
+			t.Errorf("%s: %v, %v after %d microseconds", what, tell, err, took)
+		}
+	}
+	raise("all there", 20, 20, 0, wait/4, true)
+	raise("an older one", 15, 20, 0, wait/4, true)
+	mesh.World.Kill(mesh.World.Node(mesh.carriers[2]))
+	raise("one just dead", 30, 30, wait, wait+wait/4, false)
+	raise("the same again", 30, 30, 0, wait/4, false)
+	raise("an older one again", 25, 30, 0, wait/4, false)
+	raise("one dead, the next", 31, 31, wait, wait+wait/4, false)
+	mesh.World.Run(mesh.World.Now() + postmaster.Tenure)
+	raise("one long dead", 40, 40, 0, wait/4, true)
+	mesh.World.Kill(mesh.leader("postmaster"))
+	raise("the primary just dead", 50, 50, 0, 8*postmark.Second, false)
+	raise("a new primary", 51, 51, 0, wait+wait/4, false)
+	mesh.World.Run(mesh.World.Now() + postmaster.Tenure)
+	raise("a primary of some time", 60, 60, 0, wait/4, true)
+}
+
+// TestLeasedAcknowledgement: where they don't, the lease is waited for, also by an older version, and a door's store that has no
+// time for that says that it doesn't know.
+func TestLeasedAcknowledgement(t *testing.T) {
+	t.Parallel()
+	mesh := started(t, postmaster.Bounds{Lease: 5 * postmark.Second, Slack: postmark.Second})
+	mesh.World.Kill(mesh.World.Node(mesh.carriers[2]))
+	if tell, err, took := mesh.raise(20, 2*postmark.Second); !errors.Is(err, door.ErrUnknown) || took > 2100*postmark.Millisecond {
+		t.Errorf("%v, %v after %d microseconds", tell, err, took)
+	}
+	tell, err, took := mesh.raise(15, 10*postmark.Second)
+	t.Logf("acknowledged after %d microseconds more", took)
+	if err != nil || tell.Serial != 20 || !tell.Spread || took < postmark.Second || took > 2500*postmark.Millisecond {
+		t.Errorf("%v, %v after %d microseconds", tell, err, took)
+	}
+}
+
+// TestStoreTellsApartNotTakenAndUnknown: without a primary within reach nothing is sent, and that is certain.
+func TestStoreTellsApartNotTakenAndUnknown(t *testing.T) {
+	t.Parallel()
+	mesh := started(t, servingOn)
+	read := func(patience postmark.Micros) (kept *wire.DesiredKept, err error) {
+		done := false
+		mesh.Outside.Go(func() {
+			kept, err = door.NewStore(mesh.Outside, mesh.book).Newest(patience)
+			done = true
+		})
+		began := mesh.World.Now()
+		for !done && mesh.World.Now() < began+patience+postmark.Second {
+			mesh.World.Run(mesh.World.Now() + 10*postmark.Millisecond)
+		}
+		if !done {
+			t.Errorf("a read took more than its patience")
+		}
+		return kept, err
+	}
+	if kept, err := read(2 * postmark.Second); err != nil || kept.Serial != 10 {
+		t.Errorf("%v %v", kept, err)
+	}
+	for _, core := range mesh.cores {
+		mesh.World.Cut("outside", core)
+	}
+	if tell, err, took := mesh.raise(20, 3*postmark.Second); !errors.Is(err, door.ErrNotTaken) || took > 3100*postmark.Millisecond {
+		t.Errorf("cut off: %v, %v after %d microseconds", tell, err, took)
+	}
+	if _, err := read(2 * postmark.Second); err == nil {
+		t.Error("read while cut off")
+	}
+	for _, core := range mesh.cores {
+		mesh.World.Uncut("outside", core)
+	}
+	if kept, err := read(2 * postmark.Second); err != nil || kept.Serial != 10 {
+		t.Errorf("%v %v", kept, err)
+	}
+	// A content with faults is refused under any version.
+	done := false
+	mesh.Outside.Go(func() {
+		tell, err := door.NewStore(mesh.Outside, mesh.book).Apply(2*postmark.Second, &wire.DesiredApplyAsk{Content: []byte(`{"groups":[]}`), Version: 3})
+		if err != nil || tell.Outcome != ledger.Invalid || len(tell.Faults) != 1 {
+			t.Errorf("%v %v", tell, err)
+		}
+		done = true
+	})
+	mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
+	if !done {
+		t.Error("no answer to an invalid content")
+	}
+}
+
+// carry has a carrier carry a request without a key.
+func (mesh *Mesh) carry(caller string, request *letter.Request) (answer *letter.Answer, fault error) {
+	done := false
+	mesh.Outside.Go(func() {
+		_, err := mesh.Outside.Transact(mesh.World.Node(caller).Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
+			request.ReadAt = mesh.lives[caller].Moment()
+			given, refused := mesh.lives[caller].Passage.Carry(request)
+			if refused != nil {
+				return nil, refused
+			}
+			answer = given
+			return nil, nil
+		})
+		fault, done = err, true
+	})
+	for !done {
+		mesh.World.Run(mesh.World.Now() + postmark.Millisecond)
+	}
+	return answer, fault
+}
+
+// TestServeOnOutOfTouch: a carrier that is cut off from the core serves on past its lease, by the state it has, and passes go both
+// ways between it and those that have a newer one, also for a service that the other side doesn't know. Otherwise it refuses.
+func TestServeOnOutOfTouch(t *testing.T) {
+	for name, bounds := range map[string]postmaster.Bounds{"serving on": servingOn, "by leases": {}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			mesh := started(t, bounds)
+			cut := mesh.carriers[0]
+			for _, core := range mesh.cores {
+				mesh.cutFor(cut, core, true, 20*postmark.Second)
+			}
+			mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
+			if _, err, _ := mesh.raise(20, 10*postmark.Second); err != nil {
+				t.Fatal(err)
+			}
+			if serial, _ := mesh.lives[cut].Desk.Serial(); serial != 10 {
+				t.Fatalf("%s has serial %d", cut, serial)
+			}
+			served := map[string]int{}
+			for number := range 20 {
+				for _, caller := range []string{cut, mesh.carriers[1]} {
+					answer, err := mesh.carry(caller, &letter.Request{ID: fmt.Sprintf("form-%s-%d", caller, number), Method: "GET", Target: fmt.Sprintf("/forms/%d", number)})
+					if err == nil && answer.Status == 200 {
+						served[caller]++
+					}
+				}
+			}
+			t.Logf("served %v", served)
+			wanted := map[bool]int{true: 20, false: 0}[bounds.ServeOn]
+			if served[cut] != wanted || served[mesh.carriers[1]] != 20 {
+				t.Errorf("served %v", served)
+			}
+			mesh.World.Run(mesh.World.Now() + 20*postmark.Second)
+			if serial, _ := mesh.lives[cut].Desk.Serial(); serial != 20 {
+				t.Errorf("%s has serial %d after its return", cut, serial)
+			}
+			if _, live := mesh.lives[cut].Desk.Current(); !live {
+				t.Error("no live view after its return")
+			}
+		})
+	}
+}
+
+// TestUnlistedServices: where carriers serve on, a pass for a service that this side's view doesn't have is judged by the default.
+func TestUnlistedServices(t *testing.T) {
+	service := franking.Unlisted("gone")
+	if service.Name != "gone" || service.Limits.GetInFlightPerBackend() != 64 || service.Limits.GetCutoffMicros() != int64(5*postmark.Second) {
+		t.Errorf("%+v", service)
+	}
+}
--- a/internal/postmaster/door/door.go
+++ b/internal/postmaster/door/door.go
@@ -3,15 +3,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
-	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/franking"
 	"snowflow/internal/gazetteer"
@@ -20,7 +19,6 @@
 	"snowflow/internal/postmark"
 	"snowflow/internal/postmaster"
 	"snowflow/internal/postmaster/ledger"
-	"snowflow/internal/seal"
 )
 
 // Names of the headers and query words that operators use.
@@ -30,6 +28,7 @@
 )
 
 type door struct {
+	store *forwarding
 	place office.Office
 	book  *gazetteer.Book
 }
@@ -62,7 +61,7 @@
 
 // New makes the handler.
 func New(place office.Office, book *gazetteer.Book, metrics http.Handler, status func() any) http.Handler {
-	door := &door{place: place, book: book}
+	door := &door{store: &forwarding{place: place, book: book}, place: place, book: book}
 	router := chi.NewRouter()
 	router.Put("/desired-state", door.apply)
 	router.Post("/desired-state/check", door.check)
@@ -92,44 +91,11 @@
 	return router
 }
 
-// primary asks the primary postmaster, again after a failover. Only asks that may be repeated go this way.
-func (door *door) primary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
-	cutoff := door.place.Now() + patience
-	var err error = seal.Unreachable.New("no primary postmaster is known")
-	for door.place.Now() < cutoff {
-		if leader := door.book.Leader(postmaster.Group); leader != "" {
-			if err = door.book.Call(leader, kind, ask, tell, cutoff-door.place.Now()); err == nil {
-				return nil
-			}
-		}
-		door.book.Ask()
-		door.place.Sleep(100 * postmark.Millisecond)
-	}
-	return err
-}
-
 // Unreached is the outcome of an apply that wasn't passed on, since this door finds no primary.
 const Unreached = "unreached"
 
-// reachPatience is how long a door looks for a primary before it turns an apply down: time for a failover.
-const reachPatience = 4 * postmark.Second
-
-// reaches tells whether a process that answers as primary does so to this one. The state it's asked for isn't there: only
-// whether it would look counts.
-func (door *door) reaches(patience postmark.Micros) bool {
-	cutoff := door.place.Now() + patience
-	for {
-		leader := door.book.Leader(postmaster.Group)
-		if leader != "" && door.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: math.MaxUint64}, &wire.DesiredReadTell{}, 500*postmark.Millisecond) == nil {
-			return true
-		}
-		if door.place.Now() >= cutoff {
-			return false
-		}
-		door.book.Ask()
-		door.place.Sleep(100 * postmark.Millisecond)
-	}
-}
+// applyPatience is how long an apply may take: reaching the primary, and being in force everywhere.
+const applyPatience = 24 * postmark.Second
 
 var statuses = map[string]int{ledger.Accepted: http.StatusOK, ledger.Conflict: http.StatusPreconditionFailed, ledger.Invalid: http.StatusBadRequest}
 
@@ -159,16 +125,13 @@
 	if invalid(writer, content, ask.Request) {
 		return
 	}
-	if !door.reaches(reachPatience) {
-		// Nothing was sent, so this much is certain.
-		write(writer, http.StatusServiceUnavailable, Applied{Outcome: Unreached, Request: ask.Request,
-			Faults: []string{"not taken: no primary postmaster is within this one's reach; ask another"}})
+	tell, err := door.store.Apply(applyPatience, ask)
+	if errors.Is(err, ErrNotTaken) {
+		write(writer, http.StatusServiceUnavailable, Applied{Outcome: Unreached, Request: ask.Request, Faults: []string{err.Error()}})
 		return
 	}
-	tell := &wire.DesiredApplyTell{}
-	if err := door.primary(wire.Kind_desired_apply, ask, tell, 20*postmark.Second); err != nil {
-		write(writer, http.StatusServiceUnavailable, Applied{Outcome: "unknown", Request: ask.Request,
-			Faults: []string{"whether it was accepted is not known; apply it again with the same request id: " + err.Error()}})
+	if err != nil {
+		write(writer, http.StatusServiceUnavailable, Applied{Outcome: "unknown", Request: ask.Request, Faults: []string{err.Error()}})
 		return
 	}
 	write(writer, statuses[tell.Outcome], Applied{Outcome: tell.Outcome, Serial: tell.Serial, Digest: tell.Digest, Request: ask.Request, Faults: tell.Faults})
@@ -201,7 +164,7 @@
 
 func (door *door) read(writer http.ResponseWriter, serial uint64) {
 	tell := &wire.DesiredReadTell{}
-	if err := door.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: serial}, tell, 5*postmark.Second); err != nil {
+	if err := door.store.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: serial}, tell, 5*postmark.Second); err != nil {
 		write(writer, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
 		return
 	}
@@ -215,7 +178,7 @@
 
 func (door *door) history(writer http.ResponseWriter, _ *http.Request) {
 	tell := &wire.DesiredReadTell{}
-	if err := door.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 5*postmark.Second); err != nil {
+	if err := door.store.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 5*postmark.Second); err != nil {
 		write(writer, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
 		return
 	}
--- /dev/null
+++ b/internal/postmaster/door/store.go
@@ -0,0 +1,126 @@
+package door
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster"
+	"snowflow/internal/seal"
+)
+
+var (
+	// ErrNotTaken: no postmaster has taken the content, and none will.
+	ErrNotTaken = errors.New("not taken: no primary postmaster is within this one's reach; ask another")
+	// ErrUnknown: the content may have been taken, or may still be. Applying it again, unchanged, is harmless.
+	ErrUnknown = errors.New("whether it was accepted is not known; apply it again with the same request id")
+)
+
+// Store is the postmasters as a door for operators sees them, whatever dialect the door speaks.
+type Store interface {
+	// Apply gives the primary's answer, or ErrNotTaken or ErrUnknown, within patience. A content that names its version, or has
+	// a request id, is taken once however often it's sent; one that has neither is given an id for this call.
+	Apply(patience postmark.Micros, ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error)
+	// Newest gives the newest state, nothing before the first, within patience.
+	Newest(patience postmark.Micros) (*wire.DesiredKept, error)
+}
+
+// forwarding is a store that any postmaster's process has: it passes everything on to the primary.
+type forwarding struct {
+	place office.Office
+	book  *gazetteer.Book
+}
+
+// NewStore makes a store that passes everything on to the primary.
+func NewStore(place office.Office, book *gazetteer.Book) Store {
+	return &forwarding{place: place, book: book}
+}
+
+// pause passes the time until it makes sense to ask again. Meanwhile somebody is asked who leads; a silent one isn't waited for.
+func (store *forwarding) pause(cutoff postmark.Micros) {
+	store.place.Go(store.book.Ask)
+	store.place.Sleep(max(0, min(100*postmark.Millisecond, cutoff-store.place.Now())))
+}
+
+// primary asks the primary postmaster, again after a failover. Only asks that may be repeated go this way.
+func (store *forwarding) primary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	cutoff := store.place.Now() + patience
+	var err error = seal.Unreachable.New("no primary postmaster is known")
+	for store.place.Now() < cutoff {
+		if leader := store.book.Leader(postmaster.Group); leader != "" {
+			if err = store.book.Call(leader, kind, ask, tell, cutoff-store.place.Now()); err == nil {
+				return nil
+			}
+		}
+		store.pause(cutoff)
+	}
+	return err
+}
+
+// reachPatience is how long a door looks for a primary before it turns an apply down: time for a failover.
+const reachPatience = 4 * postmark.Second
+
+// reaches tells whether a process that answers as primary does so to this one. The state it's asked for isn't there: only
+// whether it would look counts.
+func (store *forwarding) reaches(patience postmark.Micros) bool {
+	cutoff := store.place.Now() + patience
+	for {
+		leader := store.book.Leader(postmaster.Group)
+		limit := max(postmark.Millisecond, min(500*postmark.Millisecond, cutoff-store.place.Now()))
+		if leader != "" && store.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: math.MaxUint64}, &wire.DesiredReadTell{}, limit) == nil {
+			return true
+		}
+		if store.place.Now() >= cutoff {
+			return false
+		}
+		store.pause(cutoff)
+	}
+}
+
+func (store *forwarding) Apply(patience postmark.Micros, ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
+	place := store.place
+	cutoff := place.Now() + patience
+	if ask.Version == 0 && ask.Request == "" {
+		ask = proto.CloneOf(ask)
+		ask.Request = fmt.Sprintf("%016x%016x", place.Random(), place.Random())
+	}
+	// Until a primary was reached nothing is sent, so this much is certain.
+	if !store.reaches(min(reachPatience, patience)) {
+		return nil, ErrNotTaken
+	}
+	sent := false
+	var err error = seal.Unreachable.New("no time was left")
+	for place.Now() < cutoff {
+		if leader := store.book.Leader(postmaster.Group); leader != "" {
+			tell := &wire.DesiredApplyTell{}
+			// A primary that falls silent is left time for another to take over.
+			remaining := cutoff - place.Now()
+			if err = store.book.Call(leader, wire.Kind_desired_apply, ask, tell, max(remaining/2, min(remaining, postmark.Second))); err == nil {
+				return tell, nil
+			}
+			sent = sent || !seal.IsUnreachable(err)
+		}
+		store.pause(cutoff)
+	}
+	if !sent {
+		return nil, fmt.Errorf("%w: %v", ErrNotTaken, err)
+	}
+	return nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+}
+
+func (store *forwarding) Newest(patience postmark.Micros) (*wire.DesiredKept, error) {
+	tell := &wire.DesiredReadTell{}
+	if err := store.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{}, tell, patience); err != nil {
+		return nil, err
+	}
+	if !tell.Found {
+		return nil, nil
+	}
+	return tell.States[0], nil
+}
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -33,8 +33,6 @@
 	// Slack is what may be left of an unheard carrier's tenure when a desired state is acknowledged: less than the
 	// 2 s that are promised.
 	Slack = 1500 * postmark.Millisecond
-	// pollHold is how long a poll is held open for news.
-	pollHold = postmark.Second
 )
 
 // Env is what a postmaster is made of.
@@ -44,6 +42,7 @@
 	Name   string
 	Voters []string
 	Adjust func(*countersign.Env)
+	Bounds Bounds
 	// Read reads contents as they are applied and stored, franking.Parse if left out.
 	Read franking.Reader
 	// History is how many accepted states are kept at most, all for zero. It must be the same at every postmaster.
@@ -66,6 +65,9 @@
 	// ackFrom is the moment from which no tenure that an earlier primary gave has more than Slack left.
 	ackFrom postmark.Micros
 	epoch   uint64
+	// committedAt is when this process first knew that committed, the highest such serial, was accepted.
+	committed   uint64
+	committedAt postmark.Micros
 	// handed is what the primary of handedEpoch knew of tenures when it handed over, after it had given its last one.
 	handed      map[string]*holder
 	handedEpoch uint64
@@ -85,6 +87,10 @@
 	if env.Read == nil {
 		env.Read = franking.Parse
 	}
+	env.Bounds = env.Bounds.filled()
+	if err := env.Bounds.check(); err != nil {
+		return nil, err
+	}
 	master := &Postmaster{env: env, ledger: ledger.New(env.History), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
 	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters,
 		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
@@ -111,7 +117,7 @@
 	if master.handed != nil && epoch == master.handedEpoch+2 {
 		master.holders = master.handed
 	} else if master.epoch == 0 || epoch != master.epoch+1 {
-		master.ackFrom = master.env.Place.Now() + Tenure - Slack
+		master.ackFrom = master.env.Place.Now() + master.env.Bounds.Lease - master.env.Bounds.Slack
 	}
 	master.epoch, master.handed = epoch, nil
 	master.env.Place.Go(func() {
@@ -124,7 +130,7 @@
 func (master *Postmaster) doubt() {
 	master.lock.Lock()
 	defer master.lock.Unlock()
-	master.ackFrom = max(master.ackFrom, master.env.Place.Now()+Tenure-Slack)
+	master.ackFrom = max(master.ackFrom, master.env.Place.Now()+master.env.Bounds.Lease-master.env.Bounds.Slack)
 }
 
 // handing tells the next primary who holds tenures, and for how much longer.
@@ -191,10 +197,10 @@
 		return master.release(ask), nil
 	}
 	master.adopted(ask)
-	cutoff := place.Now() + pollHold
+	cutoff := place.Now() + master.env.Bounds.PollHold
 	for {
 		news := master.news.join()
-		tell := &wire.DesiredPollTell{Primaries: master.env.Book.Primaries(), Tenure: int64(Tenure)}
+		tell := &wire.DesiredPollTell{Primaries: master.env.Book.Primaries(), Tenure: int64(master.env.Bounds.Lease), Hold: int64(master.env.Bounds.PollHold)}
 		tell.Primary = master.Member.Read(func(epoch uint64, _ postmark.Micros) {
 			tell.Epoch, tell.Serial = epoch, master.ledger.Serial()
 			if newest := master.ledger.Newest(); newest != nil && newest.Serial != ask.Have {
@@ -241,7 +247,7 @@
 	if present.released {
 		return // an earlier poll of the same life, held until now
 	}
-	present.adopted, present.until = max(present.adopted, ask.Have), master.env.Place.Now()+Tenure
+	present.adopted, present.until = max(present.adopted, ask.Have), master.env.Place.Now()+master.env.Bounds.Lease
 }
 
 // release ends a tenure whose carrier serves no more: nobody needs to wait for its end.
@@ -255,11 +261,12 @@
 	return &wire.DesiredPollTell{}
 }
 
-// behind names the carriers that may still serve by an older serial for longer than Slack.
+// behind names the carriers that may still serve by an older serial for longer than Slack. Where carriers serve on, these are
+// those heard within the last Lease that haven't adopted.
 func (master *Postmaster) behind(serial uint64) (names []string, wait postmark.Micros) {
 	master.lock.Lock()
 	defer master.lock.Unlock()
-	now := master.env.Place.Now()
+	now, slack := master.env.Place.Now(), master.env.Bounds.slack()
 	if !master.Member.Vigil.Steady() {
 		return []string{"(the clock may have leapt)"}, 100 * postmark.Millisecond
 	}
@@ -268,9 +275,9 @@
 			delete(master.holders, key)
 			continue
 		}
-		if !present.released && present.adopted < serial && present.until-now > Slack {
+		if !present.released && present.adopted < serial && present.until-now > slack {
 			names = append(names, present.name)
-			wait = max(wait, present.until-now-Slack)
+			wait = max(wait, present.until-now-slack)
 		}
 	}
 	if master.ackFrom > now {
@@ -313,25 +320,37 @@
 	return master.inForce(tell)
 }
 
-// inForce acknowledges an accepted state once it's in force everywhere.
+// inForce acknowledges an accepted state once it's in force everywhere, or, where carriers serve on, once that was waited for.
 func (master *Postmaster) inForce(tell *wire.DesiredApplyTell) (*wire.DesiredApplyTell, error) {
-	if !master.spread(tell.Serial) {
+	tell.Spread = master.spread(tell.Serial)
+	if !tell.Spread && !master.env.Bounds.ServeOn {
 		return nil, ErrUnacknowledged
 	}
-	tell.Spread = true
 	return tell, nil
 }
 
-// spreadPatience is how long an apply waits to be in force everywhere before it's left unacknowledged.
-const spreadPatience = 15 * postmark.Second
+// waitFrom is the moment from which an apply of a serial waits to be in force everywhere. Where carriers serve on, that is the
+// commit of the newest, as far as this process knows, so that asking again doesn't wait again.
+func (master *Postmaster) waitFrom(serial uint64) postmark.Micros {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	now := master.env.Place.Now()
+	if serial > master.committed {
+		master.committed, master.committedAt = serial, now
+	}
+	if master.env.Bounds.ServeOn {
+		return master.committedAt
+	}
+	return now
+}
 
 // spread waits until a serial is in force at every carrier that may serve. While this process isn't answering it
 // can't tell; when it answers again, settled has put ackFrom behind any tenure that another primary gave meanwhile.
 func (master *Postmaster) spread(serial uint64) bool {
 	place := master.env.Place
-	started := place.Now()
+	started, cutoff := place.Now(), master.waitFrom(serial)+master.env.Bounds.patience()
 	master.news.wake()
-	for place.Now()-started < spreadPatience {
+	for {
 		wait := 100 * postmark.Millisecond
 		word := master.words.join()
 		if master.Member.Answering() {
@@ -343,10 +362,15 @@
 			}
 			wait = min(max(behind, postmark.Millisecond), 250*postmark.Millisecond)
 		}
-		word.Wait(wait)
+		remaining := cutoff - place.Now()
+		if remaining > 0 {
+			word.Wait(min(wait, remaining))
+		}
 		master.words.leave(word)
+		if remaining <= 0 {
+			return false
+		}
 	}
-	return false
 }
 
 // ReadBack gives one accepted state, the newest for serial zero, or the list of all without their contents.
