Core: who votes is read from the disk at a start; serving on joined to the platform

Cause: after a start of the whole core a process without configured voters asked nobody, because the register's value was learned only when it was written anew.

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -220,6 +220,13 @@
 	return roll.place.Now()-roll.polled < 3*postmark.Second
 }
 
+// Known tells whether a sorter has ever shown this carrier who is there.
+func (roll *Roll) Known() bool {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	return roll.source != 0
+}
+
 // Share is this carrier's part of an allowance for the whole mesh: nothing before it was told how many share it, nor
 // while an earlier life's part may still count.
 func (roll *Roll) Share(allowance uint32) float64 {
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -65,6 +65,9 @@
 	if record.Name != "" && record.Name != member.env.Name {
 		return seal.Invalid.New("data folder belongs to %s, not to %s", record.Name, member.env.Name)
 	}
+	// Who votes may stand nowhere but here: after a start of the whole core nobody else could tell.
+	member.learn(record.Accepted, record.Value)
+	member.sawBallot(record.Promised)
 	member.voter.votesFrom = place.Now() + member.env.Tenure
 	if record.Incarnation == 0 {
 		record.Name, record.Incarnation = member.env.Name, place.Random()|1
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -40,6 +40,8 @@
 }
 
 var small = Sizes{Cores: 3, Carriers: 4, Zones: 2, Backends: 3}
+// found is a small core whose processes know their voters at the first start only.
+var found = Sizes{Cores: 3, Carriers: 4, Zones: 2, Backends: 3, Found: true}
 var four = Sizes{Cores: 4, Carriers: 4, Zones: 4, Backends: 3}
 
 func pick[Item any](mesh *Mesh, items []Item) Item {
@@ -551,7 +553,7 @@
 	add(Course{Name: "written", Short: "a sorter's machine, its disk, or the whole core's power lost right after it acknowledged a claim, a void, a probe or a guard's write", Sizes: small,
 		Length: 70 * postmark.Second, Rate: 40, Every: 12 * postmark.Second, Rules: []int{1, 2, 3, 10, 12}, Prepare: loseAfterWrites,
 		First: []fault{serviceFails}, Faults: []fault{serviceFails, manners}})
-	add(Course{Name: "closing", Short: "power lost everywhere, more than once", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 8 * postmark.Second,
+	add(Course{Name: "closing", Short: "power lost everywhere, more than once; who votes stands on the disks alone", Sizes: found, Length: 40 * postmark.Second, Rate: 25, Every: 8 * postmark.Second,
 		Rules: []int{1, 3, 7, 12}, First: []fault{applyOne},
 		Faults: []fault{killEverything, killEverything, applyOne, moveCore}})
 	add(Course{Name: "combined", Short: "power lost everywhere while one core machine loses its disk, moves, or comes back with a slow or damaged one", Sizes: small, Length: 40 * postmark.Second, Rate: 30, Every: 9 * postmark.Second,
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -48,6 +48,7 @@
 	serving     bool
 	latest      uint64
 	onlyPlanned bool              // carriers are only ended by planned stops in this run
+	started     map[string]bool   // core processes that have been up
 	stopping    map[string]bool   // carriers in a planned stop
 	shut        map[string]bool   // carriers whose callers' door is closed
 	sync        postmark.Micros   // the core disks' ordinary time for a sync
@@ -68,6 +69,10 @@
 	Cores, Carriers, Zones int
 	Backends               int    // per service
 	Slots                  uint32 // how many requests each backend says that it runs at once; zero: it doesn't say
+	// Bounds are the postmasters'; carriers serve on where they say so.
+	Bounds postmaster.Bounds
+	// Found has the core know its voters at its first start only, as where nobody configures them.
+	Found bool
 }
 
 // Breakage turns a part of the mesh off, to show that the checkers see it.
@@ -128,7 +133,7 @@
 // Build makes a mesh and starts its nodes.
 func Build(seed uint64, sizes Sizes, breakage Breakage) *Mesh {
 	mesh := &Mesh{World: world.New(seed), History: &inspector.History{Allowance: 10 + 2}, sizes: sizes, lives: map[string]*carrier.Carrier{}, begun: map[string]postmark.Micros{}, troubled: map[string]string{},
-		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, stopping: map[string]bool{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
+		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, started: map[string]bool{}, stopping: map[string]bool{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
 	mesh.World.Trace = func(at postmark.Micros, node string, number int, fields map[string]any) {
 		if number == 601 {
 			return
@@ -183,7 +188,11 @@
 	node := mesh.World.Add(name, address, machine, func(place *world.Place) (office.Table, error) {
 		book := gazetteer.New(place, &wire.PeerAddress{Name: name, Address: place.Node().Address, Group: group}, seeds)
 		book.Remember(place.Disk())
-		table := office.Table{}
+		table, voters := office.Table{}, voters
+		if mesh.sizes.Found && mesh.started[name] {
+			voters = nil
+		}
+		mesh.started[name] = true
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
 		adjust := func(env *countersign.Env) {
@@ -207,7 +216,7 @@
 			one.Start()
 			return table, nil
 		}
-		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust})
+		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust, Bounds: mesh.sizes.Bounds})
 		if err != nil {
 			return nil, err
 		}
@@ -243,7 +252,7 @@
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
 		one := carrier.New(carrier.Env{Place: place, Book: book, Name: name, Domain: fmt.Sprintf("zone-%d", index%mesh.sizes.Zones+1),
-			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}})
+			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}, ServeOn: mesh.sizes.Bounds.ServeOn})
 		one.Gate.Unclaimed(mesh.breakage.NoClaims)
 		one.Desk.Untenured(mesh.breakage.NoTenure)
 		one.Rota.Stubborn(mesh.breakage.Stubborn)
@@ -409,8 +418,8 @@
 func (mesh *Mesh) lookup(order gate.Order, from *backend) {
 	mesh.number++
 	attempt := &inspector.Attempt{ID: fmt.Sprintf("lookup-%d", mesh.number), Kind: "lookup", Caller: from.carrier, Method: "GET", Path: fmt.Sprintf("/forms/%d", mesh.number), Sent: mesh.World.Now()}
-	if mesh.World.Chance().IntN(4) == 0 {
-		attempt.Kind, attempt.Method, attempt.Path, attempt.Key = "submission", order.Method, order.Target, letter.Header(order.Headers, letter.KeyHeader)
+	if key := letter.Header(order.Headers, letter.KeyHeader); mesh.World.Chance().IntN(4) == 0 && key != "" {
+		attempt.Kind, attempt.Method, attempt.Path, attempt.Key = "submission", order.Method, order.Target, key
 	}
 	mesh.Outside.Go(func() {
 		mesh.History.Send(attempt)
