Core: a blank voter reads others after a tenure; renewals at a third; roster searched

The search of the register's rules found that a voter which lost its disk and reads the others at once may read them before they accepted what it had accepted itself, so a decided value is known to too few. It now reads a tenure after its start, when others have accepted that ballot or never will.

Leases are renewed and idle backups told every third of a tenure instead of every 150 ms; who can have nothing to do sleeps. A primary with fewer backups than wanted looks for more every 2 s.

--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -124,8 +124,11 @@
 	tending       bool            // a change of the roster is under way here
 	stopped       bool
 
-	// relieved is when something was last done about a slow disk; only the work task uses it.
-	relieved postmark.Micros
+	// relieved is when something was last done about a slow disk, completed when further backups were last looked for; only the
+	// work task uses them.
+	relieved, completed postmark.Micros
+	// nudge wakes the task that attends to this member's place.
+	nudge office.Signal
 
 	// machineLock guards env.Machine and the fields of copy that say how far it is applied.
 	machineLock sync.Mutex
@@ -179,7 +182,7 @@
 		member.seat.Do(func() { member.voter.votesFrom = max(member.voter.votesFrom, env.Place.Now()+env.Tenure) })
 	})
 	member.seat, member.keeper, member.proposer = office.NewOwner(env.Place), office.NewOwner(env.Place), office.NewOwner(env.Place)
-	member.inbox = office.NewInbox[*proposal](env.Place)
+	member.inbox, member.nudge = office.NewInbox[*proposal](env.Place), env.Place.NewSignal()
 	if env.Genesis && member.rank() == 0 {
 		return nil, fmt.Errorf("%s is not among the voters of a first start of %s", env.Name, env.Group)
 	}
@@ -260,6 +263,7 @@
 		member.lock.Lock()
 		member.lastHeard = -postmark.Minute
 		member.lock.Unlock()
+		member.nudge.Fire()
 		return &wire.HandoverTell{Taken: true}, nil
 	})
 }
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -11,9 +11,9 @@
 
 // attend keeps this member's place: it joins, renews the tenure it has, and takes over when the primary is silent.
 func (member *Member) attend() {
-	place := member.env.Place
-	for {
-		place.Sleep(member.env.Beat)
+	place, pause := member.env.Place, member.env.Beat
+	for ; ; pause = member.rest() {
+		member.nudge.Wait(pause)
 		joined := false
 		member.seat.Do(func() { joined = member.voter.record.Joined })
 		if !joined {
@@ -64,6 +64,30 @@
 	return stands
 }
 
+// pace is how often a primary renews its lease and has its backups hear of it.
+func (member *Member) pace() postmark.Micros { return member.env.Tenure / 3 }
+
+// rest is how long nothing can be due here: a primary renews at its pace, and others look again when the one that they heard may
+// be silent for too long. A handover cuts it short.
+func (member *Member) rest() postmark.Micros {
+	member.lock.Lock()
+	leading, silent := member.lead.epoch != 0, member.env.Place.Now()-member.lastHeard
+	member.lock.Unlock()
+	joined := false
+	member.seat.Do(func() { joined = member.voter.record.Joined })
+	switch {
+	case !joined:
+		return member.env.Beat
+	case leading:
+		return member.pace()
+	case silent >= 0 && silent < member.env.Tenure:
+		return max(member.env.Tenure-silent, member.env.Beat)
+	case member.tenureStands():
+		return member.pace()
+	}
+	return member.env.Beat
+}
+
 // amongVoters tells whether the newest roster heard of has this member.
 func (member *Member) amongVoters() bool {
 	present, _ := member.configuration()
@@ -128,6 +152,7 @@
 	}
 	member.env.Place.Report(number, map[string]any{"group": member.env.Group, "epoch": value.Epoch})
 	member.renew()
+	member.inbox.Put(nil) // the work task is to settle now
 }
 
 // stepDown ends this member's lead of an epoch. A lead that has moved on to a later epoch meanwhile isn't touched: news
@@ -145,29 +170,64 @@
 	}
 }
 
-// work is the primary's one task for writes: it commits batches, keeps the backup in touch and replaces a lost one.
+// work is the primary's one task for writes: it commits batches, keeps the backups in touch and replaces lost ones.
 func (member *Member) work() {
-	lastTick := postmark.Micros(0)
+	lastTick, lastWrite := postmark.Micros(0), postmark.Micros(0)
+	pause := member.env.Beat
 	for {
-		batch := member.inbox.Take(member.env.Beat)
+		batch := slices.DeleteFunc(member.inbox.Take(pause), func(request *proposal) bool { return request == nil })
+		now := member.env.Place.Now()
 		member.lock.Lock()
 		state := member.lead
-		live := member.env.Place.Now() < state.until
 		member.lock.Unlock()
-		if state.epoch == 0 || !live {
+		pause = member.pace()
+		if state.epoch == 0 || now >= state.until {
 			finish(batch, ErrNotPrimary)
 			continue
 		}
 		if !state.answering {
 			finish(batch, ErrNotPrimary)
 			member.settle(nil)
+			pause = member.env.Beat
 			continue
 		}
-		if len(batch) == 0 && member.env.Place.Now()-lastTick >= postmark.Second && member.waiting() {
-			lastTick = member.env.Place.Now()
+		// Three paces may be a little less than a second.
+		if len(batch) == 0 && now-lastTick >= postmark.Second-member.pace()/2 && member.waiting() {
+			lastTick = now
 			batch = []*proposal{{done: member.env.Place.NewSignal()}}
 		}
+		if since := now - lastWrite; len(batch) == 0 && since >= 0 && since < member.pace() {
+			pause = member.pace() - since // the backups heard a write since
+			continue
+		}
+		lastWrite = now
 		member.commit(state, batch)
+		member.complete()
+	}
+}
+
+// completePause is how often a primary with fewer backups than wanted looks for more.
+const completePause = 2 * postmark.Second
+
+// complete takes further backups once voters that may be some are back.
+func (member *Member) complete() {
+	now := member.env.Place.Now()
+	member.lock.Lock()
+	state := member.lead
+	member.lock.Unlock()
+	if !state.answering || len(state.backups) >= member.env.Copies-1 || now-member.completed < completePause {
+		return
+	}
+	member.completed = now
+	spare := slices.ContainsFunc(member.others(), func(name string) bool {
+		member.lock.Lock()
+		heard, known := member.heard[name]
+		member.lock.Unlock()
+		return known && now-heard < member.env.Tenure && !slices.Contains(names(state.backups), name) && member.reachable(name)
+	})
+	if spare {
+		member.dropBackups(nil, "")
+		member.settle(nil)
 	}
 }
 
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -253,6 +253,10 @@
 // it; later, where the roster names it, from the register of enough intact others that any majority of the past is among them;
 // and where no roster names it, by asking the primary.
 func (member *Member) join() {
+	// An earlier life of this seat may have accepted a ballot that others haven't yet. Within a tenure they have or never will, so
+	// what is read before that isn't whole.
+	whole := false
+	member.seat.Do(func() { whole = member.env.Place.Now() >= member.voter.votesFrom })
 	others := member.acquaintances()
 	replies := gather(member, others, member.env.Patience, member.read, nil)
 	intact, virgin := []string{}, member.env.Genesis && slices.Contains(member.env.Voters, member.env.Name)
@@ -275,6 +279,10 @@
 			highestAccepted, value = reply.Accepted, reply.Value
 		}
 	}
+	if !virgin && !whole {
+		member.learn(highestAccepted, value)
+		return
+	}
 	present := member.configurationOf(value)
 	if !virgin && !present.has(member.env.Name) {
 		member.learn(highestAccepted, value)
