Simulator: a fourth machine, machines exchanged, disks lost with three copies

Courses in which the roster changes: a core of three gets a fourth, the machines of the first start go for good one after another with the replacement coming later or before, and the primary's disk (with three copies a backup's too) is lost right after an acknowledgement.

--- a/internal/countersign/configuration.go
+++ b/internal/countersign/configuration.go
@@ -95,3 +95,10 @@
 	}
 	return list
 }
+
+// Backups lists who else holds a copy in step, while this member leads.
+func (member *Member) Backups() []string {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	return names(member.lead.backups)
+}
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -245,6 +245,7 @@
 		voter.grant = grant{holder: ask.Holder, until: member.env.Place.Now() + member.env.Tenure}
 		tell.Granted = true
 		member.leads(ask.Epoch, ask.Holder.Name)
+		member.catchUp(ask.Holder.Name, ask.Known)
 	})
 	return tell, nil
 }
@@ -307,6 +308,20 @@
 	})
 }
 
+// catchUp asks a primary for a value that this seat has missed, so that it knows whom to ask when the primary is gone.
+func (member *Member) catchUp(primary string, known uint64) {
+	member.lock.Lock()
+	behind := member.valueBallot < known
+	member.lock.Unlock()
+	if behind && primary != member.env.Name {
+		member.env.Place.Go(func() {
+			if reply, err := member.read(primary); err == nil {
+				member.learn(reply.Accepted, reply.Value)
+			}
+		})
+	}
+}
+
 // read asks another process for its register.
 func (member *Member) read(name string) (*wire.RegisterReadTell, error) {
 	tell := &wire.RegisterReadTell{}
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -475,6 +475,33 @@
 			}
 		})
 	}}
+	twoDisksAtAcknowledgement = fault{"lose the disks of the postmaster's primary and of a backup at an acknowledgement", func(mesh *Mesh) {
+		mesh.atAcknowledgement(func() {
+			// Two core machines may be lost; the next only once both groups have three copies again.
+			master, registry := mesh.leader("postmaster"), mesh.leader("sorter")
+			if master == nil || registry == nil || mesh.World.Now() < mesh.lossFrom {
+				return
+			}
+			backups := mesh.masters[master.Name].Member.Backups()
+			if len(backups) < 2 || len(mesh.sorters[registry.Name].Member.Backups()) < 2 {
+				return
+			}
+			mesh.lossFrom = mesh.World.Now() + 20*postmark.Second
+			for _, machine := range []string{master.Machine, mesh.World.Node(pick(mesh, backups)).Machine} {
+				mesh.down(mesh.coreNodes(machine), mesh.span(200*postmark.Millisecond, 5*postmark.Second), mesh.World.LoseDisk)
+			}
+			mesh.History.Mark("two disks lost", mesh.World.Now())
+		})
+	}}
+	machineComes = fault{"a core machine comes that was never there", func(mesh *Mesh) { mesh.come() }}
+	// A core machine goes for good; a blank one, with another name and address, comes a while later or has come before.
+	machineExchanged = func(ahead, after postmark.Micros) fault {
+		return fault{"exchange a core machine", func(mesh *Mesh) {
+			oldest := mesh.cores[0]
+			mesh.later(ahead, func() { mesh.retire(oldest) })
+			mesh.later(after, func() { mesh.come() })
+		}}
+	}
 	damageDisk = fault{"damage a record file of a core machine", func(mesh *Mesh) {
 		if mesh.leader("sorter") == nil || mesh.leader("postmaster") == nil || mesh.World.Now() < mesh.lossFrom {
 			return
@@ -487,6 +514,29 @@
 	}}
 )
 
+// come starts a core machine that was never there before.
+func (mesh *Mesh) come() {
+	var seeds []string
+	for _, node := range mesh.allCore() {
+		if node.Up() {
+			seeds = append(seeds, node.Address)
+		}
+	}
+	for _, node := range mesh.coreNodes(mesh.addMachine(seeds)) {
+		node.Disk.Delay = mesh.sync
+		mesh.World.Start(node)
+	}
+}
+
+// retire ends a core machine for good.
+func (mesh *Mesh) retire(machine string) {
+	mesh.retired[machine] = true
+	mesh.cores = slices.DeleteFunc(mesh.cores, func(name string) bool { return name == machine })
+	for _, node := range mesh.coreNodes(machine) {
+		mesh.World.LoseDisk(node)
+	}
+}
+
 // loseAfterWrites has a sorter that has just acknowledged a claim, a void, a probe or a guard's write lose its machine's power, or
 // its disk, or the whole core lose power, within the milliseconds in which the answer is on its way. Each kind has its turn.
 func loseAfterWrites(mesh *Mesh) {
@@ -664,6 +714,9 @@
 	for _, node := range mesh.World.Nodes() {
 		node.Disk.Capacity, node.Disk.FailSyncs, node.Disk.Delay = 0, 0, mesh.sync
 		mesh.World.Thaw(node)
+		if mesh.retired[node.Machine] {
+			continue
+		}
 		if mesh.breakage.NoReturn && node.Machine == mesh.cores[0] || mesh.breakage.NoReturn && node.Machine == mesh.cores[1] {
 			mesh.World.Kill(node)
 			continue
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -54,6 +54,8 @@
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
+	retired     map[string]bool                        // core machines that are gone for good
+	genesis     map[string][]string                    // the voters of the first start, by group
 	afterWrite  func(node *world.Node, kind wire.Kind) // told of each write that a sorter acknowledges, if set
 	rushes      int
 	labour      postmark.Micros // what a backend's work takes besides
@@ -67,6 +69,9 @@
 type Sizes struct {
 	Cores, Carriers, Zones int
 	Backends               int // per service
+	// Copies, Voters and Gone are the core's own settings, its defaults if left out.
+	Copies, Voters int
+	Gone           postmark.Micros
 }
 
 // Breakage turns a part of the mesh off, to show that the checkers see it.
@@ -124,7 +129,7 @@
 // Build makes a mesh and starts its nodes.
 func Build(seed uint64, sizes Sizes, breakage Breakage) *Mesh {
 	mesh := &Mesh{World: world.New(seed), History: &inspector.History{Allowance: 10 + 2}, sizes: sizes, lives: map[string]*carrier.Carrier{}, begun: map[string]postmark.Micros{}, troubled: map[string]string{},
-		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, stopping: map[string]bool{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
+		masters: map[string]*postmaster.Postmaster{}, sorters: map[string]*sorter.Sorter{}, stopping: map[string]bool{}, retired: map[string]bool{}, genesis: map[string][]string{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
 	mesh.World.Trace = func(at postmark.Micros, node string, number int, fields map[string]any) {
 		if number == 601 {
 			return
@@ -136,17 +141,13 @@
 		mesh.World.At(mesh.World.Now()+postmark.Second, func() { mesh.World.Start(node) })
 	}
 	seeds := []string{"core-1:sorter", "core-2:postmaster", "core-3:sorter"}
-	voters := func(group string) (names []string) {
-		for index := range sizes.Cores {
-			names = append(names, fmt.Sprintf("%s-%d", group, index+1))
+	for index := range sizes.Cores {
+		for _, group := range []string{"sorter", "postmaster"} {
+			mesh.genesis[group] = append(mesh.genesis[group], fmt.Sprintf("%s-%d", group, index+1))
 		}
-		return names
 	}
-	for index := range sizes.Cores {
-		machine := fmt.Sprintf("core-%d", index+1)
-		mesh.cores = append(mesh.cores, machine)
-		mesh.addCore(machine, "sorter", index, voters("sorter"), seeds)
-		mesh.addCore(machine, "postmaster", index, voters("postmaster"), seeds)
+	for range sizes.Cores {
+		mesh.addMachine(seeds)
 	}
 	for index := range sizes.Carriers {
 		mesh.addCarrier(index, seeds)
@@ -173,6 +174,16 @@
 	return mesh
 }
 
+// addMachine adds a core machine that was never there before, and tells its name.
+func (mesh *Mesh) addMachine(seeds []string) string {
+	index := len(mesh.cores) + len(mesh.retired)
+	machine := fmt.Sprintf("core-%d", index+1)
+	mesh.cores = append(mesh.cores, machine)
+	mesh.addCore(machine, "sorter", index, mesh.genesis["sorter"], seeds)
+	mesh.addCore(machine, "postmaster", index, mesh.genesis["postmaster"], seeds)
+	return machine
+}
+
 func (mesh *Mesh) addCore(machine, group string, index int, voters, seeds []string) {
 	name := fmt.Sprintf("%s-%d", group, index+1)
 	address := machine + ":" + group
@@ -184,6 +195,7 @@
 		place.Go(func() { book.Roam(postmark.Second) })
 		adjust := func(env *countersign.Env) {
 			env.CompactFrom, env.Unwitnessed = 8<<10, mesh.breakage.TrustClock
+			env.Copies, env.Size, env.Gone = mesh.sizes.Copies, mesh.sizes.Voters, mesh.sizes.Gone
 			if mesh.adjust != nil {
 				mesh.adjust(env)
 			}
--- /dev/null
+++ b/internal/mailround/round/roster_test.go
@@ -0,0 +1,129 @@
+package round
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/countersign"
+	"snowflow/internal/postmark"
+)
+
+// voters gives the roster that the core's processes know at the end, by group; all that are there must know the same.
+func (mesh *Mesh) voters(t *testing.T) map[string][]string {
+	known := map[string][]string{}
+	note := func(group, name string, member *countersign.Member) {
+		node := mesh.World.Node(name)
+		if mesh.retired[node.Machine] {
+			return
+		}
+		voters := member.Voters()
+		if known[group] == nil {
+			known[group] = voters
+		}
+		if !slices.Equal(known[group], voters) {
+			t.Errorf("%s knows the voters %v, another %v", name, voters, known[group])
+		}
+	}
+	for name, one := range mesh.sorters {
+		note("sorter", name, one.Member)
+	}
+	for name, one := range mesh.masters {
+		note("postmaster", name, one.Member)
+	}
+	return known
+}
+
+// rosterRun plays a course and has a look at the mesh at its end.
+func rosterRun(t *testing.T, course Course, seed uint64) *Mesh {
+	var mesh *Mesh
+	prepare := course.Prepare
+	course.Prepare = func(built *Mesh) {
+		if mesh = built; prepare != nil {
+			prepare(built)
+		}
+	}
+	result := Run(course, seed, Breakage{})
+	for _, finding := range result.Findings {
+		t.Errorf("seed %d: %s", seed, finding)
+	}
+	t.Logf("served %d of %d", result.Served, result.Sent)
+	return mesh
+}
+
+// TestFourthMachine: a core of three becomes one of four once a fourth machine has come, whatever else fails.
+func TestFourthMachine(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			mesh := rosterRun(t, Course{Name: "fourth", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 5 * postmark.Second, Rules: []int{1, 3, 7, 12},
+				First: []fault{machineComes}, Faults: []fault{killLeader, powerLoss, freezeLeader, cutCore, applyOne}}, seed)
+			for group, voters := range mesh.voters(t) {
+				if len(voters) != 4 {
+					t.Errorf("the %ss' voters are %v", group, voters)
+				}
+			}
+		})
+	}
+}
+
+// TestMachinesExchanged: the machines of the first start go one after another, for good, and others come in their place, some
+// seconds later or before. None of the seeds is left at the end.
+func TestMachinesExchanged(t *testing.T) {
+	for _, one := range []struct {
+		name         string
+		wanted       int
+		ahead, after postmark.Micros
+	}{
+		{"then another comes", 0, 0, 2 * postmark.Second},
+		{"after another came", 3, 4 * postmark.Second, 0},
+		{"after another came, no number wanted", 0, 4 * postmark.Second, 0},
+	} {
+		for _, seed := range seeds(t, 1, 2) {
+			t.Run(fmt.Sprintf("%s/%d", one.name, seed), func(t *testing.T) {
+				t.Parallel()
+				sizes := small
+				sizes.Gone, sizes.Voters = 4*postmark.Second, one.wanted
+				exchange := machineExchanged(one.ahead, one.after)
+				mesh := rosterRun(t, Course{Name: "exchange", Sizes: sizes, Length: 70 * postmark.Second, Rate: 25, Every: 16 * postmark.Second, Rules: []int{1, 3, 7, 12},
+					First: []fault{exchange, exchange, exchange}, Faults: []fault{applyOne}}, seed)
+				if len(mesh.retired) != 3 {
+					t.Errorf("%d machines were exchanged", len(mesh.retired))
+				}
+				for group, voters := range mesh.voters(t) {
+					for _, number := range []int{4, 5, 6} {
+						if name := fmt.Sprintf("%s-%d", group, number); !slices.Contains(voters, name) {
+							t.Errorf("%s is not among the voters %v", name, voters)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestAcknowledgedThenLost: right after an acknowledgement the primary and its disk are lost, in cores of three and four; and
+// with three copies among five, a backup's with it.
+func TestAcknowledgedThenLost(t *testing.T) {
+	for _, one := range []struct {
+		cores, copies int
+		lose          fault
+	}{{3, 2, diskAtAcknowledgement}, {4, 2, diskAtAcknowledgement}, {5, 3, twoDisksAtAcknowledgement}} {
+		for _, seed := range seeds(t, 1, 2) {
+			t.Run(fmt.Sprintf("%d/%d", one.cores, seed), func(t *testing.T) {
+				t.Parallel()
+				sizes := small
+				sizes.Cores, sizes.Copies = one.cores, one.copies
+				mesh := rosterRun(t, Course{Name: "lost", Sizes: sizes, Length: 60 * postmark.Second, Rate: 25, Every: 11 * postmark.Second, Rules: []int{1, 3, 7, 12},
+					First: []fault{one.lose}, Faults: []fault{one.lose}}, seed)
+				joined := strings.Count(strings.Join(mesh.log, "\n"), fmt.Sprintf(" %d {", bulletin.VoterJoined))
+				// Each start has one join for each process; each lost disk has another.
+				if joined <= 2*one.cores {
+					t.Errorf("no disk was lost: %d joins", joined)
+				}
+			})
+		}
+	}
+}
