--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -248,6 +248,7 @@
 		voter.grant = grant{holder: ask.Holder, until: member.env.Place.Now() + member.env.Tenure}
 		tell.Granted = true
 		member.leads(ask.Epoch, ask.Holder.Name)
+		member.catchUp(ask.Holder.Name, ask.Known)
 	})
 	return tell, nil
 }
@@ -256,6 +257,10 @@
 // it; later, where the roster names it, from the register of enough intact others that any majority of the past is among them;
 // and where no roster names it, by asking the primary.
 func (member *Member) join() {
+	// An earlier life of this seat may have accepted a ballot that others haven't yet. Within a tenure they have or never will, so
+	// what is read before that isn't whole.
+	whole := false
+	member.seat.Do(func() { whole = member.env.Place.Now() >= member.voter.votesFrom })
 	others := member.acquaintances()
 	replies := gather(member, others, member.env.Patience, member.read, nil)
 	intact, virgin := []string{}, member.env.Genesis && slices.Contains(member.env.Voters, member.env.Name)
@@ -278,6 +283,10 @@
 			highestAccepted, value = reply.Accepted, reply.Value
 		}
 	}
+	if !virgin && !whole {
+		member.learn(highestAccepted, value)
+		return
+	}
 	present := member.configurationOf(value)
 	if !virgin && !present.has(member.env.Name) {
 		member.learn(highestAccepted, value)
@@ -302,6 +311,20 @@
 	})
 }
 
+// catchUp asks a primary for a value that this seat has missed, so that it knows whom to ask when the primary is gone.
+func (member *Member) catchUp(primary string, known uint64) {
+	member.lock.Lock()
+	behind := member.valueBallot < known
+	member.lock.Unlock()
+	if behind && primary != member.env.Name {
+		member.env.Place.Go(func() {
+			if reply, err := member.read(primary); err == nil {
+				member.learn(reply.Accepted, reply.Value)
+			}
+		})
+	}
+}
+
 // read asks another process for its register.
 func (member *Member) read(name string) (*wire.RegisterReadTell, error) {
 	tell := &wire.RegisterReadTell{}
--- /dev/null
+++ b/internal/mailround/round/roster_test.go
@@ -0,0 +1,216 @@
+package round
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/countersign"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/postmark"
+)
+
+// voters gives the roster that the core's processes know at the end, by group; all that are there must know the same.
+func (mesh *Mesh) voters(t *testing.T) map[string][]string {
+	known := map[string][]string{}
+	note := func(group, name string, member *countersign.Member) {
+		node := mesh.World.Node(name)
+		if mesh.retired[node.Machine] {
+			return
+		}
+		voters := member.Voters()
+		if known[group] == nil {
+			known[group] = voters
+		}
+		if !slices.Equal(known[group], voters) {
+			t.Errorf("%s knows the voters %v, another %v", name, voters, known[group])
+		}
+	}
+	for name, one := range mesh.sorters {
+		note("sorter", name, one.Member)
+	}
+	for name, one := range mesh.masters {
+		note("postmaster", name, one.Member)
+	}
+	return known
+}
+
+// rosterRun plays a course and has a look at the mesh at its end.
+func rosterRun(t *testing.T, course Course, seed uint64) *Mesh {
+	var mesh *Mesh
+	prepare := course.Prepare
+	course.Prepare = func(built *Mesh) {
+		if mesh = built; prepare != nil {
+			prepare(built)
+		}
+	}
+	result := Run(course, seed, Breakage{})
+	for _, finding := range result.Findings {
+		t.Errorf("seed %d: %s", seed, finding)
+	}
+	t.Logf("served %d of %d", result.Served, result.Sent)
+	return mesh
+}
+
+// TestFourthMachine: a core of three becomes one of four once a fourth machine has come, whatever else fails.
+func TestFourthMachine(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			mesh := rosterRun(t, Course{Name: "fourth", Sizes: small, Length: 40 * postmark.Second, Rate: 25, Every: 5 * postmark.Second, Rules: []int{1, 3, 7, 12},
+				First: []fault{machineComes}, Faults: []fault{killLeader, powerLoss, freezeLeader, cutCore, applyOne}}, seed)
+			for group, voters := range mesh.voters(t) {
+				if len(voters) != 4 {
+					t.Errorf("the %ss' voters are %v", group, voters)
+				}
+			}
+		})
+	}
+}
+
+// TestMachinesExchanged: the machines of the first start go one after another, for good, and others come in their place, some
+// seconds later or before. None of the seeds is left at the end.
+func TestMachinesExchanged(t *testing.T) {
+	for _, one := range []struct {
+		name         string
+		wanted       int
+		ahead, after postmark.Micros
+	}{
+		{"then another comes", 0, 0, 2 * postmark.Second},
+		{"after another came", 3, 4 * postmark.Second, 0},
+		{"after another came, no number wanted", 0, 4 * postmark.Second, 0},
+	} {
+		for _, seed := range seeds(t, 1, 2) {
+			t.Run(fmt.Sprintf("%s/%d", one.name, seed), func(t *testing.T) {
+				t.Parallel()
+				sizes := small
+				sizes.Gone, sizes.Voters = 4*postmark.Second, one.wanted
+				exchange := machineExchanged(one.ahead, one.after)
+				mesh := rosterRun(t, Course{Name: "exchange", Sizes: sizes, Length: 70 * postmark.Second, Rate: 25, Every: 16 * postmark.Second, Rules: []int{1, 3, 7, 12},
+					First: []fault{exchange, exchange, exchange}, Faults: []fault{applyOne}}, seed)
+				if len(mesh.retired) != 3 {
+					t.Errorf("%d machines were exchanged", len(mesh.retired))
+				}
+				for group, voters := range mesh.voters(t) {
+					for _, number := range []int{4, 5, 6} {
+						if name := fmt.Sprintf("%s-%d", group, number); !slices.Contains(voters, name) {
+							t.Errorf("%s is not among the voters %v", name, voters)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestAcknowledgedThenLost: right after an acknowledgement the primary and its disk are lost, in cores of three and four; and
+// with three copies among five, a backup's with it.
+func TestAcknowledgedThenLost(t *testing.T) {
+	for _, one := range []struct {
+		cores, copies int
+		lose          fault
+	}{{3, 2, diskAtAcknowledgement}, {4, 2, diskAtAcknowledgement}, {5, 3, twoDisksAtAcknowledgement}} {
+		for _, seed := range seeds(t, 1, 2) {
+			t.Run(fmt.Sprintf("%d/%d", one.cores, seed), func(t *testing.T) {
+				t.Parallel()
+				sizes := small
+				sizes.Cores, sizes.Copies = one.cores, one.copies
+				mesh := rosterRun(t, Course{Name: "lost", Sizes: sizes, Length: 60 * postmark.Second, Rate: 25, Every: 11 * postmark.Second, Rules: []int{1, 3, 7, 12},
+					First: []fault{one.lose}, Faults: []fault{one.lose}}, seed)
+				joined := strings.Count(strings.Join(mesh.log, "\n"), fmt.Sprintf(" %d {", bulletin.VoterJoined))
+				// Each start has one join for each process; each lost disk has another.
+				if joined <= 2*one.cores {
+					t.Errorf("no disk was lost: %d joins", joined)
+				}
+			})
+		}
+	}
+}
+
+// TestFailover: a primary dies at any moment of its lease, and another answers within two and a half seconds.
+func TestFailover(t *testing.T) {
+	for _, cores := range []int{3, 5} {
+		t.Run(fmt.Sprint(cores), func(t *testing.T) {
+			t.Parallel()
+			sizes := Sizes{Cores: cores, Carriers: 1, Zones: 1, Backends: 1, Copies: cores/2 + 1}
+			mesh := Build(1, sizes, Breakage{})
+			defer mesh.World.Close()
+			mesh.World.Run(mesh.World.Now() + 10*postmark.Second)
+			var longest, sum postmark.Micros
+			const times = 20
+			for range times {
+				mesh.World.Run(mesh.World.Now() + mesh.span(8*postmark.Second, 9*postmark.Second))
+				for _, group := range []string{"sorter", "postmaster"} {
+					primary := mesh.leader(group)
+					if primary == nil {
+						t.Fatalf("no %s answers", group)
+					}
+					mesh.World.Kill(primary)
+					died := mesh.World.Now()
+					for mesh.leader(group) == nil && mesh.World.Now()-died < 10*postmark.Second {
+						mesh.World.Run(mesh.World.Now() + 10*postmark.Millisecond)
+					}
+					took := mesh.World.Now() - died
+					longest, sum = max(longest, took), sum+took
+					mesh.World.Start(primary)
+				}
+			}
+			t.Logf("%d core machines: mean %d ms, longest %d ms", cores, sum/(2*times)/postmark.Millisecond, longest/postmark.Millisecond)
+			if longest > 2500*postmark.Millisecond {
+				t.Errorf("the longest failover took %d microseconds", longest)
+			}
+		})
+	}
+}
+
+// TestPrimaryDiesDuringChange: whenever a primary has written the first half of a change, it dies within milliseconds; where no
+// machine is gone, also with its disk. The next one ends the change.
+func TestPrimaryDiesDuringChange(t *testing.T) {
+	kill, power, disk := (*world.World).Kill, (*world.World).PowerLoss, (*world.World).LoseDisk
+	for _, one := range []struct {
+		name    string
+		changes []fault
+		ends    []func(*world.World, *world.Node)
+		new     int // the number of the machine that must vote at the end
+	}{
+		{"a fourth comes", []fault{machineComes}, []func(*world.World, *world.Node){kill, power, disk}, 4},
+		{"one is exchanged", []fault{machineExchanged(0, 2*postmark.Second)}, []func(*world.World, *world.Node){kill, power}, 4},
+		{"a fourth comes, then one is exchanged", []fault{machineComes, machineExchanged(0, 2*postmark.Second)}, []func(*world.World, *world.Node){kill, power}, 5},
+	} {
+		for _, seed := range seeds(t, 1, 2) {
+			t.Run(fmt.Sprintf("%s/%d", one.name, seed), func(t *testing.T) {
+				t.Parallel()
+				died := map[string]int{}
+				sizes := small
+				sizes.Gone = 4 * postmark.Second
+				mesh := rosterRun(t, Course{Name: "halfway", Sizes: sizes, Length: 50 * postmark.Second, Rate: 25, Every: 14 * postmark.Second, Rules: []int{1, 3, 7, 12},
+					First: one.changes, Faults: []fault{applyOne}, Prepare: func(mesh *Mesh) {
+						trace := mesh.World.Trace
+						mesh.World.Trace = func(at postmark.Micros, name string, number int, fields map[string]any) {
+							trace(at, name, number, fields)
+							group := strings.SplitN(name, "-", 2)[0]
+							if joint, _ := fields["joint"].([]string); number != bulletin.RosterChanged || len(joint) == 0 || died[group] >= len(one.changes) {
+								return
+							}
+							died[group]++
+							end := pick(mesh, one.ends)
+							mesh.later(mesh.span(0, 3*postmark.Millisecond), func() {
+								mesh.down([]*world.Node{mesh.World.Node(name)}, mesh.span(200*postmark.Millisecond, 3*postmark.Second),
+									func(node *world.Node) { end(mesh.World, node) })
+							})
+						}
+					}}, seed)
+				if died["sorter"] != len(one.changes) || died["postmaster"] != len(one.changes) {
+					t.Errorf("primaries that died during a change: %v", died)
+				}
+				for group, voters := range mesh.voters(t) {
+					if name := fmt.Sprintf("%s-%d", group, one.new); !slices.Contains(voters, name) {
+						t.Errorf("%s is not among the voters %v", name, voters)
+					}
+				}
+			})
+		}
+	}
+}
