--- a/internal/carrier/gate/slots/slots.go
+++ b/internal/carrier/gate/slots/slots.go
@@ -17,6 +17,8 @@
 	// AimShare is the part of the aim that a request may be expected to wait; RemainingShare is that of its remaining
 	// time where it has no aim. A patient request may wait as long as it still ends before its cutoff.
 	AimShare, RemainingShare float64
+	// LatePerSlot bounds how many wait for each slot though they can't be answered within their aim any more.
+	LatePerSlot float64
 	// MostLinger bounds how long a slot stays taken after a delivery of which it isn't known whether the backend still
 	// works on it. Zero: until the request's cutoff, at which backends stop working.
 	MostLinger postmark.Micros
@@ -24,7 +26,7 @@
 
 // Default are the terms that nobody set.
 func Default() Terms {
-	return Terms{WaitingPerSlot: 8, FirstWork: 50 * postmark.Millisecond, AimShare: 0.5, RemainingShare: 0.25}
+	return Terms{WaitingPerSlot: 8, FirstWork: 50 * postmark.Millisecond, AimShare: 0.5, RemainingShare: 0.25, LatePerSlot: 0.5}
 }
 
 const (
@@ -43,6 +45,7 @@
 	Cutoff   postmark.Micros
 	StartBy  postmark.Micros // the moment by which it must have its slot; zero if only the cutoff bounds that
 	Patient  bool
+	Kind     string // requests of one kind take about as long
 }
 
 // State is how far a ticket has come. It only ever rises.
@@ -75,6 +78,8 @@
 	arrived    postmark.Micros
 	due        postmark.Micros // the latest moment at which its answer is of full worth, as far as known
 	started    postmark.Micros
+	work       postmark.Micros // what its work is expected to take
+	behind     bool            // it was let wait though it would be late
 	alarm      postmark.Micros // when a lingering slot comes free, for the one waiter that sees to it
 	state      State
 	retryAfter postmark.Micros
@@ -94,7 +99,24 @@
 	return ticket.due < other.due
 }
 
-// Slots is one backend's admission.
+// late tells that the answer can't come within the aim any more, as far as can be expected.
+func (ticket *Ticket) late(now postmark.Micros) bool {
+	return ticket.behind || ticket.ask.Aim > 0 && now+ticket.work > ticket.ask.Aim
+}
+
+// mean is a mean work time in microseconds, the newest requests weighing most.
+type mean struct {
+	work     float64
+	measured int
+}
+
+func (mean *mean) take(work postmark.Micros) {
+	mean.measured = min(mean.measured+1, memory)
+	mean.work += (float64(work) - mean.work) / float64(mean.measured)
+}
+
+// Slots is one backend's admission. Who can still be answered within the aim goes before who can't: under a lasting rush a queue
+// in order of arrival would answer everybody late.
 // Invariants: running + lingering <= count whenever a ticket is let in by Enter or from the queue; nobody waits while a slot is
 // free; the queue is sorted by before; running counts exactly the tickets in that state; while both are not empty,
 // keeper is a waiter whose alarm is the first end of a lingering slot.
@@ -105,12 +127,19 @@
 	lingering []postmark.Micros // until when each is kept
 	queue     []*Ticket
 	keeper    *Ticket
-	work      float64 // mean work time, in microseconds
-	measured  int
+	work      mean
+	kinds     map[string]*mean // invariant: as many as there are routes to this backend, mostKinds at most
 }
 
+const (
+	// mostKinds bounds what is kept by kind.
+	mostKinds = 256
+	// enough is how many requests of a kind make its own mean better than that of all.
+	enough = 4
+)
+
 // New makes the admission to a backend of which nothing is known yet.
-func New(terms Terms) *Slots { return &Slots{terms: terms} }
+func New(terms Terms) *Slots { return &Slots{terms: terms, kinds: map[string]*mean{}} }
 
 // SetCount takes the number of slots that the backend says it has.
 func (slots *Slots) SetCount(now postmark.Micros, count uint32) {
@@ -132,21 +161,29 @@
 
 // Work is the mean time for which a request holds its slot.
 func (slots *Slots) Work() postmark.Micros {
-	if slots.measured == 0 {
+	if slots.work.measured == 0 {
 		return slots.terms.FirstWork
 	}
-	return postmark.Micros(slots.work)
+	return postmark.Micros(slots.work.work)
+}
+
+// workOf is the mean for a kind, or for all while too few of it were measured.
+func (slots *Slots) workOf(kind string) postmark.Micros {
+	if known := slots.kinds[kind]; known != nil && known.measured >= enough {
+		return postmark.Micros(known.work)
+	}
+	return slots.Work()
 }
 
 // Measured tells whether Work comes from requests that were worked on.
-func (slots *Slots) Measured() bool { return slots.measured > 0 }
+func (slots *Slots) Measured() bool { return slots.work.measured > 0 }
 
 func (slots *Slots) free() bool { return slots.count == 0 || slots.Taken() < slots.count }
 
 // Enter brings a request. Its ticket is running, waiting or refused.
 func (slots *Slots) Enter(now postmark.Micros, ask Ask) *Ticket {
 	slots.Advance(now)
-	ticket := &Ticket{ask: ask, arrived: now, due: ask.Aim}
+	ticket := &Ticket{ask: ask, arrived: now, due: ask.Aim, work: slots.workOf(ask.Kind)}
 	if slots.free() {
 		slots.run(now, ticket)
 		return ticket
@@ -158,8 +195,8 @@
 	for place > 0 && ticket.before(slots.queue[place-1]) {
 		place--
 	}
-	wait := slots.wait(now, place)
-	if wait+slots.Work() > ask.Cutoff-now || now+wait > slots.tooLate(ticket) || !ask.Patient && wait > slots.mostWait(now, ask) {
+	wait, welcome := slots.welcome(now, ticket, place)
+	if !welcome || ask.StartBy > 0 && wait > ask.StartBy-now {
 		slots.refuse(ticket, wait)
 		return ticket
 	}
@@ -171,17 +208,49 @@
 		displaced := slots.queue[last]
 		slots.queue[last] = nil
 		slots.queue = slots.queue[:last]
-		slots.refuse(displaced, slots.wait(now, last))
+		slots.refuse(displaced, slots.wait(now, slots.ahead(slots.queue, func(*Ticket) bool { return true })))
 	}
 	slots.queue = slices.Insert(slots.queue, place, ticket)
 	slots.keep()
 	return ticket
 }
 
+// welcome tells whether a request may wait at a place of the queue, and what wait it has to expect. It may where it will be
+// answered within its aim and, if it has another backend to go to, without waiting for long. One that has none left may also
+// wait to be answered late, behind all who can be answered in time, while few others do.
+func (slots *Slots) welcome(now postmark.Micros, ticket *Ticket, place int) (wait postmark.Micros, welcome bool) {
+	ask := ticket.ask
+	wait = slots.wait(now, slots.ahead(slots.queue[:place], func(other *Ticket) bool { return !other.late(now) }))
+	if ask.Aim <= now || wait+ticket.work <= ask.Aim-now {
+		return wait, wait+ticket.work <= ask.Cutoff-now && (ask.Patient || wait <= slots.mostWait(now, ask))
+	}
+	waiting := 0
+	wait = slots.wait(now, slots.ahead(slots.queue, func(other *Ticket) bool {
+		if !other.late(now) {
+			return true
+		}
+		waiting++
+		return other.before(ticket)
+	}))
+	few := float64(waiting) < max(1, float64(slots.count)*slots.terms.LatePerSlot)
+	ticket.behind = true
+	return wait, ask.Patient && few && wait+ticket.work <= ask.Cutoff-now
+}
+
+// ahead sums the work of those that count.
+func (slots *Slots) ahead(queue []*Ticket, counts func(ticket *Ticket) bool) (work postmark.Micros) {
+	for _, ticket := range queue {
+		if counts(ticket) {
+			work += ticket.work
+		}
+	}
+	return work
+}
+
 // Force lets a request in whatever the count, for backends whose count isn't known.
 func (slots *Slots) Force(now postmark.Micros, ask Ask) *Ticket {
 	slots.Advance(now)
-	ticket := &Ticket{ask: ask, arrived: now}
+	ticket := &Ticket{ask: ask, arrived: now, work: slots.workOf(ask.Kind)}
 	slots.run(now, ticket)
 	return ticket
 }
@@ -197,18 +266,18 @@
 	return share(ask.Cutoff-now, slots.terms.RemainingShare)
 }
 
-// wait is what a request with so many ahead of it has to expect: slots come free one by one, each after the mean work
+// wait is what a request with so much work ahead of it has to expect: slots come free one by one, each after the mean work
 // time over their number. Lingering slots give nobody way before their end.
-func (slots *Slots) wait(now postmark.Micros, ahead int) postmark.Micros {
+func (slots *Slots) wait(now, ahead postmark.Micros) postmark.Micros {
 	if slots.count == 0 {
 		return 0
 	}
 	working := slots.count - len(slots.lingering)
 	if working > 0 {
-		return slots.Work() * postmark.Micros(ahead+1) / postmark.Micros(working)
+		return (slots.Work() + ahead) / postmark.Micros(working)
 	}
 	first := slices.Min(slots.lingering)
-	return first - now + slots.Work()*postmark.Micros(ahead)/postmark.Micros(max(1, slots.count))
+	return first - now + ahead/postmark.Micros(max(1, slots.count))
 }
 
 func (slots *Slots) run(now postmark.Micros, ticket *Ticket) {
@@ -241,18 +310,21 @@
 	slots.lingering = slices.DeleteFunc(slots.lingering, func(until postmark.Micros) bool { return now >= until })
 	kept := slots.queue[:0]
 	for _, ticket := range slots.queue {
-		switch {
-		case now >= slots.tooLate(ticket):
-			slots.refuse(ticket, slots.wait(now, len(kept)))
-		case slots.free() && len(kept) == 0:
-			slots.run(now, ticket)
-			ticket.wake()
-		default:
-			kept = append(kept, ticket)
+		if now >= slots.tooLate(ticket) {
+			slots.refuse(ticket, slots.wait(now, slots.ahead(kept, func(*Ticket) bool { return true })))
+			continue
 		}
+		kept = append(kept, ticket)
 	}
 	clear(slots.queue[len(kept):])
 	slots.queue = kept
+	for slots.free() && len(slots.queue) > 0 {
+		place := max(0, slices.IndexFunc(slots.queue, func(ticket *Ticket) bool { return !ticket.late(now) }))
+		ticket := slots.queue[place]
+		slots.queue = slices.Delete(slots.queue, place, place+1)
+		slots.run(now, ticket)
+		ticket.wake()
+	}
 	slots.keep()
 }
 
@@ -291,8 +363,15 @@
 	ticket.state = Ended
 	slots.running--
 	if end == Worked {
-		slots.measured = min(slots.measured+1, memory)
-		slots.work += (float64(now-ticket.started) - slots.work) / float64(slots.measured)
+		slots.work.take(now - ticket.started)
+		known := slots.kinds[ticket.ask.Kind]
+		if known == nil && len(slots.kinds) < mostKinds {
+			known = &mean{}
+			slots.kinds[ticket.ask.Kind] = known
+		}
+		if known != nil {
+			known.take(now - ticket.started)
+		}
 	}
 	if end == Unsure && slots.count > 0 {
 		until := ticket.ask.Cutoff + lingerMargin
@@ -311,7 +390,7 @@
 	flushed := slots.queue
 	slots.queue = nil
 	for place, ticket := range flushed {
-		slots.refuse(ticket, slots.wait(now, place))
+		slots.refuse(ticket, slots.wait(now, slots.ahead(flushed[:place], func(*Ticket) bool { return true })))
 	}
 	slots.keep()
 }
--- a/internal/carrier/gate/stay.go
+++ b/internal/carrier/gate/stay.go
@@ -23,7 +23,7 @@
 // stay gets a request its place, or the recorded answer of an earlier run. On a fault neither slot nor claim is left behind.
 func (gate *Gate) stay(ask *wire.PassAsk, service *franking.Service, cutoff postmark.Micros) (*stay, *letter.Answer, *seal.Fault) {
 	admission := hutch.Admission{Instance: ask.Instance, Service: ask.Service, Once: ask.Once,
-		Ask: slots.Ask{Priority: ask.Priority, Aim: gate.env.Hutch.Remaining(ask.Aim), Cutoff: cutoff, Patient: ask.Patient}}
+		Ask: slots.Ask{Priority: ask.Priority, Aim: gate.env.Hutch.Remaining(ask.Aim), Cutoff: cutoff, Patient: ask.Patient, Kind: ask.Route}}
 	admission.StartBy = min(cutoff, gate.env.Place.Now()+postmark.Micros(service.Guard.GetWaitOpenMicros())/guardShare)
 	claims := ask.Once && !gate.unclaimed
 	if !gate.env.Hutch.Counted(ask.Instance) {
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -286,7 +286,8 @@
 	if fault != nil {
 		return nil, fault, false
 	}
-	candidate, last, leave, fault := passage.choices.choose(passage.env.Roll.Directory(), trip.Service.Name, avoid)
+	candidate, last, leave, fault := passage.choices.choose(passage.env.Roll.Directory(),
+		wish{service: trip.Service.Name, route: trip.Path.Name, aim: trip.Path.Aim, avoid: avoid})
 	if fault != nil {
 		ticket.Done(wicket.Neutral)
 		return nil, fault, false
@@ -306,7 +307,7 @@
 		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
 		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
-		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Priority: trip.Path.Priority, Aim: trip.aim(place.Now()), Single: trip.Single, Patient: trip.last}
+		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Priority: trip.Path.Priority, Aim: trip.aim(place.Now()), Single: trip.Single, Patient: trip.last, Route: trip.Path.Name}
 	if trip.Once {
 		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
 	}
@@ -326,6 +327,7 @@
 	if tell.Refused {
 		return passage.turnedDown(trip, ticket, candidate, tell)
 	}
+	passage.choices.sized(trip.Path.Name, len(ask.Body)+len(tell.Body))
 	outcome := wicket.Success
 	if tell.Status >= 500 {
 		outcome = wicket.Failure
