--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -34,6 +34,7 @@
 	owing    map[string]*debt
 	faults   map[string]int
 	far      postmark.Micros
+	sizes    map[string]float64 // mean bytes of a route's requests with their answers
 	readings map[string]*reading
 	fit      []roll.Candidate // room for choose
 	worse    []roll.Candidate
@@ -48,7 +49,7 @@
 }
 
 func newChooser(place office.Office, domain string, blind bool, far postmark.Micros) *chooser {
-	return &chooser{place: place, domain: domain, blind: blind, far: far, readings: map[string]*reading{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
+	return &chooser{place: place, domain: domain, blind: blind, far: far, sizes: map[string]float64{}, readings: map[string]*reading{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
 func (chooser *chooser) shun(name string) {
@@ -111,19 +112,70 @@
 	return present
 }
 
+const (
+	// farPerKilobyte is what each kilobyte of a route's usual request and answer adds to the way to another zone.
+	farPerKilobyte = 5 * postmark.Millisecond
+	// farAimShare is the least that the way counts for, as a part of the time in which the route's answers are wanted.
+	farAimShare = 0.1
+	// heavy is the count from which a route keeps to its own zone as long as a backend is left there.
+	heavy = 100 * postmark.Millisecond
+	// sizeMemory is the number of answers over which a route's size is taken.
+	sizeMemory = 16
+)
+
+// sized notes how many bytes went to and fro for a request of a route.
+func (chooser *chooser) sized(route string, bytes int) {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	known, present := chooser.sizes[route]
+	if !present {
+		known = float64(bytes)
+	}
+	chooser.sizes[route] = known + (float64(bytes)-known)/sizeMemory
+}
+
+// distance is what the way to another zone counts for on a route. The lock is held.
+func (chooser *chooser) distance(route string, aim postmark.Micros) postmark.Micros {
+	least := max(chooser.far, postmark.Micros(farAimShare*float64(aim)))
+	return least + postmark.Micros(chooser.sizes[route]/1024*float64(farPerKilobyte))
+}
+
+// atHome leaves only the own zone's candidates where there are any.
+func (chooser *chooser) atHome(fit []roll.Candidate) []roll.Candidate {
+	home := slices.DeleteFunc(slices.Clone(fit), func(candidate roll.Candidate) bool { return candidate.Domain != chooser.domain })
+	if len(home) == 0 {
+		return fit
+	}
+	return home
+}
+
+// wish is what is asked of a choice: a backend of a service for a route, none of those to be avoided if another one is left.
+type wish struct {
+	service, route string
+	aim            postmark.Micros
+	avoid          map[string]bool
+}
+
 // choose picks a backend of a service; last tells that no other one is left that is fit and not to be avoided. leave must be
 // called once the pass is over.
-func (chooser *chooser) choose(directory *roll.Directory, service string, avoid map[string]bool) (chosen roll.Candidate, last bool, leave func(), fault *seal.Fault) {
+func (chooser *chooser) choose(directory *roll.Directory, wish wish) (chosen roll.Candidate, last bool, leave func(), fault *seal.Fault) {
 	chooser.lock.Lock()
 	defer chooser.lock.Unlock()
 	now := chooser.place.Now()
-	all := directory.Candidates[service]
+	all := directory.Candidates[wish.service]
 	if len(all) == 0 {
-		return roll.Candidate{}, true, nil, seal.New(seal.NoBackend, seal.NotRun, "no backend of %s is known", service)
+		return roll.Candidate{}, true, nil, seal.New(seal.NoBackend, seal.NotRun, "no backend of %s is known", wish.service)
+	}
+	distance := chooser.distance(wish.route, wish.aim)
+	if distance >= heavy && !chooser.blind {
+		all = chooser.atHome(slices.DeleteFunc(slices.Clone(all), func(candidate roll.Candidate) bool { return chooser.unfit(candidate, now) }))
+		if len(all) == 0 {
+			all = directory.Candidates[wish.service]
+		}
 	}
 	fit, worse := chooser.fit[:0], chooser.worse[:0]
 	for _, candidate := range all {
-		if avoid[candidate.Instance] || chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.silent(candidate.Carrier, now) {
+		if wish.avoid[candidate.Instance] || chooser.unfit(candidate, now) {
 			worse = append(worse, candidate)
 			continue
 		}
@@ -135,7 +187,7 @@
 		fit = worse
 	}
 	if counted(fit) {
-		chosen = chooser.soonest(fit, now)
+		chosen = chooser.soonest(fit, now, distance)
 	} else {
 		chosen = chooser.lighter(chooser.near(directory, fit))
 	}
@@ -159,6 +211,11 @@
 	}, nil
 }
 
+// unfit tells whether a backend failed lately or its carrier is silent.
+func (chooser *chooser) unfit(candidate roll.Candidate, now postmark.Micros) bool {
+	return chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.silent(candidate.Carrier, now)
+}
+
 // near keeps to the own domain with the probability that makes every backend's load the same: the domain's share of the
 // backends over its share of the carriers. The rest goes to domains that have backends to spare.
 func (chooser *chooser) near(directory *roll.Directory, fit []roll.Candidate) []roll.Candidate {
--- a/internal/carrier/passage/moves_test.go
+++ b/internal/carrier/passage/moves_test.go
@@ -120,7 +120,7 @@
 		choices.shun("3")
 		avoid := map[string]bool{}
 		for number := range 4 {
-			candidate, last, leave, fault := choices.choose(directory, "forms", avoid)
+			candidate, last, leave, fault := choices.choose(directory, wish{service: "forms", avoid: avoid})
 			if fault != nil || last != (number >= 2) {
 				t.Errorf("choice %d: last %v, %v", number, last, fault)
 			}
@@ -148,7 +148,7 @@
 	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
 		choices := newChooser(place, "a", false, 20*ms)
 		near, far := roll.Candidate{Instance: "near", Domain: "a", Slots: 6}, roll.Candidate{Instance: "far", Domain: "b", Slots: 6}
-		pick := func() string { return choices.soonest([]roll.Candidate{near, far}, place.Now()).Instance }
+		pick := func() string { return choices.soonest([]roll.Candidate{near, far}, place.Now(), choices.far).Instance }
 		tell := func(instance string, running, waiting uint32, work postmark.Micros) {
 			choices.inFlight[instance] = 1 // the pass that brings it
 			choices.heard(instance, &wire.Load{Slots: 6, Running: running, Waiting: waiting, WorkMicros: int64(work)})
@@ -191,3 +191,41 @@
 		t.Fatal(simulated.Panicked)
 	}
 }
+
+// TestHeavyRoutesKeepHome: a route with large answers stays in its zone while a backend is fit there, however full; small ones
+// don't, and a zone without fit backends is no reason to fail.
+func TestHeavyRoutesKeepHome(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	ended := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		choices := newChooser(place, "a", false, 20*ms)
+		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{"packs": {{Carrier: "home", Instance: "home", Domain: "a", Slots: 2}, {Carrier: "away", Instance: "away", Domain: "b", Slots: 2}}}}
+		choices.inFlight["home"] = 1
+		choices.heard("home", &wire.Load{Slots: 2, Running: 2, Waiting: 12, WorkMicros: int64(100 * ms)})
+		choices.heard("away", &wire.Load{Slots: 2, WorkMicros: int64(100 * ms)})
+		pick := func(route string, avoid map[string]bool) (string, bool) {
+			candidate, last, leave, _ := choices.choose(directory, wish{service: "packs", route: route, aim: 100 * ms, avoid: avoid})
+			leave()
+			return candidate.Instance, last
+		}
+		choices.sized("small", 400)
+		choices.sized("large", 100<<10)
+		if chosen, _ := pick("small", nil); chosen != "away" {
+			t.Errorf("a small one waits %s", chosen)
+		}
+		if chosen, last := pick("large", nil); chosen != "home" || !last {
+			t.Errorf("a large one goes %s, last %v", chosen, last)
+		}
+		choices.shun("home")
+		if chosen, _ := pick("large", nil); chosen != "away" {
+			t.Errorf("with nobody fit at home a large one goes %s", chosen)
+		}
+		ended = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + postmark.Second)
+	if !ended {
+		t.Fatal(simulated.Panicked)
+	}
+}
--- a/internal/carrier/passage/readings.go
+++ b/internal/carrier/passage/readings.go
@@ -100,12 +100,12 @@
 }
 
 // soonest is one of the candidates that are expected to answer first.
-func (chooser *chooser) soonest(fit []roll.Candidate, now postmark.Micros) roll.Candidate {
+func (chooser *chooser) soonest(fit []roll.Candidate, now, distance postmark.Micros) roll.Candidate {
 	siblings := chooser.siblings(fit, now)
 	chooser.scores = chooser.scores[:0]
 	best := math.Inf(1)
 	for index := range fit {
-		score := chooser.expected(&fit[index], siblings, now)
+		score := chooser.expected(&fit[index], siblings, now, distance)
 		best = min(best, score)
 		chooser.scores = append(chooser.scores, score)
 	}
@@ -126,7 +126,7 @@
 type sibling struct{ work, load float64 }
 
 // expected is the time in microseconds after which a backend may be expected to answer.
-func (chooser *chooser) expected(candidate *roll.Candidate, siblings sibling, now postmark.Micros) float64 {
+func (chooser *chooser) expected(candidate *roll.Candidate, siblings sibling, now, distance postmark.Micros) float64 {
 	slots, work := float64(candidate.Slots), siblings.work
 	others := siblings.load * slots
 	if known := chooser.readings[candidate.Instance]; known != nil {
@@ -141,7 +141,7 @@
 	}
 	time := score(float64(chooser.inFlight[candidate.Instance])+math.Max(0, others), slots, work)
 	if !chooser.blind && candidate.Domain != chooser.domain {
-		time += float64(chooser.far)
+		time += float64(distance)
 	}
 	return time
 }
--- a/internal/carrier/passage/spread_test.go
+++ b/internal/carrier/passage/spread_test.go
@@ -109,7 +109,7 @@
 	began, avoid := place.Now(), map[string]bool{}
 	result.asked++
 	for made := 0; ; made++ {
-		candidate, last, leave, _ := choices.choose(directory, "forms", avoid)
+		candidate, last, leave, _ := choices.choose(directory, wish{service: "forms", avoid: avoid})
 		avoid[candidate.Instance] = true
 		last = last || made == mostMoves
 		way := ms / 2
