Delivery: one suite of transcripts holds both dialects to the same meaning

The platform's dialect had no tests of its own, while the product's had approved transcripts. The suite is a package now, and the transcripts that mean the same in every dialect are shared: marks stand for the headers that a backend of the dialect writes. What only one dialect has (the identity page; a surplus behind a whole answer, the seal, 421) stays in its own file. Each transcript now also shows which connection was used, so that keeping and dropping connections is held too; none became laxer.

No fault was found in the dialect.

--- /dev/null
+++ b/internal/carrier/delivery/transcript/transcript.go
@@ -0,0 +1,164 @@
+// Package transcript holds any dialect to approved transcripts of what backends send and what becomes of it. Only tests use it.
+package transcript
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"snowflow/internal/carrier/delivery"
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// Suite is a dialect under test.
+type Suite struct {
+	Dialect delivery.Dialect
+	// Marks are the header lines that a backend of the dialect writes into every answer to the request, each with its end of
+	// line; they stand where a transcript says {marks}. In them {id} is the request's own id.
+	Marks string
+	// Other are the header lines of an answer to another request, where a transcript says {other}.
+	Other string
+	// Varying are the headers of a request whose values are shown as dots.
+	Varying []string
+}
+
+// script plays a backend: it answers the identity page, then sends its bytes to the first other request of each
+// connection and closes, or waits for the next when told to stay.
+type script struct {
+	listener net.Listener
+	identity string
+	answer   string
+	stay     bool
+	show     func(request *http.Request) string
+	lines    chan string
+}
+
+func (script *script) serve() {
+	for number := 1; ; number++ {
+		connection, err := script.listener.Accept()
+		if err != nil {
+			return
+		}
+		go script.talk(connection, number)
+	}
+}
+
+func (script *script) talk(connection net.Conn, number int) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		if request.URL.Path == delivery.IdentityPath {
+			fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(script.identity), script.identity)
+			continue
+		}
+		line := fmt.Sprintf("%s %s on connection %d", request.Method, request.RequestURI, number)
+		if len(body) > 0 {
+			line += fmt.Sprintf(" with %q", body)
+		}
+		script.lines <- line + script.show(request)
+		_, _ = io.WriteString(connection, script.answer)
+		if !script.stay {
+			return
+		}
+	}
+}
+
+// showing lists a request's headers, if it's to.
+func (suite *Suite) showing(shown bool) func(request *http.Request) string {
+	return func(request *http.Request) string {
+		if !shown {
+			return ""
+		}
+		lines := []string{"  Host: " + request.Host}
+		for name, values := range request.Header {
+			for _, value := range values {
+				if slices.Contains(suite.Varying, name) {
+					value = "..."
+				}
+				lines = append(lines, "  "+name+": "+value)
+			}
+		}
+		slices.Sort(lines)
+		return "\n" + strings.Join(lines, "\n")
+	}
+}
+
+// Run plays a file of transcripts.
+func (suite *Suite) Run(t *testing.T, path string) {
+	t.Helper()
+	marks := strings.ReplaceAll(suite.Marks, "{id}", "ask")
+	escapes := strings.NewReplacer(`\r`, "\r", `\n`, "\n", "\n", "", "{marks}", marks, "{other}", suite.Other)
+	datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		backend := &script{listener: listener, identity: `{"service":"forms","instance":"one"}`, answer: escapes.Replace(data.Input), lines: make(chan string, 16)}
+		method, times, leaving, once, headers, body, dialect, reuse := "GET", 1, false, false, false, "", suite.Dialect, ""
+		if name := ""; data.MaybeScanArgs(t, "identity", &name) {
+			backend.identity = fmt.Sprintf(`{"service":"forms","instance":%q}`, name)
+		}
+		data.MaybeScanArgs(t, "method", &method)
+		data.MaybeScanArgs(t, "times", &times)
+		data.MaybeScanArgs(t, "leaving", &leaving)
+		data.MaybeScanArgs(t, "once", &once)
+		data.MaybeScanArgs(t, "headers", &headers)
+		data.MaybeScanArgs(t, "body", &body)
+		data.MaybeScanArgs(t, "stay", &backend.stay)
+		if data.MaybeScanArgs(t, "reuse", &reuse) {
+			if dialect.ReuseOnce, err = time.ParseDuration(reuse); err != nil {
+				t.Fatal(err)
+			}
+		}
+		backend.show = suite.showing(headers)
+		go backend.serve()
+		if data.Cmd == "gone" {
+			_ = listener.Close()
+		}
+		clock := postmark.NewMachine()
+		courier := delivery.New(clock, dialect)
+		var text strings.Builder
+		for number := range times {
+			answer, fault := courier.Deliver(gate.Order{ID: fmt.Sprintf("ask.%d", number+1), Method: method, Target: "/forms/7?page=2", Body: []byte(body),
+				Headers: []*wire.Header{{Name: "Host", Value: "forms.example"}, {Name: "Accept", Value: "*/*"}}, Cutoff: clock.Now() + 300*postmark.Millisecond,
+				AnswerLimit: 64, Fresh: once, Backend: hutch.Backend{Service: "forms", Instance: "one", Address: listener.Addr().String()},
+				Still: func() *seal.Fault {
+					if leaving {
+						return seal.New(seal.BackendLeaving, seal.NotRun, "leaving")
+					}
+					return nil
+				}})
+			if fault != nil {
+				fmt.Fprintf(&text, "%d %s %s, the backend's: %v\n", fault.Status(), fault.Cause.Name(), fault.Verdict, fault.Backend)
+				continue
+			}
+			fmt.Fprintf(&text, "answer %d %q", answer.Status, answer.Body)
+			if answer.NotRun {
+				text.WriteString(", not run")
+			}
+			text.WriteString("\n")
+		}
+		for len(backend.lines) > 0 {
+			fmt.Fprintf(&text, "backend got %s\n", <-backend.lines)
+		}
+		return text.String()
+	})
+}
