--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -43,6 +43,8 @@
 	// ServeOn: this carrier serves on while out of touch, by the newest desired state it has heard of. The postmasters must know.
 	ServeOn  bool
 	Finished func(trip *passage.Trip, answer *letter.Answer, fault *seal.Fault)
+	// ClaimLife is how long answers to run-once requests are kept, two minutes if left out. It's as long as the sorters keep claims.
+	ClaimLife postmark.Micros
 	// Linger is how long a stopping carrier still takes callers' requests, where whoever sends them needs that time to stay away.
 	Linger postmark.Micros
 }
@@ -74,8 +76,12 @@
 	carrier.Roll.Guards = func(records []*wire.GuardRecord, reached bool) { carrier.Wicket.Polled(records, reached) }
 	carrier.Rota = rota.New(rota.Env{Place: env.Place, Carrier: env.Name, Present: carrier.Hutch.Present, CallPrimary: carrier.Roll.CallPrimary})
 	carrier.Purse = purse.New(env.Place, carrier.Roll.Share)
+	shelf := restante.New(env.Place)
+	if env.ClaimLife > 0 {
+		shelf.Life = env.ClaimLife
+	}
 	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk, ServeOn: env.ServeOn,
-		Hutch: carrier.Hutch, Shelf: restante.New(env.Place), Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
+		Hutch: carrier.Hutch, Shelf: shelf, Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
 		Domain: env.Domain, Blind: env.Blind, FarPenalty: env.FarPenalty, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
 		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished})
--- a/internal/carrier/restante/restante.go
+++ b/internal/carrier/restante/restante.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	// life is how long an answer is kept unless the shelf has another: as long as its claim.
 	life      = 120 * postmark.Second
 	mostBytes = 16 << 20
 )
@@ -18,6 +19,8 @@
 // Shelf holds answers. Invariants: held is the sum of the kept bodies' sizes and at most mostBytes; order lists the
 // kept scopes, oldest first.
 type Shelf struct {
+	// Life is how long answers are kept. It's set before the first one comes.
+	Life  postmark.Micros
 	clock postmark.Clock
 	lock  sync.Mutex
 	kept  map[string]*parcel
@@ -32,7 +35,9 @@
 }
 
 // New makes a shelf.
-func New(clock postmark.Clock) *Shelf { return &Shelf{clock: clock, kept: map[string]*parcel{}} }
+func New(clock postmark.Clock) *Shelf {
+	return &Shelf{Life: life, clock: clock, kept: map[string]*parcel{}}
+}
 
 // Put keeps an answer.
 func (shelf *Shelf) Put(scope string, digest []byte, answer *letter.Answer) {
@@ -42,7 +47,7 @@
 		return
 	}
 	if earlier := shelf.kept[scope]; earlier != nil {
-		if shelf.clock.Now()-earlier.at < life {
+		if shelf.clock.Now()-earlier.at < shelf.Life {
 			return
 		}
 		// A key that has outlived its claim ran anew: the answer kept for it is of the run before.
@@ -54,7 +59,7 @@
 	shelf.held += len(answer.Body)
 	for len(shelf.order) > 0 {
 		oldest := shelf.kept[shelf.order[0]]
-		if shelf.held <= mostBytes && shelf.clock.Now()-oldest.at < life {
+		if shelf.held <= mostBytes && shelf.clock.Now()-oldest.at < shelf.Life {
 			break
 		}
 		shelf.held -= len(oldest.answer.Body)
@@ -68,7 +73,7 @@
 	shelf.lock.Lock()
 	defer shelf.lock.Unlock()
 	kept := shelf.kept[scope]
-	if kept == nil || !bytes.Equal(kept.digest, digest) || shelf.clock.Now()-kept.at >= life {
+	if kept == nil || !bytes.Equal(kept.digest, digest) || shelf.clock.Now()-kept.at >= shelf.Life {
 		return nil
 	}
 	return kept.answer
--- a/internal/carrier/restante/restante_test.go
+++ b/internal/carrier/restante/restante_test.go
@@ -30,3 +30,19 @@
 		t.Fatalf("after its life: %v, %d bytes, %d in order", kept, shelf.held, len(shelf.order))
 	}
 }
+
+// TestSetLife: a shelf with another life keeps answers for that long.
+func TestSetLife(t *testing.T) {
+	clock := &still{now: postmark.Minute}
+	shelf := New(clock)
+	shelf.Life = 200 * postmark.Second
+	shelf.Put("one", []byte("d"), &letter.Answer{Status: 200})
+	clock.now += 199 * postmark.Second
+	if shelf.Find("one", []byte("d")) == nil {
+		t.Error("it's gone before its end")
+	}
+	clock.now += postmark.Second
+	if shelf.Find("one", []byte("d")) != nil {
+		t.Error("it's there after its end")
+	}
+}
--- a/internal/sorter/counterfoil/counterfoil.go
+++ b/internal/sorter/counterfoil/counterfoil.go
@@ -10,7 +10,8 @@
 	"snowflow/internal/postmark"
 )
 
-// Life is how long a claim, a void or a fence lasts after it was last written: twice the minute that is promised.
+// Life is how long a claim, a void or a fence lasts after it was last written unless the table has another: twice the minute
+// that is promised.
 const Life = 120 * postmark.Second
 
 // The outcomes of an ask.
@@ -34,10 +35,14 @@
 //   - at most one try holds it, and a try that is void never does;
 //   - a fence is older than every grant made after it: a request is only granted past a fence if it was read after it;
 //   - a held record leaves only by its holder's word that nothing ran, or by the end of its life.
-type Table struct{ records map[string]*wire.ClaimRecord }
+type Table struct {
+	// Life is how long records last. It's set before the first command, the same at every copy.
+	Life    postmark.Micros
+	records map[string]*wire.ClaimRecord
+}
 
 // New makes an empty table.
-func New() *Table { return &Table{records: map[string]*wire.ClaimRecord{}} }
+func New() *Table { return &Table{Life: Life, records: map[string]*wire.ClaimRecord{}} }
 
 // Restore replaces the table's content.
 func (table *Table) Restore(records []*wire.ClaimRecord) {
@@ -66,7 +71,7 @@
 		record = &wire.ClaimRecord{Scope: scope, State: free}
 		table.records[scope] = record
 	}
-	record.Expires = int64(now + Life)
+	record.Expires = int64(now + table.Life)
 	return record
 }
 
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -28,6 +28,8 @@
 	Voters []string // of a first start
 	// Genesis tells that this process may take part in a first start.
 	Genesis bool
+	// ClaimLife is how long run-once claims are kept, counterfoil.Life if left out. It's the same at every sorter.
+	ClaimLife postmark.Micros
 	// Adjust lets tests and the simulator change the core's figures.
 	Adjust func(*countersign.Env)
 	// Prepare lets rehearsals of the checkers change the replicated state's manner.
@@ -46,6 +48,9 @@
 // Open reads the disk.
 func Open(env Env) (*Sorter, error) {
 	sorter := &Sorter{env: env, rack: rack.New(), directory: directory.New(env.Place, env.Place.Random())}
+	if env.ClaimLife > 0 {
+		sorter.rack.Claims.Life = env.ClaimLife
+	}
 	if env.Prepare != nil {
 		env.Prepare(sorter.rack)
 	}
