--- /dev/null
+++ b/internal/knownred/ci/main.go
@@ -0,0 +1,49 @@
+// Ci runs go test with the arguments it's given and judges it by KNOWN-RED.txt.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+
+	"snowflow/internal/knownred"
+)
+
+func main() {
+	pass, err := run(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if !pass {
+		os.Exit(1)
+	}
+}
+
+func run(arguments []string) (pass bool, err error) {
+	content, err := os.ReadFile("KNOWN-RED.txt")
+	if err != nil {
+		return false, err
+	}
+	entries, err := knownred.Parse(string(content))
+	if err != nil {
+		return false, fmt.Errorf("KNOWN-RED.txt: %w", err)
+	}
+	command := exec.Command("go", append([]string{"test", "-json"}, arguments...)...)
+	command.Stderr = os.Stderr
+	stream, err := command.StdoutPipe()
+	if err != nil {
+		return false, err
+	}
+	if err := command.Start(); err != nil {
+		return false, err
+	}
+	seen, err := knownred.Read("snowflow", stream)
+	if err != nil {
+		_ = command.Process.Kill()
+		return false, err
+	}
+	verdict := knownred.Judge(entries, seen, command.Wait() != nil)
+	fmt.Print(verdict.Text)
+	return verdict.Pass, nil
+}
--- /dev/null
+++ b/internal/knownred/knownred_test.go
@@ -0,0 +1,147 @@
+package knownred_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"snowflow/internal/knownred"
+)
+
+// TestJudge keeps verdicts. A line is a package, a test (- for the package itself), and what became of it: an action, or text
+// that was put out.
+func TestJudge(t *testing.T) {
+	entries := []knownred.Entry(nil)
+	datadriven.RunTest(t, "testdata/verdicts", func(t *testing.T, data *datadriven.TestData) string {
+		if data.Cmd == "list" {
+			var err error
+			if entries, err = knownred.Parse(data.Input); err != nil {
+				return err.Error() + "\n"
+			}
+			text := ""
+			for _, entry := range entries {
+				text += fmt.Sprintf("%q\n", entry)
+			}
+			return text
+		}
+		stream, failed := &strings.Builder{}, false
+		data.MaybeScanArgs(t, "failed", &failed)
+		for _, line := range strings.Split(data.Input, "\n") {
+			words := strings.SplitN(line, " ", 3)
+			if len(words) < 3 {
+				fmt.Fprintln(stream, line)
+				continue
+			}
+			if words[1] == "-" {
+				words[1] = ""
+			}
+			if text, output := strings.CutPrefix(words[2], "says "); output {
+				fmt.Fprintf(stream, "{\"Action\":\"output\",\"Package\":\"snowflow/%s\",\"Test\":%q,\"Output\":%q}\n", words[0], words[1], text+"\n")
+				continue
+			}
+			fmt.Fprintf(stream, "{\"Action\":%q,\"Package\":\"snowflow/%s\",\"Test\":%q}\n", words[2], words[0], words[1])
+		}
+		told := ""
+		for turn := range 5 {
+			run, err := knownred.Read("snowflow", strings.NewReader(stream.String()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			verdict := knownred.Judge(entries, run, failed)
+			if text := fmt.Sprintf("pass %v\n%s", verdict.Pass, verdict.Text); turn > 0 && text != told {
+				t.Errorf("another verdict on the same run: %s", text)
+			} else {
+				told = text
+			}
+		}
+		return told
+	})
+}
+
+const module = "module snowflow\n\ngo 1.26\n"
+
+const tests = `package one
+
+import "testing"
+
+func TestGood(t *testing.T) {}
+func TestBad(t *testing.T) { t.Error("as ever") }
+func TestTree(t *testing.T) {
+	t.Run("good", func(t *testing.T) {})
+	t.Run("bad", func(t *testing.T) { t.Error("as ever") })
+}
+`
+
+// TestWithGo has the go command itself run tests, through the project's own .ci/run.
+func TestWithGo(t *testing.T) {
+	script, err := os.ReadFile("../../.ci/run")
+	if err != nil {
+		t.Fatal(err)
+	}
+	root := t.TempDir()
+	write := func(name, content string) {
+		t.Helper()
+		path := filepath.Join(root, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(content), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"knownred.go", "ci/main.go"} {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write("internal/knownred/"+name, string(content))
+	}
+	write(".ci/run", string(script))
+	write("go.mod", module)
+	write("README.md", "# one\n\n## Tests\n\n    go vet ./... && go test ./one/... && go test -vet=off $(go list ./... | grep -v one/)\n\n## More\n\n    false\n")
+	write("one/one_test.go", tests)
+	write("two/two_test.go", strings.ReplaceAll(strings.Split(tests, "func TestBad")[0], "package one", "package two"))
+	ci := func(list string) (bool, string) {
+		t.Helper()
+		_ = os.Remove(filepath.Join(root, "KNOWN-RED.txt"))
+		if list != "" {
+			write("KNOWN-RED.txt", list)
+		}
+		output, err := exec.Command(filepath.Join(root, ".ci", "run")).CombinedOutput()
+		return err == nil, string(output)
+	}
+	bad, tree := "one.TestBad, it was never good, 7\n", "one.TestTree/bad, nor was this, 8\n"
+	panics := func() {
+		write("one/two_test.go", "package one\n\nimport \"testing\"\n\nfunc TestPanic(t *testing.T) { panic(1) }\n")
+	}
+	for _, step := range []struct {
+		what, list string
+		change     func()
+		pass       bool
+		told       []string
+	}{
+		{"without a list", "", func() {}, false, []string{"--- FAIL: TestBad"}},
+		{"all are listed", bad + tree, func() {}, true, []string{"known red: one.TestBad, it was never good, 7", "known red: one.TestTree/bad, nor was this, 8", "snowflow/two"}},
+		{"one isn't listed", bad, func() {}, false, []string{"not known: one.TestTree", "known red: one.TestBad"}},
+		{"one passes", bad + tree + "two.TestGood, it was bad, 9\n", func() {}, true, []string{"listed as red: two.TestGood passes now"}},
+		{"a list that can't be read", "one.TestBad\n", func() {}, false, []string{"KNOWN-RED.txt: line 1"}},
+		{"a panic hides the tests behind it", bad + tree + "one.TestPanic, it panics, 9\n", panics, false, []string{"one failed otherwise than by a test"}},
+		{"what doesn't build", bad + tree, func() { write("one/two_test.go", "package one\n\nimport \"nothing\"\n") }, false, nil},
+	} {
+		step.change()
+		pass, output := ci(step.list)
+		if pass != step.pass {
+			t.Errorf("%s: pass %v\n%s", step.what, pass, output)
+		}
+		for _, told := range step.told {
+			if !strings.Contains(output, told) {
+				t.Errorf("%s: %q isn't told\n%s", step.what, told, output)
+			}
+		}
+	}
+}
