Core on the platform: the two programs of a machine have their own files on its one disk

A core machine has one disk for its postmaster and its sorter, and both were given the same folder. Where locks hold, the second one was turned away (data folder is held by another process) and the core never stood; where they do nothing, both went on, and both appended to the one file of addresses and shared one reserve, so that what was remembered of the others was damaged.

Ruled out: a folder for each program inside the folder, which the platform doesn't list among what its disks do.

--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -111,7 +111,7 @@
 	if path := values["data"]; path != "" {
 		// Where the system bounds a file's length, a write beyond it fails as on a full disk, instead of ending the process.
 		signal.Ignore(syscall.SIGXFSZ)
-		held, err := folder.Open(path, values.Span("rehearse-sync").Duration())
+		held, err := folder.OpenShared(path, values["data-owner"], values.Span("rehearse-sync").Duration())
 		if err != nil {
 			return err
 		}
--- a/internal/strongbox/folder/folder.go
+++ b/internal/strongbox/folder/folder.go
@@ -1,4 +1,4 @@
-// Package folder is the strongbox's disk on a real machine: one folder, locked against a second process.
+// Package folder is the strongbox's disk on a real machine: one folder, or one owner's files in it, locked against a second process.
 package folder
 
 import (
@@ -13,32 +13,42 @@
 	"snowflow/internal/strongbox"
 )
 
-// Folder is a data folder held by this process alone, until the process ends.
+// Folder is a data folder, or one owner's part of it, held by this process alone until the process ends.
+// Invariant: every file of it begins with prefix, so that owners with other prefixes share the folder and nothing in it.
 type Folder struct {
-	path string
-	lock *os.File
+	path   string
+	prefix string
+	lock   *os.File
 	// linger is added to each sync, to rehearse a slow disk.
 	linger time.Duration
 }
 
 // Open makes and locks the folder. A second process on it is turned away. linger is added to each sync.
-func Open(path string, linger time.Duration) (*Folder, error) {
+func Open(path string, linger time.Duration) (*Folder, error) { return OpenShared(path, "", linger) }
+
+// OpenShared makes the folder and locks an owner's part of it, where a machine has one folder for several programs. No folder
+// is made inside it.
+func OpenShared(path, owner string, linger time.Duration) (*Folder, error) {
+	prefix := ""
+	if owner != "" {
+		prefix = owner + "-"
+	}
 	if err := os.MkdirAll(path, 0o750); err != nil {
 		return nil, err
 	}
-	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o640)
+	lock, err := os.OpenFile(filepath.Join(path, prefix+"lock"), os.O_CREATE|os.O_RDWR, 0o640)
 	if err != nil {
 		return nil, err
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		return nil, errors.Join(fmt.Errorf("data folder %s is held by another process: %w", path, err), lock.Close())
 	}
-	return &Folder{path: path, lock: lock, linger: linger}, nil
+	return &Folder{path: path, prefix: prefix, lock: lock, linger: linger}, nil
 }
 
 // Open opens or makes a file.
 func (folder *Folder) Open(name string) (strongbox.File, error) {
-	file, err := os.OpenFile(filepath.Join(folder.path, name), os.O_CREATE|os.O_RDWR, 0o640)
+	file, err := os.OpenFile(filepath.Join(folder.path, folder.prefix+name), os.O_CREATE|os.O_RDWR, 0o640)
 	if err != nil {
 		return nil, full(err)
 	}
@@ -47,12 +57,12 @@
 
 // Rename moves a file over another.
 func (folder *Folder) Rename(from, to string) error {
-	return os.Rename(filepath.Join(folder.path, from), filepath.Join(folder.path, to))
+	return os.Rename(filepath.Join(folder.path, folder.prefix+from), filepath.Join(folder.path, folder.prefix+to))
 }
 
 // Remove removes a file; a missing one is fine.
 func (folder *Folder) Remove(name string) error {
-	if err := os.Remove(filepath.Join(folder.path, name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := os.Remove(filepath.Join(folder.path, folder.prefix+name)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
 	return nil
