Serving on: a carrier that starts without a primary in reach begins by a named copy

Ruled out: any copy as a source: a witness may hold one from long ago, so only copies that the newest register names answer. By leases nothing changes: there a primary must be heard. Test: TestServeOnWithoutPrimary, by leases and serving on.

--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -48,6 +48,7 @@
 	released bool
 	// untenured lets it serve without a live tenure; only rehearsals of the checkers set it.
 	untenured bool
+	asked     int // how often it was asked with nothing adopted; only the following task uses it
 }
 
 // Untenured lets the desk serve without a live tenure, to show that a checker sees what comes of it. No program sets it.
@@ -113,12 +114,12 @@
 }
 
 func (desk *Desk) poll(first bool) bool {
-	name := desk.book.Leader(postmasters)
+	serial, _ := desk.Serial()
+	name := desk.postmaster(serial)
 	if name == "" {
 		desk.book.Ask()
 		return false
 	}
-	serial, _ := desk.Serial()
 	desk.lock.Lock()
 	patience := max(desk.hold, postmark.Second) + 500*postmark.Millisecond
 	desk.lock.Unlock()
@@ -132,12 +133,31 @@
 	}
 	desk.book.Hint(tell.Primaries)
 	if !tell.Primary {
+		if serial == 0 && desk.env.ServeOn && tell.Serial > 0 {
+			desk.adopt(tell, 0)
+		}
 		desk.book.Ask()
 		return false
 	}
 	return desk.adopt(tell, asked+postmark.Micros(tell.Tenure))
 }
 
+// postmaster is whom to ask: the primary, or in turn any while this carrier has nothing and may serve on by what it hears.
+func (desk *Desk) postmaster(serial uint64) string {
+	leader := desk.book.Leader(postmasters)
+	if serial > 0 || !desk.env.ServeOn {
+		return leader
+	}
+	desk.asked++
+	if leader != "" && desk.asked%2 == 1 {
+		return leader
+	}
+	if others := desk.book.Members(postmasters); len(others) > 0 {
+		return others[desk.asked/2%len(others)]
+	}
+	return leader
+}
+
 func (desk *Desk) adopt(tell *wire.DesiredPollTell, until postmark.Micros) bool {
 	var fresh *franking.View
 	serial, _ := desk.Serial()
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -400,6 +400,21 @@
 	return member.Answering() && member.Epoch() == epoch
 }
 
+// Peek looks at this member's own copy, whoever leads, if the newest register heard of names it as one: what it shows may have been
+// overtaken since, or never have been answered. It tells whether it looked.
+func (member *Member) Peek(look func()) bool {
+	member.lock.Lock()
+	value, self := member.value, member.self()
+	member.lock.Unlock()
+	if value == nil || !sameHolder(value.Primary, self) && !holds(backupsOf(value), self) {
+		return false
+	}
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	look()
+	return true
+}
+
 // Status is what operators are shown of a member.
 type Status struct {
 	Group     string   `json:"group"`
--- a/internal/mailround/round/serve_on_test.go
+++ b/internal/mailround/round/serve_on_test.go
@@ -217,3 +217,35 @@
 		t.Errorf("%+v", service)
 	}
 }
+
+// TestServeOnWithoutPrimary: where carriers serve on, one that starts anew while no primary can be had begins with what a named copy
+// holds; by leases it waits for a primary. A copy that the register no longer names is nobody's source.
+func TestServeOnWithoutPrimary(t *testing.T) {
+	for name, bounds := range map[string]postmaster.Bounds{"serving on": servingOn, "by leases": {}} {
+		t.Run(name, func(t *testing.T) {
+			mesh := started(t, bounds)
+			left, others := "", []string{}
+			for name, master := range mesh.masters {
+				if backups := master.Member.Backups(); len(backups) > 0 && master.Member.Answering() {
+					left = backups[0]
+				} else if name != left {
+					others = append(others, name)
+				}
+			}
+			for _, node := range mesh.World.Nodes() {
+				if mesh.masters[node.Name] != nil && node.Name != left {
+					mesh.World.Kill(node)
+				}
+			}
+			node := mesh.World.Node(mesh.carriers[0])
+			mesh.World.Kill(node)
+			mesh.World.Run(mesh.World.Now() + postmark.Second)
+			mesh.World.Start(node)
+			mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
+			serial, _ := mesh.lives[mesh.carriers[0]].Desk.Serial()
+			if wanted := map[bool]uint64{true: 10, false: 0}[bounds.ServeOn]; serial != wanted {
+				t.Errorf("with %s left of %v it has serial %d", left, others, serial)
+			}
+		})
+	}
+}
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -213,7 +213,7 @@
 		})
 		if !tell.Primary {
 			master.news.leave(news)
-			return &wire.DesiredPollTell{Primaries: tell.Primaries}, nil
+			return master.hearsay(ask, tell.Primaries), nil
 		}
 		remaining := cutoff - place.Now()
 		if tell.Serial != ask.Have || ask.First || remaining <= 0 {
@@ -225,6 +225,21 @@
 	}
 }
 
+// hearsay is the answer of a postmaster that isn't the primary. A carrier that has nothing yet and may serve on while out of touch is
+// given what this copy holds: it's better served by that than by nothing until there's a primary again.
+func (master *Postmaster) hearsay(ask *wire.DesiredPollAsk, primaries []*wire.Primary) *wire.DesiredPollTell {
+	tell := &wire.DesiredPollTell{Primaries: primaries}
+	if ask.Have > 0 || !master.env.Bounds.ServeOn {
+		return tell
+	}
+	master.Member.Peek(func() {
+		if newest := master.ledger.Newest(); newest != nil {
+			tell.Serial, tell.Content = newest.Serial, newest.Content
+		}
+	})
+	return tell
+}
+
 func holderKey(ask *wire.DesiredPollAsk) string {
 	return ask.Carrier + "/" + strconv.FormatUint(ask.Incarnation, 16)
 }
