Silence: asked after a settable time, dials bounded, and long work isn't silence

Ruled out: leaving out every carrier that owes an answer for 200 ms: work takes that long, so only one whose sign of life is overdue counts as mute.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -47,6 +47,8 @@
 	ClaimLife postmark.Micros
 	// Linger is how long a stopping carrier still takes callers' requests, where whoever sends them needs that time to stay away.
 	Linger postmark.Micros
+	// Silence is how long a carrier may owe answers before it's asked for a sign of life, 700 ms if left out.
+	Silence postmark.Micros
 }
 
 // Carrier puts the parts together. Invariant: incarnation is new in every life of the process.
@@ -84,7 +86,7 @@
 		Hutch: carrier.Hutch, Shelf: shelf, Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
 		Domain: env.Domain, Blind: env.Blind, FarPenalty: env.FarPenalty, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
-		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished})
+		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished, Silence: env.Silence})
 	carrier.vigil.OnLeap(carrier.Hutch.Forgive)
 	carrier.vigil.OnLeap(func(postmark.Micros) { carrier.Purse.Forfeit() })
 	carrier.vigil.OnLeap(func(postmark.Micros) { carrier.Roll.Doubt() })
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -16,8 +16,9 @@
 	shunned = 2 * postmark.Second
 	// faultsInRow shun a backend whose answers are broken, late or errors, while others of its service do well.
 	faultsInRow = 3
-	// silence is how long a carrier may owe answers without giving any before others are chosen first.
-	silence = 700 * postmark.Millisecond
+	// usualSilence is how long a carrier may owe answers without giving any before others are chosen first and it's asked for a
+	// sign of life, where nothing else is set.
+	usualSilence = 700 * postmark.Millisecond
 )
 
 // chooser picks backends: in the own domain first, and beyond it for the part of the load that the own domain's share
@@ -34,6 +35,7 @@
 	owing    map[string]*debt
 	faults   map[string]int
 	far      postmark.Micros
+	silence  postmark.Micros
 	sizes    map[string]float64 // mean bytes of a route's requests with their answers
 	readings map[string]*reading
 	fit      []roll.Candidate // room for choose
@@ -49,7 +51,7 @@
 }
 
 func newChooser(place office.Office, domain string, blind bool, far postmark.Micros) *chooser {
-	return &chooser{place: place, domain: domain, blind: blind, far: far, sizes: map[string]float64{}, readings: map[string]*reading{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
+	return &chooser{place: place, silence: usualSilence, domain: domain, blind: blind, far: far, sizes: map[string]float64{}, readings: map[string]*reading{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
 func (chooser *chooser) shun(name string) {
@@ -73,10 +75,24 @@
 	}
 }
 
-// silent tells whether a carrier owes answers for too long.
+// lookEvery is how often carriers that owe answers are looked at.
+func (chooser *chooser) lookEvery() postmark.Micros {
+	return min(200*postmark.Millisecond, chooser.silence/2)
+}
+
+// signTime is what a carrier that lives needs for its sign of life.
+const signTime = 50 * postmark.Millisecond
+
+// mute tells whether a carrier was asked for a sign of life and should have given it by now. One that only has long work isn't.
+func (chooser *chooser) mute(carrier string, now postmark.Micros) bool {
+	owed := chooser.owing[carrier]
+	return owed != nil && now-owed.since >= chooser.silence+chooser.lookEvery()+signTime
+}
+
+// silent tells whether a carrier owes answers for long enough to be asked for a sign of life.
 func (chooser *chooser) silent(carrier string, now postmark.Micros) bool {
 	owed := chooser.owing[carrier]
-	return owed != nil && now-owed.since >= silence
+	return owed != nil && now-owed.since >= chooser.silence
 }
 
 // quiet lists the carriers that owe answers for too long and were not asked for a sign of life yet, and notes the ask.
@@ -213,7 +229,7 @@
 
 // unfit tells whether a backend failed lately or its carrier is silent.
 func (chooser *chooser) unfit(candidate roll.Candidate, now postmark.Micros) bool {
-	return chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.silent(candidate.Carrier, now)
+	return chooser.shuns(candidate.Instance, now) || chooser.shuns(candidate.Carrier, now) || chooser.mute(candidate.Carrier, now)
 }
 
 // near keeps to the own domain with the probability that makes every backend's load the same: the domain's share of the
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -44,6 +44,8 @@
 	Wicket      *wicket.Wicket
 	Purse       *purse.Purse
 	Gate        *gate.Gate
+	// Silence is how long a carrier may owe answers before it's asked for a sign of life, 700 ms if left out.
+	Silence     postmark.Micros
 	CallPrimary func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
 	// Finished is told every outcome, for counting; it must not block.
 	Finished func(trip *Trip, answer *letter.Answer, fault *seal.Fault)
@@ -94,22 +96,25 @@
 // New makes a passage.
 func New(env Env) *Passage {
 	passage := &Passage{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), later: newLater(env.Place), choices: newChooser(env.Place, env.Domain, env.Blind, env.FarPenalty)}
+	if env.Silence > 0 {
+		passage.choices.silence = env.Silence
+	}
 	passage.policies = passage.Policies()
 	return passage
 }
 
-// signPatience is how long a quiet carrier may take for a sign of life.
-const signPatience = 500 * postmark.Millisecond
+// leastSign is the least that a quiet carrier is given for a sign of life.
+const leastSign = 150 * postmark.Millisecond
 
 // Watch asks carriers that owe answers and give none for a sign of life, for ever. An ask that hears nothing ends its
 // connection, and with it the passes that wait there, so they are settled and tried elsewhere long before their cutoff.
 func (passage *Passage) Watch() {
 	place := passage.env.Place
 	for {
-		place.Sleep(200 * postmark.Millisecond)
+		place.Sleep(passage.choices.lookEvery())
 		for _, owed := range passage.choices.quiet() {
 			place.Go(func() {
-				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, signPatience)
+				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
 				if err != nil {
 					place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
 				}
--- a/internal/mailround/round/course.go
+++ b/internal/mailround/round/course.go
@@ -40,6 +40,7 @@
 }
 
 var small = Sizes{Cores: 3, Carriers: 4, Zones: 2, Backends: 3}
+
 // found is a small core whose processes know their voters at the first start only.
 var found = Sizes{Cores: 3, Carriers: 4, Zones: 2, Backends: 3, Found: true}
 var four = Sizes{Cores: 4, Carriers: 4, Zones: 4, Backends: 3}
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -29,8 +29,9 @@
 	lock    sync.Mutex
 	links   map[string]*link
 	counts  map[string]*traffic
-	busy    atomic.Int64 // requests of others whose reply isn't written yet
-	from    net.Addr     // the own number that connections go out from; nil leaves it to the system
+	busy    atomic.Int64  // requests of others whose reply isn't written yet
+	dialFor time.Duration // the most that a dial may take
+	from    net.Addr      // the own number that connections go out from; nil leaves it to the system
 }
 
 type traffic struct{ sent, received atomic.Uint64 }
@@ -51,7 +52,7 @@
 }
 
 func newPeers(machine *Machine) *Peers {
-	return &Peers{machine: machine, links: map[string]*link{}, counts: map[string]*traffic{}}
+	return &Peers{dialFor: 2 * time.Second, machine: machine, links: map[string]*link{}, counts: map[string]*traffic{}}
 }
 
 // From makes connections go out from the host of an own address.
@@ -62,6 +63,9 @@
 	}
 }
 
+// DialWithin bounds what a dial may take: where the ways are short, a machine that doesn't answer one soon isn't there.
+func (peers *Peers) DialWithin(most postmark.Micros) { peers.dialFor = most.Duration() }
+
 // Traffic tells the bytes exchanged with each address this process called.
 func (peers *Peers) Traffic() map[string][2]uint64 {
 	peers.lock.Lock()
@@ -86,7 +90,7 @@
 	}
 	fresh := &link{address: address, dialled: make(chan struct{}), pending: map[uint64]chan frame.Frame{}, counts: counts}
 	peers.links[address] = fresh
-	go peers.dial(fresh, min(patience, 2*time.Second))
+	go peers.dial(fresh, min(patience, peers.dialFor))
 	return fresh
 }
 
