Choice: a told load lasts as long as the work, and a request moves up to four times

Cause: with 6 requests a second and carrier a load told a second ago had faded to a mean of 16 readings, so after two backends had left the slow ones drew as much as the quick ones; and with five or six backends three moves left the free one unasked.

--- a/internal/carrier/passage/moves.go
+++ b/internal/carrier/passage/moves.go
@@ -7,7 +7,7 @@
 )
 
 // mostMoves is how many further backends one request may be brought to, within one try, because a gate turned it down.
-const mostMoves = 3
+const mostMoves = 4
 
 // movable are the causes of refusals after which another backend is asked at once: nothing of the request came as far as a
 // backend, and another one may well take it.
--- a/internal/carrier/passage/readings.go
+++ b/internal/carrier/passage/readings.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	// loadHalves is the time in which what was told of others' load loses half its weight against the backend's usual load.
+	// loadHalves is the least time in which what was told of others' load loses half its weight against the backend's usual load;
+	// where work takes longer that is it, for a queue lasts as long as the work in it.
 	loadHalves = 100 * postmark.Millisecond
 	// usualHalves is that in which the usual load and the work time lose half their weight against those of its siblings, so that one
 	// that was slow, or full, is tried again.
 	usualHalves = 5 * postmark.Second
 	// usualMemory is the number of readings over which the usual load is taken.
-	usualMemory = 16
+	usualMemory = 5
 	// firstWork is taken for the work time while none of the service is known, as the gates do.
 	firstWork = float64(50 * postmark.Millisecond)
 	// warmingFactor is what an unmeasured backend that is warming up counts as slower.
@@ -132,10 +133,10 @@
 	if known := chooser.readings[candidate.Instance]; known != nil {
 		weight := halved(now-known.at, usualHalves)
 		others += (known.usual - others) * weight
-		others += (known.others - known.usual) * halved(now-known.at, loadHalves)
 		if known.work > 0 {
 			work += (known.work - work) * weight
 		}
+		others += (known.others - known.usual) * halved(now-known.at, max(loadHalves, postmark.Micros(work)))
 	} else if candidate.Warming {
 		work *= warmingFactor
 	}
