--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -2,6 +2,10 @@
 package desk
 
 import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"io"
 	"sync"
 
 	"snowflow/internal/bulletin"
@@ -121,17 +125,21 @@
 		return false
 	}
 	desk.lock.Lock()
-	patience := max(desk.hold, postmark.Second) + 500*postmark.Millisecond
+	patience := max(desk.hold, postmark.Second) + contentPatience
 	desk.lock.Unlock()
 	asked := desk.place.Now()
 	tell := &wire.DesiredPollTell{}
 	err := desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation,
-		Have: serial, First: first}, tell, patience)
+		Have: serial, First: first, Packs: true}, tell, patience)
 	if err != nil {
 		desk.book.Ask()
 		return false
 	}
 	desk.book.Hint(tell.Primaries)
+	if err := unpack(tell); err != nil {
+		desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "error": err.Error()})
+		return false
+	}
 	if !tell.Primary {
 		if serial == 0 && desk.env.ServeOn && tell.Serial > 0 {
 			desk.adopt(tell, 0)
@@ -142,6 +150,22 @@
 	return desk.adopt(tell, asked+postmark.Micros(tell.Tenure))
 }
 
+// contentPatience is what an answer may take beyond its hold: a large content on a narrow link.
+const contentPatience = 1500 * postmark.Millisecond
+
+// unpack restores a content that came packed. No content is longer than what a postmaster takes.
+func unpack(tell *wire.DesiredPollTell) error {
+	if len(tell.Packed) == 0 {
+		return nil
+	}
+	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(tell.Packed)), franking.Longest+1))
+	if err == nil && len(content) > franking.Longest {
+		err = errors.New("longer than any content that is taken")
+	}
+	tell.Content, tell.Packed = content, nil
+	return err
+}
+
 // postmaster is whom to ask: the primary, or in turn any while this carrier has nothing and may serve on by what it hears.
 func (desk *Desk) postmaster(serial uint64) string {
 	leader := desk.book.Leader(postmasters)
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -60,6 +60,7 @@
 	Member *countersign.Member
 	ledger *ledger.Ledger
 
+	packing packing
 	lock    sync.Mutex
 	holders map[string]*holder
 	news    *crowd // polls that wait for a new state
@@ -206,7 +207,7 @@
 		tell.Primary = master.Member.Read(func(epoch uint64, _ postmark.Micros) {
 			tell.Epoch, tell.Serial = epoch, master.ledger.Serial()
 			if newest := master.ledger.Newest(); newest != nil && newest.Serial != ask.Have {
-				tell.Content = newest.Content
+				master.packing.fill(tell, newest, ask.Packs)
 			}
 			// Noted under the same look that read the serial: an apply that comes later waits for this tenure.
 			master.grant(ask)
@@ -234,7 +235,8 @@
 	}
 	master.Member.Peek(func() {
 		if newest := master.ledger.Newest(); newest != nil {
-			tell.Serial, tell.Content = newest.Serial, newest.Content
+			tell.Serial = newest.Serial
+			master.packing.fill(tell, newest, ask.Packs)
 		}
 	})
 	return tell
