--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -47,6 +47,8 @@
 	ClaimLife postmark.Micros
 	// Linger is how long a stopping carrier still takes callers' requests, where whoever sends them needs that time to stay away.
 	Linger postmark.Micros
+	// Link is what this machine's link carries, in megabits a second; zero for one that isn't counted.
+	Link float64
 	// Silence is how long a carrier may owe answers before it's asked for a sign of life, 700 ms if left out.
 	Silence postmark.Micros
 }
@@ -83,7 +85,7 @@
 		shelf.Life = env.ClaimLife
 	}
 	carrier.Gate = gate.New(gate.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Desk: carrier.Desk, ServeOn: env.ServeOn,
-		Hutch: carrier.Hutch, Shelf: shelf, Delivery: env.Delivery, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
+		Hutch: carrier.Hutch, Shelf: shelf, Delivery: env.Delivery, Link: env.Link, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
 		Domain: env.Domain, Blind: env.Blind, FarPenalty: env.FarPenalty, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
 		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished, Silence: env.Silence})
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -8,6 +8,7 @@
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/desk"
 	"snowflow/internal/carrier/gate/slots"
+	"snowflow/internal/carrier/gate/uplink"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
@@ -60,6 +61,8 @@
 	Hutch       *hutch.Hutch
 	Shelf       *restante.Shelf
 	Delivery    Delivery
+	// Link is what this machine's link carries, in megabits a second; zero for one that isn't counted.
+	Link float64
 	// ServeOn: passes are taken whatever desired state they were resolved by, and whether or not this carrier has a tenure.
 	ServeOn bool
 	// CallPrimary asks the primary sorter until patience ends.
@@ -76,18 +79,20 @@
 	idle    office.Signal
 	last    *lastpost.Post
 	work    *work
+	link    *uplink.Uplink
 	// unclaimed leaves the claim out; only rehearsals of the checkers set it.
 	unclaimed bool
 }
 
 // New makes a gate.
 func New(env Env) *Gate {
-	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), work: newWork(env.Place)}
+	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), work: newWork(env.Place), link: uplink.New(env.Link)}
 }
 
 // Register adds the handlers.
 func (gate *Gate) Register(table office.Table) {
 	office.Handle(table, wire.Kind_pass, gate.Pass)
+	office.Handle(table, wire.Kind_pass_bulk, gate.Pass)
 	office.Handle(table, wire.Kind_recall, func(ask *wire.RecallAsk) (*wire.PassTell, error) {
 		answer, busy := gate.recorded(ask.Scope, ask.Digest, recallPatience*4/5)
 		if answer != nil {
@@ -190,7 +195,7 @@
 // GiveUp answers every pass still under way now.
 func (gate *Gate) GiveUp() { gate.last.GiveUp() }
 
-func (gate *Gate) pass(ask *wire.PassAsk, errand *lastpost.Errand) *wire.PassTell {
+func (gate *Gate) pass(ask *wire.PassAsk, errand *lastpost.Errand) (tell *wire.PassTell) {
 	cutoff := gate.env.Place.Now() + postmark.Micros(ask.Remaining)
 	for _, check := range checks {
 		if fault := check(gate, ask); fault != nil {
@@ -201,6 +206,15 @@
 	if fault != nil {
 		return gate.refused(ask, fault)
 	}
+	size, fault := gate.sendable(ask)
+	if fault != nil {
+		return gate.refused(ask, fault)
+	}
+	defer func() {
+		if ask.From != gate.env.Carrier {
+			gate.link.Done(gate.env.Place.Now(), ask.Route, size, len(tell.GetBody()))
+		}
+	}()
 	stay, earlier, fault := gate.stay(ask, service, cutoff)
 	if fault != nil {
 		return gate.refused(ask, fault)
@@ -345,6 +359,28 @@
 	return slots.Unsure
 }
 
+// linkShare is the part of the time that's left in which a large answer must be on its way.
+const linkShare = 0.6
+
+// sendable tells whether this machine's link can carry the answer in time, as far as the route's answers usually go. Nothing ran
+// where it can't.
+func (gate *Gate) sendable(ask *wire.PassAsk) (size float64, fault *seal.Fault) {
+	if ask.From == gate.env.Carrier {
+		return 0, nil
+	}
+	limit := ask.Remaining
+	if ask.Aim > 0 && !ask.Patient {
+		limit = ask.Aim
+	}
+	size, wait, admitted := gate.link.Admit(gate.env.Place.Now(), ask.Route, postmark.Micros(linkShare*float64(limit)))
+	if admitted {
+		return size, nil
+	}
+	fault = seal.New(seal.Overloaded, seal.NotRun, "the link of %s is taken for %d ms", gate.env.Carrier, wait/postmark.Millisecond)
+	fault.RetryAfter = max(wait, postmark.Millisecond)
+	return 0, fault
+}
+
 func (gate *Gate) refused(ask *wire.PassAsk, fault *seal.Fault) *wire.PassTell {
 	serial, _ := gate.env.Desk.Serial()
 	return &wire.PassTell{Id: ask.Id, Refused: true, Cause: uint32(fault.Cause), Verdict: string(fault.Verdict), RetryAfter: int64(fault.RetryAfter),
--- /dev/null
+++ b/internal/carrier/gate/uplink/uplink.go
@@ -0,0 +1,77 @@
+// Package uplink is the admission of large answers to a machine's own link: how much of it is taken by answers on their way and
+// by those to come. It's a pure state machine; its owner gives it the time.
+package uplink
+
+import (
+	"sync"
+
+	"snowflow/internal/postmark"
+)
+
+const (
+	// large is the usual size in bytes from which a route's answers are admitted by the link; smaller ones only count.
+	large = 8 << 10
+	// memory is the number of answers over which a route's usual size is taken, the newest weighing most.
+	memory = 16
+	// mostRoutes bounds what is kept by route.
+	mostRoutes = 4096
+	// overhead is what a byte of an answer costs on the link, frames, headers and acknowledgements counted in.
+	overhead = 1.1
+)
+
+// Uplink counts one machine's link.
+// Invariants: promised is the sum of the usual sizes of the answers that were admitted and aren't there yet; free is when the
+// link has sent all that was handed to it, if it sends at its rate and nothing else.
+type Uplink struct {
+	rate     float64 // bytes a microsecond; zero for a link that isn't counted
+	lock     sync.Mutex
+	free     postmark.Micros
+	promised float64
+	sizes    map[string]float64
+}
+
+// New makes the count of a link of so many megabits a second; zero for one that isn't counted.
+func New(megabits float64) *Uplink { return &Uplink{rate: megabits / 8, sizes: map[string]float64{}} }
+
+// Admit takes a request whose answer is to be on its way within a limit, or tells how long the link is taken. size must be given
+// back to Done.
+func (uplink *Uplink) Admit(now postmark.Micros, route string, limit postmark.Micros) (size float64, wait postmark.Micros, admitted bool) {
+	if uplink.rate == 0 {
+		return 0, 0, true
+	}
+	uplink.lock.Lock()
+	defer uplink.lock.Unlock()
+	size = uplink.sizes[route]
+	wait = max(0, uplink.free-now) + uplink.time(uplink.promised)
+	if size >= large && wait+uplink.time(size) > limit {
+		return 0, wait, false
+	}
+	uplink.promised += size
+	return size, wait, true
+}
+
+// Done notes that an answer of so many bytes goes out, none for a request that had no answer.
+func (uplink *Uplink) Done(now postmark.Micros, route string, size float64, bytes int) {
+	if uplink.rate == 0 {
+		return
+	}
+	uplink.lock.Lock()
+	defer uplink.lock.Unlock()
+	uplink.promised = max(0, uplink.promised-size)
+	if bytes == 0 {
+		return
+	}
+	uplink.free = max(uplink.free, now) + uplink.time(float64(bytes))
+	known, present := uplink.sizes[route]
+	if !present && len(uplink.sizes) >= mostRoutes {
+		clear(uplink.sizes)
+	}
+	if !present {
+		known = float64(bytes)
+	}
+	uplink.sizes[route] = known + (float64(bytes)-known)/memory
+}
+
+func (uplink *Uplink) time(bytes float64) postmark.Micros {
+	return postmark.Micros(bytes * overhead / uplink.rate)
+}
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -150,6 +150,16 @@
 	chooser.sizes[route] = known + (float64(bytes)-known)/sizeMemory
 }
 
+// bulk is the usual size in bytes from which a route's passes go on a connection of their own.
+const bulk = 16 << 10
+
+// bulky tells whether a route's passes do.
+func (chooser *chooser) bulky(route string) bool {
+	chooser.lock.Lock()
+	defer chooser.lock.Unlock()
+	return chooser.sizes[route] >= bulk
+}
+
 // distance is what the way to another zone counts for on a route. The lock is held.
 func (chooser *chooser) distance(route string, aim postmark.Micros) postmark.Micros {
 	least := max(chooser.far, postmark.Micros(farAimShare*float64(aim)))
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -348,7 +348,11 @@
 		return passage.env.Gate.Pass(ask)
 	}
 	tell := &wire.PassTell{}
-	return tell, passage.env.Place.Call(candidate.Address, wire.Kind_pass, ask, tell, patience)
+	kind := wire.Kind_pass
+	if passage.choices.bulky(ask.Route) {
+		kind = wire.Kind_pass_bulk
+	}
+	return tell, passage.env.Place.Call(candidate.Address, kind, ask, tell, patience)
 }
 
 // lost handles a pass without an answer. A run-once pass is voided first: void means proof that it has not run and won't.
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -27,17 +27,24 @@
 type Peers struct {
 	machine *Machine
 	lock    sync.Mutex
-	links   map[string]*link
+	links   map[lane]*link
 	counts  map[string]*traffic
 	busy    atomic.Int64  // requests of others whose reply isn't written yet
 	dialFor time.Duration // the most that a dial may take
 	from    net.Addr      // the own number that connections go out from; nil leaves it to the system
 }
 
+// lane is a way to an address. Large answers have one of their own: what is small must not wait behind them.
+type lane struct {
+	address string
+	bulk    bool
+}
+
 type traffic struct{ sent, received atomic.Uint64 }
 
 // link is one outgoing connection. Its dial happens once; waiting callers share it.
 type link struct {
+	lane       lane
 	address    string
 	dialled    chan struct{}
 	dialError  error
@@ -52,7 +59,7 @@
 }
 
 func newPeers(machine *Machine) *Peers {
-	return &Peers{dialFor: 2 * time.Second, machine: machine, links: map[string]*link{}, counts: map[string]*traffic{}}
+	return &Peers{dialFor: 2 * time.Second, machine: machine, links: map[lane]*link{}, counts: map[string]*traffic{}}
 }
 
 // From makes connections go out from the host of an own address.
@@ -77,10 +84,11 @@
 	return totals
 }
 
-func (peers *Peers) link(address string, patience time.Duration) *link {
+func (peers *Peers) link(lane lane, patience time.Duration) *link {
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
-	if present := peers.links[address]; present != nil {
+	address := lane.address
+	if present := peers.links[lane]; present != nil {
 		return present
 	}
 	counts := peers.counts[address]
@@ -88,8 +96,8 @@
 		counts = &traffic{}
 		peers.counts[address] = counts
 	}
-	fresh := &link{address: address, dialled: make(chan struct{}), pending: map[uint64]chan frame.Frame{}, counts: counts}
-	peers.links[address] = fresh
+	fresh := &link{lane: lane, address: address, dialled: make(chan struct{}), pending: map[uint64]chan frame.Frame{}, counts: counts}
+	peers.links[lane] = fresh
 	go peers.dial(fresh, min(patience, peers.dialFor))
 	return fresh
 }
@@ -144,8 +152,8 @@
 // drop forgets a link and wakes all who wait on it.
 func (peers *Peers) drop(link *link) {
 	peers.lock.Lock()
-	if peers.links[link.address] == link {
-		delete(peers.links, link.address)
+	if peers.links[link.lane] == link {
+		delete(peers.links, link.lane)
 	}
 	peers.lock.Unlock()
 	link.lock.Lock()
@@ -171,7 +179,10 @@
 	started := peers.machine.Now()
 	timer := time.NewTimer(patience.Duration())
 	defer timer.Stop()
-	link := peers.link(address, patience.Duration())
+	link := peers.link(lane{address, kind == wire.Kind_pass_bulk}, patience.Duration())
+	if kind == wire.Kind_pass_bulk {
+		kind = wire.Kind_pass // the other side need not know which connection it came by
+	}
 	select {
 	case <-link.dialled:
 	case <-timer.C:
