Links: a narrow one keeps room beside large answers, and signs of life get time there

Cause: with large answers admitted up to the link's rate nothing was left for lookups, dials of 300 ms ran out and carriers that lived were given up 404 times in 16 s.

--- a/internal/carrier/gate/uplink/uplink.go
+++ b/internal/carrier/gate/uplink/uplink.go
@@ -15,8 +15,9 @@
 	memory = 16
 	// mostRoutes bounds what is kept by route.
 	mostRoutes = 4096
-	// overhead is what a byte of an answer costs on the link, frames, headers and acknowledgements counted in.
-	overhead = 1.1
+	// overhead is what a byte of an answer counts for on the link: frames, headers and acknowledgements, and room for all that isn't
+	// counted, which must not wait behind large answers.
+	overhead = 1.5
 )
 
 // Uplink counts one machine's link.
