Route changes travel as differences, and what they don't touch stays in use

Cause: each change of the desired state was sent whole to every carrier, read and compiled anew. On narrow links with thousands of routes one changed route cost all of them, and no carrier could tell what had changed.

Ruled out: textual differences, since contents are in any dialect and a carrier would compile all the same; differences sent by operators, whose wrong base would become the mesh's fault; one digest over all resources, which costs each of them per change.

Before: whole contents, all services and routes new objects with each version; a guard whose window changed its size forgot its calls. After: the primary works a difference out once for each base, carriers apply it whole or not at all against the digests of the base and the result, say so in event 406 where it doesn't fit, and ask for the whole. Unchanged services and routes are the same objects, after wholes too. Windows keep their last calls when their size changes. Fields are only added; a neighbour that doesn't know them gets and gives wholes.

--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -34,6 +34,7 @@
 	DesiredAdopted     = 403
 	DesiredTenureLost  = 404
 	DesiredSpread      = 405
+	DifferenceRefused  = 406
 	GuardLocalTrip     = 501
 	GuardChanged       = 502
 	GuardDegraded      = 503
@@ -91,6 +92,7 @@
 	DesiredAdopted:     {log.InfoLevel, "desired state adopted"},
 	DesiredTenureLost:  {log.WarnLevel, "desired-state tenure ended, refusing requests"},
 	DesiredSpread:      {log.InfoLevel, "desired state spread to every tenure holder"},
+	DifferenceRefused:  {log.WarnLevel, "difference refused, asking for the whole"},
 	GuardLocalTrip:     {log.WarnLevel, "local window tripped"},
 	GuardChanged:       {log.WarnLevel, "shared verdict changed"},
 	GuardDegraded:      {log.WarnLevel, "shared verdict unreachable, running on the local window"},
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -206,6 +206,8 @@
 	Ready       bool            `json:"ready"`
 	Why         string          `json:"why,omitempty"`
 	Serial      uint64          `json:"desired_serial"`
+	Age         int64           `json:"desired_age_micros"` // since it was taken up
+	Taken       desk.Taken      `json:"desired_taken"`
 	Running     int64           `json:"requests_running"`
 	Passes      int64           `json:"passes_running"`
 	Backends    []*wire.Backend `json:"backends"`
@@ -219,6 +221,7 @@
 	status := Status{Name: carrier.env.Name, Domain: carrier.env.Domain, Incarnation: carrier.incarnation, Running: carrier.Passage.Running(),
 		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Degraded: carrier.Wicket.Degraded(), Members: carrier.Roll.Directory().Live}
 	status.Ready, status.Why = carrier.Ready()
-	status.Serial, _ = carrier.Desk.Serial()
+	serial, age := carrier.Desk.Serial()
+	status.Serial, status.Age, status.Taken = serial, int64(age), carrier.Desk.Taken()
 	return status
 }
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -2,10 +2,12 @@
 package desk
 
 import (
+	"fmt"
 	"sync"
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/franking"
+	"snowflow/internal/franking/changes"
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/office/vigil"
@@ -46,10 +48,30 @@
 	hold postmark.Micros
 	// released is set once it serves no more and takes no tenure.
 	released bool
+	// set is what the view was made of, nothing if that is no set of resources. Only the task that follows touches it and whole.
+	set *changes.Set
+	// whole is set from a difference that was refused until the next adoption: none is asked for meanwhile.
+	whole bool
+	taken Taken
 	// untenured lets it serve without a live tenure; only rehearsals of the checkers set it.
 	untenured bool
 }
 
+// Taken counts how versions were taken up.
+type Taken struct {
+	Differences uint64 `json:"differences"`
+	Wholes      uint64 `json:"wholes"`
+	Refused     uint64 `json:"refused"`   // differences that were refused
+	Resources   uint64 `json:"resources"` // that differed, of all adoptions but the first
+}
+
+// Taken tells how versions were taken up in this life.
+func (desk *Desk) Taken() Taken {
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	return desk.taken
+}
+
 // Untenured lets the desk serve without a live tenure, to show that a checker sees what comes of it. No program sets it.
 func (desk *Desk) Untenured(broken bool) { desk.untenured = broken }
 
@@ -124,8 +146,11 @@
 	desk.lock.Unlock()
 	asked := desk.place.Now()
 	tell := &wire.DesiredPollTell{}
-	err := desk.book.Call(name, wire.Kind_desired_poll, &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation,
-		Have: serial, First: first}, tell, patience)
+	ask := &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation, Have: serial, First: first, Whole: desk.whole}
+	if desk.set != nil {
+		ask.Digest = desk.set.Digest()
+	}
+	err := desk.book.Call(name, wire.Kind_desired_poll, ask, tell, patience)
 	if err != nil {
 		desk.book.Ask()
 		return false
@@ -138,24 +163,80 @@
 	return desk.adopt(tell, asked+postmark.Micros(tell.Tenure))
 }
 
+// adoption is a version that was read and isn't in force yet.
+type adoption struct {
+	view      *franking.View
+	set       *changes.Set
+	resources int
+	taken     func(taken *Taken)
+}
+
+// next makes the next version of a difference; the version in force isn't touched.
+func (desk *Desk) next(tell *wire.DesiredPollTell) (*adoption, error) {
+	if desk.set == nil {
+		return nil, changes.ErrBase
+	}
+	step, err := changes.Apply(desk.set, tell.Difference)
+	if err != nil {
+		return nil, err
+	}
+	if step.Version != tell.Serial {
+		return nil, fmt.Errorf("%w: it leads to %d", changes.ErrDigest, step.Version)
+	}
+	view, err := desk.view.With(step.Change, step.Version, step.ContentDigest)
+	if err != nil {
+		return nil, err
+	}
+	return &adoption{view: view, set: step.Set, resources: step.Resources, taken: func(taken *Taken) { taken.Differences++ }}, nil
+}
+
+// anew makes the next version of a whole content. What doesn't differ from the version in force keeps its objects all the same.
+func (desk *Desk) anew(state *wire.DesiredState, tell *wire.DesiredPollTell) *adoption {
+	fresh := &adoption{taken: func(taken *Taken) { taken.Wholes++ }}
+	digest := franking.Digest(tell.Content)
+	fresh.set, _ = changes.Read(state) // one that is no set is taken as it is, and differences aren't asked for
+	if fresh.set != nil && desk.set != nil {
+		difference := changes.Diff(desk.set, fresh.set)
+		fresh.resources = len(difference.Added) + len(difference.Changed) + len(difference.Removed)
+		fresh.view, _ = desk.view.With(changes.Change(desk.set, difference), tell.Serial, digest)
+	}
+	if fresh.view == nil {
+		fresh.view = franking.Compile(state, tell.Serial, digest)
+	}
+	return fresh
+}
+
 func (desk *Desk) adopt(tell *wire.DesiredPollTell, until postmark.Micros) bool {
-	var fresh *franking.View
+	var fresh *adoption
 	serial, _ := desk.Serial()
 	if tell.Serial < serial {
 		return false // never back to an older one
 	}
-	if tell.Serial > serial {
+	if tell.Serial > serial && len(tell.Difference) > 0 {
+		next, err := desk.next(tell)
+		if err != nil {
+			desk.whole = true
+			desk.lock.Lock()
+			desk.taken.Refused++
+			desk.lock.Unlock()
+			desk.place.Report(bulletin.DifferenceRefused, map[string]any{"serial": tell.Serial, "have": serial, "bytes": len(tell.Difference), "error": err.Error()})
+			return true // the next poll, at once, asks for the whole; nothing is renewed until then
+		}
+		fresh = next
+	} else if tell.Serial > serial {
 		state, faults := desk.env.Read(tell.Content)
 		if len(faults) > 0 {
 			desk.place.Report(bulletin.DesiredRefused, map[string]any{"serial": tell.Serial, "error": faults[0].String(), "faults": len(faults)})
 			return false
 		}
-		fresh = franking.Compile(state, tell.Serial, franking.Digest(tell.Content))
+		fresh = desk.anew(state, tell)
 	}
 	desk.lock.Lock()
 	desk.hold = postmark.Micros(tell.Hold)
 	if fresh != nil {
-		desk.view, desk.adopted = fresh, desk.place.Now()
+		desk.view, desk.adopted, desk.set, desk.whole = fresh.view, desk.place.Now(), fresh.set, false
+		fresh.taken(&desk.taken)
+		desk.taken.Resources += uint64(fresh.resources)
 	}
 	if desk.view != nil && !desk.released {
 		desk.until = max(desk.until, until)
@@ -170,7 +251,7 @@
 		for _, waiter := range waiters {
 			waiter.Fire()
 		}
-		desk.place.Report(bulletin.DesiredAdopted, map[string]any{"serial": fresh.Serial})
+		desk.place.Report(bulletin.DesiredAdopted, map[string]any{"serial": fresh.view.Serial, "difference": len(tell.Difference) > 0, "bytes": max(len(tell.Difference), len(tell.Content)), "resources": fresh.resources})
 	}
 	return true
 }
--- a/internal/carrier/wicket/wicket_test.go
+++ b/internal/carrier/wicket/wicket_test.go
@@ -190,3 +190,44 @@
 		scene.expect("nothing after", len(scene.calls), 200+128)
 	})
 }
+
+// TestWindowsOutlastChanges: what a guard has counted of a service stands when a version comes that changes a route, or the service's
+// own window. Four failures under one version and one under the next trip it.
+func TestWindowsOutlastChanges(t *testing.T) {
+	for name, change := range map[string]func(service *wire.ServiceInForce) *franking.Change{
+		"a route": func(*wire.ServiceInForce) *franking.Change {
+			return &franking.Change{Routes: []*wire.Route{{Name: "r", Prefix: "/r/", Class: wire.Path_read, Split: []*wire.Share{{Service: "forms", Weight: 1}}}}}
+		},
+		"a larger window": func(service *wire.ServiceInForce) *franking.Change {
+			service.Guard.WindowCalls = proto.Uint32(40)
+			return &franking.Change{Services: []*wire.ServiceInForce{service}}
+		},
+		"a smaller window": func(service *wire.ServiceInForce) *franking.Change {
+			service.Guard.WindowCalls = proto.Uint32(6)
+			return &franking.Change{Services: []*wire.ServiceInForce{service}}
+		},
+	} {
+		play(t, func(scene *played) {
+			view := franking.Compile(&wire.DesiredState{Groups: []*wire.Group{{Name: "field", Services: []*wire.Service{{Name: "forms"}},
+				Guard: &wire.Guard{WindowCalls: proto.Uint32(10), MinimumCalls: proto.Uint32(5)}}}}, 1, "")
+			scene.service = view.Services["forms"]
+			under, _ := scene.guard.Admit(scene.service)
+			for range 4 {
+				scene.try(wicket.Failure)
+			}
+			former := scene.service
+			next, err := view.With(change(&wire.ServiceInForce{Name: "forms", Group: "field", Guard: proto.CloneOf(former.Guard), Retry: former.Retry, Limits: former.Limits}), 2, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			scene.service = next.Services["forms"]
+			scene.expect(name+": the same service", scene.service == former, name == "a route")
+			scene.expect(name+": trips before", scene.events[bulletin.GuardLocalTrip], 0)
+			scene.try(wicket.Failure)
+			scene.expect(name+": trips after", scene.events[bulletin.GuardLocalTrip], 1)
+			scene.expect(name+": calls", scene.guard.Show()[0].Calls, uint64(5))
+			under.Done(wicket.Success) // it ends under the version it began with
+			scene.expect(name+": calls with the one under way", scene.guard.Show()[0].Calls, uint64(6))
+		})
+	}
+}
--- a/internal/carrier/wicket/window.go
+++ b/internal/carrier/wicket/window.go
@@ -16,7 +16,7 @@
 
 func (window *window) add(entry mark, size int) {
 	if len(window.ring) != size {
-		*window = *newWindow(size)
+		*window = *window.resized(size)
 	}
 	if window.filled == size {
 		window.remove(window.ring[window.next])
@@ -28,6 +28,16 @@
 	window.count(entry, 1)
 }
 
+// resized is a window of another size with the last marks of this one, as many as it has room for: a change of the size says nothing of
+// the calls.
+func (window *window) resized(size int) *window {
+	fresh := newWindow(size)
+	for back := min(window.filled, size); back > 0; back-- {
+		fresh.add(window.ring[(window.next-back+len(window.ring))%len(window.ring)], size)
+	}
+	return fresh
+}
+
 func newWindow(size int) *window { return &window{ring: make([]mark, size)} }
 
 func (window *window) remove(entry mark) { window.count(entry, -1) }
--- a/internal/franking/franking.go
+++ b/internal/franking/franking.go
@@ -307,7 +307,7 @@
 		FailureRate: service.Guard.GetFailureRate(), ProbeTenure: service.Guard.GetProbeTenureMicros(), StateTtl: int64(300 * postmark.Second)}
 }
 
-// View is one adopted desired state. Invariant: it never changes once made.
+// View is one adopted desired state. Invariant: it never changes once made; what two versions have in common they may share.
 type View struct {
 	Serial   uint64
 	Digest   string
@@ -317,25 +317,26 @@
 
 // Compile makes the view of a checked desired state.
 func Compile(state *wire.DesiredState, serial uint64, digest string) *View {
-	view := &View{Serial: serial, Digest: digest, Services: map[string]*Service{}, routing: routing{}}
+	view := &View{Serial: serial, Digest: digest, Services: map[string]*Service{}}
+	building := building{}
 	for _, group := range state.Groups {
 		for _, service := range group.Services {
-			inForce := inForce(group, service)
+			inForce := InForce(group, service)
 			view.Services[service.Name] = inForce
 			for _, path := range service.Paths {
-				view.routing.add(Path{Method: path.Method, Prefix: path.Prefix, Once: path.Class == wire.Path_once, Single: path.Class == wire.Path_single,
-					Service: inForce, Split: []Share{{Service: inForce, UpTo: 1}}})
+				building.add(ownPath(path, inForce))
 			}
 		}
 	}
 	for _, route := range state.Routes {
-		view.routing.add(compileRoute(route, view.Services))
+		building.add(compileRoute(route, view.Services))
 	}
+	view.routing = building.routing()
 	return view
 }
 
-// inForce lays a service's terms over its group's, and those over the defaults.
-func inForce(group *wire.Group, service *wire.Service) *Service {
+// InForce lays a service's terms over its group's, and those over the defaults.
+func InForce(group *wire.Group, service *wire.Service) *Service {
 	retry := defaultRetry()
 	proto.Merge(retry, orEmpty(group.Retry))
 	proto.Merge(retry, orEmpty(service.Retry))
@@ -343,7 +344,7 @@
 }
 
 // Unlisted is a service that a view doesn't have, as it would be with nothing set.
-func Unlisted(name string) *Service { return inForce(&wire.Group{}, &wire.Service{Name: name}) }
+func Unlisted(name string) *Service { return InForce(&wire.Group{}, &wire.Service{Name: name}) }
 
 // Digest names a content.
 func Digest(content []byte) string {
--- a/internal/franking/route.go
+++ b/internal/franking/route.go
@@ -4,6 +4,7 @@
 	"sort"
 	"strings"
 
+	"snowflow/internal/franking/shared"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -75,85 +76,116 @@
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
-// prefixes are the paths of one host. Invariant: longest is the length of the longest prefix.
+// prefixes are the paths of one host. Invariants: longest is no less than the length of the longest prefix; the paths by method at
+// one prefix are never none, and never change once they are in a view.
 type prefixes struct {
-	paths   map[string]map[string]Path // by prefix, then by method
+	paths   *shared.Map[map[string]*Path]
 	longest int
 }
 
-// routing is the table of all paths by host. It never changes once a view is made.
-type routing map[string]*prefixes
+// routing is the table of all paths, by host, prefix and method. It never changes once a view is made; its versions share the
+// hosts, prefixes and paths in which they don't differ.
+type routing struct{ hosts *shared.Map[*prefixes] }
+
+// building is a table that is being filled, by host, prefix and method.
+type building map[string]map[string]map[string]*Path
 
 // add puts a path in; of two for the same requests the first stands.
-func (routing routing) add(path Path) {
-	host := routing[path.Host]
+func (building building) add(path *Path) {
+	host := building[path.Host]
 	if host == nil {
-		host = &prefixes{paths: map[string]map[string]Path{}}
-		routing[path.Host] = host
+		host = map[string]map[string]*Path{}
+		building[path.Host] = host
 	}
-	methods := host.paths[path.Prefix]
+	methods := host[path.Prefix]
 	if methods == nil {
-		methods = map[string]Path{}
-		host.paths[path.Prefix] = methods
+		methods = map[string]*Path{}
+		host[path.Prefix] = methods
 	}
 	if _, twice := methods[path.Method]; !twice {
 		methods[path.Method] = path
 	}
-	host.longest = max(host.longest, len(path.Prefix))
+}
+
+func (building building) routing() routing {
+	hosts := make(map[string]*prefixes, len(building))
+	for name, paths := range building {
+		host := &prefixes{paths: shared.Of(paths)}
+		for prefix := range paths {
+			host.longest = max(host.longest, len(prefix))
+		}
+		hosts[name] = host
+	}
+	return routing{hosts: shared.Of(hosts)}
 }
 
 // find looks up each beginning of a path that ends at a whole segment, the longest first: the path itself, then at each
 // slash with and without it. At one prefix a named method stands before any.
-func (host *prefixes) find(method, path string) (Path, bool) {
+func (host *prefixes) find(method, path string) *Path {
 	if len(path) <= host.longest {
-		if found, is := host.at(method, path); is {
-			return found, true
+		if found := host.at(method, path); found != nil {
+			return found
 		}
 	}
 	beginning := path[:min(len(path), host.longest+1)]
 	for slash := strings.LastIndexByte(beginning, '/'); slash >= 0; slash = strings.LastIndexByte(path[:slash], '/') {
-		if found, is := host.at(method, path[:slash+1]); is {
-			return found, true
+		if found := host.at(method, path[:slash+1]); found != nil {
+			return found
 		}
-		if found, is := host.at(method, path[:slash]); is {
-			return found, true
+		if found := host.at(method, path[:slash]); found != nil {
+			return found
 		}
 	}
-	return Path{}, false
+	return nil
 }
 
-func (host *prefixes) at(method, prefix string) (Path, bool) {
-	methods := host.paths[prefix]
-	if methods == nil {
-		return Path{}, false
+func (host *prefixes) at(method, prefix string) *Path {
+	methods, there := host.paths.Get(prefix)
+	if !there {
+		return nil
 	}
-	found, is := methods[method]
-	if !is {
-		found, is = methods[anyMethod]
+	if found := methods[method]; found != nil {
+		return found
 	}
-	return found, is
+	return methods[anyMethod]
 }
 
 // Resolve finds the path for a request: among those of its host, then among those of any host, the longest prefix that ends
 // at a whole segment, and at one prefix a named method before any. The host is in its one spelling.
 func (view *View) Resolve(host, method, path string) (Path, bool) {
+	found := view.Entry(host, method, path)
+	if found == nil {
+		return Path{}, false
+	}
+	return *found, found.Service != nil
+}
+
+// Entry is the view's own path for a request, the same one in every version that it's unchanged in, or nothing. Nobody may
+// change it.
+func (view *View) Entry(host, method, path string) *Path {
 	for _, name := range [...]string{host, ""} {
-		if present := view.routing[name]; present != nil {
-			if found, is := present.find(method, path); is {
-				return found, found.Service != nil
+		if present, there := view.routing.hosts.Get(name); there {
+			if found := present.find(method, path); found != nil {
+				return found
 			}
 		}
 		if host == "" {
 			break
 		}
 	}
-	return Path{}, false
+	return nil
+}
+
+// ownPath makes the path that a service has of its own.
+func ownPath(path *wire.Path, service *Service) *Path {
+	return &Path{Method: path.Method, Prefix: path.Prefix, Once: path.Class == wire.Path_once, Single: path.Class == wire.Path_single,
+		Service: service, Split: []Share{{Service: service, UpTo: 1}}}
 }
 
 // compile makes a route's path. One without any service that is known and has a weight leads nowhere; Check refuses it, so
 // only a state that a build which checked less has accepted can have it.
-func compileRoute(route *wire.Route, services map[string]*Service) Path {
-	path := Path{Name: route.Name, Host: route.Host, Method: methodOf(route.Method), Prefix: route.Prefix, Once: route.Class == wire.Path_once,
+func compileRoute(route *wire.Route, services map[string]*Service) *Path {
+	path := &Path{Name: route.Name, Host: route.Host, Method: methodOf(route.Method), Prefix: route.Prefix, Once: route.Class == wire.Path_once,
 		Single: route.Class == wire.Path_single, Cutoff: postmark.Micros(route.GetCutoffMicros()), Aim: postmark.Micros(route.GetAimMicros()),
 		Priority: route.GetPriority(), MostTries: route.GetMostTries()}
 	sum := uint64(0)
--- /dev/null
+++ b/internal/franking/shared/shared_test.go
@@ -0,0 +1,46 @@
+package shared_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"snowflow/internal/franking/shared"
+)
+
+// TestVersions compares a row of versions with plain maps: each holds what it should, and still does after the next was made.
+func TestVersions(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	var version *shared.Map[int]
+	plain := map[string]int{}
+	for round := range 400 {
+		set, removed := map[string]int{}, []string{}
+		for range chance.IntN(40) {
+			set[fmt.Sprint("k", chance.IntN(3000))] = chance.Int()
+		}
+		for range chance.IntN(20) {
+			if key := fmt.Sprint("k", chance.IntN(3000)); set[key] == 0 {
+				removed = append(removed, key)
+			}
+		}
+		earlier, kept := version, maps.Clone(plain)
+		for _, key := range removed {
+			delete(plain, key)
+		}
+		maps.Copy(plain, set)
+		version = version.With(set, removed)
+		if !reflect.DeepEqual(maps.Collect(version.All), plain) || version.Len() != len(plain) {
+			t.Fatalf("round %d: %d entries, wanted %d", round, version.Len(), len(plain))
+		}
+		if len(kept) != earlier.Len() || len(kept) > 0 && !reflect.DeepEqual(maps.Collect(earlier.All), kept) {
+			t.Fatalf("round %d: the version before has changed", round)
+		}
+		for key, value := range plain {
+			if found, is := version.Get(key); !is || found != value {
+				t.Fatalf("round %d: %s is %d, %v", round, key, found, is)
+			}
+		}
+	}
+}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -55,9 +55,10 @@
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
-	retired     map[string]bool                        // core machines that are gone for good
-	genesis     map[string][]string                    // the voters of the first start, by group
-	afterWrite  func(node *world.Node, kind wire.Kind) // told of each write that a sorter acknowledges, if set
+	retired     map[string]bool                                            // core machines that are gone for good
+	genesis     map[string][]string                                        // the voters of the first start, by group
+	afterWrite  func(node *world.Node, kind wire.Kind)                     // told of each write that a sorter acknowledges, if set
+	polled      func(ask *wire.DesiredPollAsk, tell *wire.DesiredPollTell) // may change what a carrier is told of versions, if set
 	rushes      int
 	labour      postmark.Micros // what a backend's work takes besides
 	patient     bool            // callers come back when they were told to, until they are served
@@ -235,6 +236,7 @@
 		mesh.masters[name] = one
 		one.Member.Vigil.Trusting(mesh.breakage.TrustClock)
 		one.Register(table)
+		mesh.overhear(table)
 		one.Start()
 		return table, nil
 	})
@@ -255,6 +257,20 @@
 	}
 }
 
+// overhear has polled told of each answer to a carrier's poll, on its way.
+func (mesh *Mesh) overhear(table office.Table) {
+	answer := table[wire.Kind_desired_poll]
+	table[wire.Kind_desired_poll] = func(content []byte) (proto.Message, error) {
+		reply, err := answer(content)
+		if tell, is := reply.(*wire.DesiredPollTell); err == nil && is && mesh.polled != nil {
+			ask := &wire.DesiredPollAsk{}
+			_ = proto.Unmarshal(content, ask)
+			mesh.polled(ask, tell)
+		}
+		return reply, err
+	}
+}
+
 func (mesh *Mesh) addCarrier(index int, seeds []string) {
 	name := fmt.Sprintf("carrier-%d", index+1)
 	mesh.carriers = append(mesh.carriers, name)
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -21,6 +21,7 @@
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/postmaster/ledger"
+	"snowflow/internal/postmaster/versions"
 	"snowflow/internal/seal"
 )
 
@@ -49,6 +50,10 @@
 	Read franking.Reader
 	// History is how many accepted states are kept at most, all for zero. It must be the same at every postmaster.
 	History int
+	// Versions bounds what is kept to tell carriers differences; what is left zero is as versions.Defaults has it.
+	Versions versions.Bounds
+	// Adopted is told how long after its commit a carrier gave its word that it has adopted a version; it must not block.
+	Adopted func(carrier string, serial uint64, took postmark.Micros)
 	// Kept is told all accepted states that are kept, oldest first, whenever this process as primary accepts one or starts to answer;
 	// it must not block.
 	Kept func(states []*wire.DesiredKept)
@@ -59,6 +64,8 @@
 	env    Env
 	Member *countersign.Member
 	ledger *ledger.Ledger
+	// versions are the states read lately, and what the newest changes in them.
+	versions *versions.Versions
 
 	lock    sync.Mutex
 	holders map[string]*holder
@@ -70,6 +77,9 @@
 	// committedAt is when this process first knew that committed, the highest such serial, was accepted.
 	committed   uint64
 	committedAt postmark.Micros
+	// newestAt is when this process first knew of newest, by whichever way.
+	newest   uint64
+	newestAt postmark.Micros
 	// handed is what the primary of handedEpoch knew of tenures when it handed over, after it had given its last one.
 	handed      map[string]*holder
 	handedEpoch uint64
@@ -80,6 +90,7 @@
 type holder struct {
 	name     string
 	adopted  uint64
+	since    postmark.Micros // when this process first heard that
 	until    postmark.Micros
 	released bool
 }
@@ -93,7 +104,7 @@
 	if err := env.Bounds.check(); err != nil {
 		return nil, err
 	}
-	master := &Postmaster{env: env, ledger: ledger.New(env.History), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
+	master := &Postmaster{env: env, ledger: ledger.New(env.History), versions: versions.New(env.Read, env.Versions), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
 	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis,
 		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
 	if env.Adjust != nil {
@@ -165,7 +176,7 @@
 	defer master.lock.Unlock()
 	master.handed, master.handedEpoch = map[string]*holder{}, epoch
 	for _, present := range holders.Holders {
-		master.handed[present.Key] = &holder{name: present.Carrier, adopted: present.Adopted, until: master.env.Place.Now() + postmark.Micros(present.Left)}
+		master.handed[present.Key] = &holder{name: present.Carrier, adopted: present.Adopted, since: master.env.Place.Now(), until: master.env.Place.Now() + postmark.Micros(present.Left)}
 	}
 }
 
@@ -203,10 +214,12 @@
 	for {
 		news := master.news.join()
 		tell := &wire.DesiredPollTell{Primaries: master.env.Book.Primaries(), Tenure: int64(master.env.Bounds.Lease), Hold: int64(master.env.Bounds.PollHold)}
+		var base, newest *wire.DesiredKept
 		tell.Primary = master.Member.Read(func(epoch uint64, _ postmark.Micros) {
 			tell.Epoch, tell.Serial = epoch, master.ledger.Serial()
-			if newest := master.ledger.Newest(); newest != nil && newest.Serial != ask.Have {
-				tell.Content = newest.Content
+			master.seen(tell.Serial)
+			if kept := master.ledger.Newest(); kept != nil && kept.Serial != ask.Have {
+				newest, base = kept, master.ledger.Find(ask.Have)
 			}
 			// Noted under the same look that read the serial: an apply that comes later waits for this tenure.
 			master.grant(ask)
@@ -218,6 +231,7 @@
 		remaining := cutoff - place.Now()
 		if tell.Serial != ask.Have || ask.First || remaining <= 0 {
 			master.news.leave(news)
+			master.content(ask, base, newest, tell)
 			return tell, nil
 		}
 		news.Wait(remaining)
@@ -225,16 +239,39 @@
 	}
 }
 
+// content puts the newest state into an answer: what it changes where that is known and wanted, otherwise the whole. The states don't
+// change, so no lock is needed for them.
+func (master *Postmaster) content(ask *wire.DesiredPollAsk, base, newest *wire.DesiredKept, tell *wire.DesiredPollTell) {
+	if newest == nil {
+		return
+	}
+	if !ask.Whole {
+		tell.Difference = master.versions.Difference(base, newest, ask.Digest)
+	}
+	if tell.Difference == nil {
+		tell.Content = newest.Content
+	}
+}
+
 func holderKey(ask *wire.DesiredPollAsk) string {
 	return ask.Carrier + "/" + strconv.FormatUint(ask.Incarnation, 16)
 }
 
 func (master *Postmaster) adopted(ask *wire.DesiredPollAsk) {
 	master.lock.Lock()
+	now, took := master.env.Place.Now(), postmark.Micros(-1)
 	if present := master.holders[holderKey(ask)]; present != nil {
-		present.adopted = max(present.adopted, ask.Have)
+		if present.adopted < ask.Have {
+			present.adopted, present.since = ask.Have, now
+			if ask.Have == master.newest {
+				took = now - master.newestAt
+			}
+		}
 	}
 	master.lock.Unlock()
+	if took >= 0 && master.env.Adopted != nil {
+		master.env.Adopted(ask.Carrier, ask.Have, took)
+	}
 	master.words.wake()
 }
 
@@ -249,7 +286,11 @@
 	if present.released {
 		return // an earlier poll of the same life, held until now
 	}
-	present.adopted, present.until = max(present.adopted, ask.Have), master.env.Place.Now()+master.env.Bounds.Lease
+	now := master.env.Place.Now()
+	if present.adopted < ask.Have {
+		present.adopted, present.since = ask.Have, now
+	}
+	present.until = now + master.env.Bounds.Lease
 }
 
 // release ends a tenure whose carrier serves no more: nobody needs to wait for its end.
@@ -295,7 +336,8 @@
 
 // Apply checks a desired state, has it kept in two copies, and waits until it's in force everywhere.
 func (master *Postmaster) Apply(ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
-	if _, faults := master.env.Read(ask.Content); len(faults) > 0 {
+	state, faults := master.env.Read(ask.Content)
+	if len(faults) > 0 {
 		tell := &wire.DesiredApplyTell{Outcome: ledger.Invalid}
 		for _, fault := range faults {
 			tell.Faults = append(tell.Faults, fault.String())
@@ -303,6 +345,7 @@
 		master.env.Place.Report(bulletin.DesiredRefused, map[string]any{"faults": tell.Faults})
 		return tell, nil
 	}
+	master.versions.Know(ask.Content, state)
 	tell := &wire.DesiredApplyTell{}
 	err := master.Member.Submit(&wire.DesiredCommand{Apply: ask}, tell)
 	if errors.Is(err, countersign.ErrUnknown) {
@@ -314,6 +357,7 @@
 	if tell.Outcome != ledger.Accepted {
 		return tell, nil
 	}
+	master.seen(tell.Serial)
 	master.tellKept()
 	if ask.Version > 0 && tell.Serial != ask.Version {
 		return master.inForce(tell) // a higher one stands
@@ -331,6 +375,15 @@
 	return tell, nil
 }
 
+// seen notes a serial that was accepted.
+func (master *Postmaster) seen(serial uint64) {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	if serial > master.newest {
+		master.newest, master.newestAt = serial, master.env.Place.Now()
+	}
+}
+
 // waitFrom is the moment from which an apply of a serial waits to be in force everywhere. Where carriers serve on, that is the
 // commit of the newest, as far as this process knows, so that asking again doesn't wait again.
 func (master *Postmaster) waitFrom(serial uint64) postmark.Micros {
@@ -405,27 +458,33 @@
 	Core    countersign.Status `json:"core"`
 	Serial  uint64             `json:"serial"`
 	Holders []HolderStatus     `json:"tenure_holders,omitempty"`
+	// Computed counts the differences between versions that this process worked out.
+	Computed uint64 `json:"differences_computed"`
 }
 
 // HolderStatus is one carrier's tenure.
 type HolderStatus struct {
 	Carrier string `json:"carrier"`
 	Adopted uint64 `json:"adopted"`
+	Since   int64  `json:"adopted_for_micros"` // since this postmaster first heard that
 	Left    int64  `json:"left_micros"`
 }
 
 // Status tells how this postmaster stands.
 func (master *Postmaster) Status() Status {
-	status := Status{Core: master.Member.Status()}
+	status := Status{Core: master.Member.Status(), Computed: master.Computed()}
 	master.Member.Read(func(uint64, postmark.Micros) { status.Serial = master.ledger.Serial() })
 	master.lock.Lock()
 	defer master.lock.Unlock()
 	now := master.env.Place.Now()
 	for _, present := range master.holders {
 		if present.until > now && !present.released {
-			status.Holders = append(status.Holders, HolderStatus{Carrier: present.name, Adopted: present.adopted, Left: int64(present.until - now)})
+			status.Holders = append(status.Holders, HolderStatus{Carrier: present.name, Adopted: present.adopted, Since: int64(now - present.since), Left: int64(present.until - now)})
 		}
 	}
 	sort.Slice(status.Holders, func(one, other int) bool { return status.Holders[one].Carrier < status.Holders[other].Carrier })
 	return status
 }
+
+// Computed counts the differences between versions that this process worked out.
+func (master *Postmaster) Computed() uint64 { return master.versions.Computed() }
