--- a/internal/depot/fleet/fleet.go
+++ b/internal/depot/fleet/fleet.go
@@ -372,6 +372,16 @@
 	}
 }
 
+// Identity is the number by which the system knows the running process, zero before its first start.
+func (process *Process) Identity() int {
+	process.lock.Lock()
+	defer process.lock.Unlock()
+	if process.command == nil || process.command.Process == nil {
+		return 0
+	}
+	return process.command.Process.Pid
+}
+
 // Processor gives the processor time used so far, in microseconds.
 func (process *Process) Processor() int64 {
 	process.lock.Lock()
--- /dev/null
+++ b/internal/depot/sweep/core.go
@@ -0,0 +1,138 @@
+package sweep
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+
+	"snowflow/internal/countersign"
+	"snowflow/internal/depot/fleet"
+	"snowflow/internal/office/machine"
+	"snowflow/internal/parcel/wire"
+)
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+// status asks a process of the core how its group stands.
+func status(process *fleet.Process) (countersign.Status, error) {
+	told := struct {
+		Core countersign.Status `json:"core"`
+	}{}
+	response, err := client.Get("http://" + process.Desk + "/local")
+	if err != nil {
+		return told.Core, err
+	}
+	defer response.Body.Close()
+	return told.Core, json.NewDecoder(response.Body).Decode(&told)
+}
+
+// role names what a process is in its group.
+func role(process *fleet.Process, core countersign.Status) string {
+	switch process.Name {
+	case core.Primary:
+		return process.Program + " primary"
+	case core.Backup:
+		return process.Program + " backup"
+	}
+	return process.Program + " witness"
+}
+
+// kinds reads a process's counts by kind from its metrics.
+func kinds(process *fleet.Process) (map[string]machine.Tally, error) {
+	response, err := client.Get("http://" + process.Desk + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	parser := expfmt.TextParser{}
+	families, err := parser.TextToMetricFamilies(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	totals := map[string]machine.Tally{}
+	for name, into := range map[string]func(tally *machine.Tally, direction string) *uint64{
+		"snowflow_kind_messages_total": func(tally *machine.Tally, direction string) *uint64 {
+			return map[string]*uint64{"sent": &tally.Sent, "received": &tally.Received}[direction]
+		},
+		"snowflow_kind_bytes_total": func(tally *machine.Tally, direction string) *uint64 {
+			return map[string]*uint64{"sent": &tally.SentBytes, "received": &tally.ReceivedBytes}[direction]
+		},
+	} {
+		family := families[name]
+		if family == nil {
+			return nil, fmt.Errorf("%s shows no %s", process.Name, name)
+		}
+		for _, metric := range family.Metric {
+			labels := map[string]string{}
+			for _, label := range metric.Label {
+				labels[label.GetName()] = label.GetValue()
+			}
+			tally := totals[labels["kind"]]
+			*into(&tally, labels["direction"]) = uint64(metric.Counter.GetValue())
+			totals[labels["kind"]] = tally
+		}
+	}
+	return totals, nil
+}
+
+func named(counted map[wire.Kind]machine.Tally) map[string]machine.Tally {
+	totals := map[string]machine.Tally{}
+	for kind, tally := range counted {
+		totals[kind.String()] = tally
+	}
+	return totals
+}
+
+// rates divides what came between two readings by time and processes.
+func rates(before, after map[string]machine.Tally, divisor float64) map[string]Traffic {
+	traffic := map[string]Traffic{}
+	for kind, late := range after {
+		early := before[kind]
+		one := Traffic{Sent: float64(late.Sent-early.Sent) / divisor, SentBytes: float64(late.SentBytes-early.SentBytes) / divisor,
+			Received: float64(late.Received-early.Received) / divisor, ReceivedBytes: float64(late.ReceivedBytes-early.ReceivedBytes) / divisor}
+		if one != (Traffic{}) {
+			traffic[kind] = one
+		}
+	}
+	return traffic
+}
+
+// resident reads a field such as VmHWM, the most a process had resident, in bytes.
+func resident(process, field string) (float64, error) {
+	content, err := os.ReadFile("/proc/" + process + "/status")
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(content), "\n") {
+		if rest, found := strings.CutPrefix(line, field+":"); found {
+			kilobytes, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kilobytes * 1024, err
+		}
+	}
+	return 0, fmt.Errorf("process %s has no %s", process, field)
+}
+
+// processor is what this process used so far, in microseconds.
+func processor() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1000
+}
+
+// load is the machine's load average over the last minute.
+func load() (average float64) {
+	content, err := os.ReadFile("/proc/loadavg")
+	if err == nil {
+		_, _ = fmt.Sscan(string(content), &average)
+	}
+	return average
+}
--- a/internal/house/metrics.go
+++ b/internal/house/metrics.go
@@ -31,13 +31,17 @@
 type peerCounter struct{ place *machine.Machine }
 
 var (
-	sentDescription     = prometheus.NewDesc("snowflow_peer_sent_bytes_total", "Bytes of calls sent, by address.", []string{"address"}, nil)
-	receivedDescription = prometheus.NewDesc("snowflow_peer_received_bytes_total", "Bytes of replies received, by address.", []string{"address"}, nil)
+	sentDescription         = prometheus.NewDesc("snowflow_peer_sent_bytes_total", "Bytes of calls sent, by address.", []string{"address"}, nil)
+	receivedDescription     = prometheus.NewDesc("snowflow_peer_received_bytes_total", "Bytes of replies received, by address.", []string{"address"}, nil)
+	kindMessagesDescription = prometheus.NewDesc("snowflow_kind_messages_total", "Messages exchanged with other processes, by kind and direction.", []string{"kind", "direction"}, nil)
+	kindBytesDescription    = prometheus.NewDesc("snowflow_kind_bytes_total", "Bytes exchanged with other processes, by kind and direction.", []string{"kind", "direction"}, nil)
 )
 
 func (counter *peerCounter) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- sentDescription
 	descriptions <- receivedDescription
+	descriptions <- kindMessagesDescription
+	descriptions <- kindBytesDescription
 }
 
 func (counter *peerCounter) Collect(metrics chan<- prometheus.Metric) {
@@ -45,6 +49,12 @@
 		metrics <- prometheus.MustNewConstMetric(sentDescription, prometheus.CounterValue, float64(totals[0]), address)
 		metrics <- prometheus.MustNewConstMetric(receivedDescription, prometheus.CounterValue, float64(totals[1]), address)
 	}
+	for kind, total := range counter.place.Kinds() {
+		for direction, counts := range map[string][2]uint64{"sent": {total.Sent, total.SentBytes}, "received": {total.Received, total.ReceivedBytes}} {
+			metrics <- prometheus.MustNewConstMetric(kindMessagesDescription, prometheus.CounterValue, float64(counts[0]), kind.String(), direction)
+			metrics <- prometheus.MustNewConstMetric(kindBytesDescription, prometheus.CounterValue, float64(counts[1]), kind.String(), direction)
+		}
+	}
 }
 
 // Gauge is one figure read when it's asked for.
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -29,6 +29,7 @@
 	lock    sync.Mutex
 	links   map[string]*link
 	counts  map[string]*traffic
+	tallies tallies
 	busy    atomic.Int64 // requests of others whose reply isn't written yet
 	from    net.Addr     // the own number that connections go out from; nil leaves it to the system
 }
@@ -112,7 +113,8 @@
 			peers.drop(link)
 			return
 		}
-		link.counts.received.Add(uint64(len(incoming.Content) + 28))
+		link.counts.received.Add(uint64(len(incoming.Content) + frame.HeaderLength))
+		peers.tallies.received(incoming.Kind, len(incoming.Content)+frame.HeaderLength)
 		link.lock.Lock()
 		waiter := link.pending[incoming.Number]
 		delete(link.pending, incoming.Number)
@@ -196,6 +198,7 @@
 	_, err = link.connection.Write(encoded)
 	link.writing.Unlock()
 	link.counts.sent.Add(uint64(len(encoded)))
+	peers.tallies.sent(kind, len(encoded))
 	if err != nil {
 		peers.drop(link)
 		return seal.Lost.Wrap(err, "writing to %s", address)
@@ -267,6 +270,7 @@
 			}
 			return
 		}
+		peers.tallies.received(incoming.Kind, len(incoming.Content)+frame.HeaderLength)
 		peers.busy.Inc()
 		go func() {
 			defer peers.busy.Dec()
@@ -283,6 +287,7 @@
 			writing.Lock()
 			defer writing.Unlock()
 			_ = connection.SetWriteDeadline(time.Now().Add(10 * time.Second))
+			peers.tallies.sent(outgoing.Kind, len(encoded))
 			if _, err := connection.Write(encoded); err != nil {
 				_ = connection.Close()
 			}
--- a/internal/parcel/frame/frame.go
+++ b/internal/parcel/frame/frame.go
@@ -15,10 +15,10 @@
 // Version is this build's wire version. A process talks with its own version and the ones next to it.
 const Version uint16 = 1
 
-const (
-	mark         uint32 = 0x736e6f77
-	headerLength        = 28
-)
+const mark uint32 = 0x736e6f77
+
+// HeaderLength is what a frame takes besides its content.
+const HeaderLength = 28
 
 // Flags of a frame.
 const (
@@ -45,7 +45,7 @@
 // Append encodes a frame behind buffer.
 func Append(buffer []byte, frame Frame) []byte {
 	start := len(buffer)
-	buffer = append(buffer, make([]byte, headerLength)...)
+	buffer = append(buffer, make([]byte, HeaderLength)...)
 	header := buffer[start:]
 	binary.BigEndian.PutUint32(header, mark)
 	binary.BigEndian.PutUint16(header[4:], Version)
@@ -59,7 +59,7 @@
 
 // Read takes one frame off a stream. limit bounds the content.
 func Read(stream io.Reader, limit int) (Frame, error) {
-	var header [headerLength]byte
+	var header [HeaderLength]byte
 	if _, err := io.ReadFull(stream, header[:]); err != nil {
 		return Frame{}, err
 	}
