--- /dev/null
+++ b/cmd/depot/capacity.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"snowflow/internal/depot/capacity"
+	"snowflow/internal/depot/sweep"
+	"snowflow/internal/house"
+)
+
+// writing writes the page's tables and plots anew from the records.
+func writing() *cobra.Command {
+	results, page := "", ""
+	command := &cobra.Command{Use: "capacity", Short: "write the capacity page's tables and plots from recorded sweeps", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		points, err := sweep.Results(results)
+		if err != nil {
+			return house.Misused(err)
+		}
+		content, err := os.ReadFile(page)
+		if err != nil {
+			return house.Misused(err)
+		}
+		text, err := capacity.Render(string(content), points)
+		if err != nil {
+			return house.Misused(err)
+		}
+		if err := capacity.Plots(points, filepath.Clean(results)); err != nil {
+			return err
+		}
+		return os.WriteFile(page, []byte(text), 0o644)
+	}}
+	command.Flags().StringVar(&results, "results", "docs/capacity", "folder of the records; the plots go there too")
+	command.Flags().StringVar(&page, "page", "docs/CAPACITY.md", "the page, with its parts marked")
+	return command
+}
--- /dev/null
+++ b/internal/depot/capacity/fit.go
@@ -0,0 +1,58 @@
+// Package capacity works out what the letter's size needs from recorded sweeps, and writes it into the page on capacity.
+package capacity
+
+import (
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+
+	"snowflow/internal/depot/sweep"
+)
+
+// Line is a straight line by least squares.
+// Invariant: Error is the slope's standard error, from what is left over with Points-2 degrees of freedom.
+type Line struct {
+	Intercept, Slope, Error float64
+	Points                  int
+}
+
+// At is the line's value.
+func (line Line) At(value float64) float64 { return line.Intercept + line.Slope*value }
+
+// Certain tells whether the slope is beyond twice its standard error.
+func (line Line) Certain() bool { return math.Abs(line.Slope) > 2*line.Error }
+
+// Fit draws the line. There must be three points at least, at two values at least.
+func Fit(values, measured []float64) (Line, bool) {
+	if len(values) < 3 || slices.Min(values) == slices.Max(values) {
+		return Line{}, false
+	}
+	intercept, slope := stat.LinearRegression(values, measured, nil, false)
+	left := 0.0
+	for index, value := range values {
+		apart := measured[index] - intercept - slope*value
+		left += apart * apart
+	}
+	mean, spread := stat.Mean(values, nil), 0.0
+	for _, value := range values {
+		spread += (value - mean) * (value - mean)
+	}
+	return Line{Intercept: intercept, Slope: slope, Error: math.Sqrt(left / float64(len(values)-2) / spread), Points: len(values)}, true
+}
+
+// Along draws a figure's line along a dimension.
+func Along(points []sweep.Point, dimension sweep.Dimension, figure sweep.Figure) (Line, bool) {
+	values, measured := Pairs(points, dimension, figure)
+	return Fit(values, measured)
+}
+
+// Pairs gives what a figure's line is drawn through.
+func Pairs(points []sweep.Point, dimension sweep.Dimension, figure sweep.Figure) (values, measured []float64) {
+	for _, run := range sweep.Along(points, dimension) {
+		if value, known := figure.Of(run); known {
+			values, measured = append(values, dimension.Value(run)), append(measured, value)
+		}
+	}
+	return values, measured
+}
--- /dev/null
+++ b/internal/depot/capacity/need.go
@@ -0,0 +1,135 @@
+package capacity
+
+import (
+	"fmt"
+
+	"snowflow/internal/depot/sweep"
+)
+
+// The size to design for. Routes and the share of calls that claim aren't part of it: they are this page's assumptions.
+const (
+	Nodes    = 7700
+	Services = 580
+	Calls    = 930000
+	Day      = 86400
+	Changes  = 3500.0 / Day
+	Restarts = (2400.0 + 21) / Day
+
+	Routes = 10 * Services
+	Claims = Calls / 100.0
+
+	window = 10 // seconds, of the runs that the changes of the base are spread over
+)
+
+// Term is a part of a need: a slope along a dimension, times how far the size is from the base, times the carriers over
+// the base's to a power, for what grows with both.
+type Term struct {
+	Dimension string
+	Figure    string
+	Amount    float64
+	Power     int
+}
+
+// Need is one line of the page's table.
+type Need struct {
+	Role  string
+	What  string
+	Unit  string
+	Terms []Term
+	Bound float64 // zero: the letter gives none, nor does this page assume one
+	By    string  // the mechanism that carries it
+}
+
+// What the base's changes, four in a window, have to be multiplied by to give the letter's.
+const changesOverBase = Changes / (4.0 / window)
+
+// parts gives the terms of a figure: alone in the number of carriers, then what each other dimension adds. With shared, the
+// figure is that of a process that all carriers talk to, so what each carrier adds is multiplied by their number.
+func parts(figure string, shared bool) []Term {
+	grows := 0
+	if shared {
+		grows = 1
+	}
+	return []Term{
+		{"carriers", figure, Nodes, 0},
+		{"services", figure, Services - 10, grows},
+		{"routes", figure, (Routes - 10) * changesOverBase, grows},
+		{"calls", figure, perCarrier(Claims, shared), 0},
+		{"restarts", figure, Restarts, grows + 1},
+	}
+}
+
+// perCarrier is the claims a second at which a carrier of the base claims as often as one of the letter's size.
+func perCarrier(claims float64, shared bool) float64 {
+	if shared {
+		return claims
+	}
+	return claims / Nodes * float64(sweep.Base.Carriers)
+}
+
+// Needs are the page's lines.
+var Needs = []Need{
+	{"carrier", "control traffic, calm", "B/s", []Term{{"carriers", "carrier bytes", Nodes, 0}}, 7000, "`carrier/roll`, `carrier/desk` (shared-state, roll-out)"},
+	{"carrier", "control traffic, all", "B/s", parts("carrier bytes", false), 7000, "as above, and `sorter/directory`, `sorter/pigeonhole` (membership, failure-detection)"},
+	{"carrier", "processor for control, calm", "µs/s", []Term{{"carriers", "carrier processor", Nodes, 0}}, 19000, "`carrier/roll`, `carrier/desk`, `house` governor (processor)"},
+	{"carrier", "processor for control, all", "µs/s", parts("carrier processor", false), 19000, "as above"},
+	{"carrier", "memory", "KB", []Term{{"carriers", "carrier memory", Nodes, 0}, {"services", "carrier memory", Services - 10, 0}, {"routes", "carrier memory", Routes - 10, 0}}, 128000, "`carrier/roll` directory, `franking` view (membership, roll-out)"},
+	{"sorter", "primary: messages, calm", "1/s", []Term{{"carriers", "sorter primary messages", Nodes, 0}}, 0, "`sorter` polls (shared-state)"},
+	{"sorter", "primary: traffic, all", "B/s", parts("sorter primary bytes", true), 125e6, "`sorter/directory`, `sorter/pigeonhole` (membership, shared-state)"},
+	{"sorter", "primary: processor, calm", "µs/s", []Term{{"carriers", "sorter primary processor", Nodes, 0}}, 8e6, "`sorter` polls, `sorter/directory` (membership)"},
+	{"sorter", "primary: processor for claims", "µs/s", []Term{{"calls", "sorter primary processor", Claims, 0}}, 8e6, "`sorter/counterfoil`, `countersign` group commit (run-once)"},
+	{"sorter", "primary: memory, calm", "KB", []Term{{"carriers", "sorter primary memory", Nodes, 0}}, 0, "`sorter/directory`, connections (membership)"},
+	{"sorter", "backup: traffic, calm", "B/s", []Term{{"carriers", "sorter backup bytes", Nodes, 0}}, 125e6, "`sorter` sessions told, `countersign` (recovery)"},
+	{"sorter", "backup: processor, calm", "µs/s", []Term{{"carriers", "sorter backup processor", Nodes, 0}}, 8e6, "as above"},
+	{"sorter", "claims answered again after the primary's death", "s", []Term{{"carriers", "until claims again", Nodes, 0}}, 0, "`countersign` (election)"},
+	{"postmaster", "primary: messages, calm", "1/s", []Term{{"carriers", "postmaster primary messages", Nodes, 0}}, 0, "`postmaster` held polls (roll-out)"},
+	{"postmaster", "primary: traffic, all", "B/s", parts("postmaster primary bytes", true), 125e6, "`postmaster` held polls, whole states (roll-out)"},
+	{"postmaster", "primary: processor, calm", "µs/s", []Term{{"carriers", "postmaster primary processor", Nodes, 0}}, 8e6, "as above"},
+	{"postmaster", "primary: memory, calm", "KB", []Term{{"carriers", "postmaster primary memory", Nodes, 0}}, 0, "`postmaster` holders, `postmaster/ledger` (roll-out)"},
+	{"postmaster", "a change in force at the slowest carrier", "s", []Term{{"carriers", "take-up, slowest carrier", Nodes, 0}}, 9, "`postmaster` news and words, `carrier/desk` (roll-out)"},
+	{"postmaster", "a change acknowledged after the primary's death", "s", []Term{{"carriers", "until changes again", Nodes, 0}}, 9, "`postmaster` leases (roll-out, election)"},
+	{"witness", "sorter: processor, calm", "µs/s", []Term{{"carriers", "sorter witness processor", Nodes, 0}}, 8e6, "`sorter` sessions told, `countersign` register (election)"},
+	{"witness", "sorter: memory, calm", "KB", []Term{{"carriers", "sorter witness memory", Nodes, 0}}, 0, "`sorter/directory` (membership)"},
+	{"witness", "postmaster: processor, calm", "µs/s", []Term{{"carriers", "postmaster witness processor", Nodes, 0}}, 8e6, "`gazetteer` answers, `countersign` register (election)"},
+	{"witness", "postmaster: memory, calm", "KB", []Term{{"carriers", "postmaster witness memory", Nodes, 0}}, 0, "connections of `office/machine` (election)"},
+}
+
+// Part is one term's value and the line it comes from.
+type Part struct {
+	Term  Term
+	Line  Line
+	Value float64
+}
+
+// Parts works the terms out. The first term is a line's value at the size; the others are slopes times a difference. A slope
+// within twice its standard error counts as nothing.
+func (need Need) Parts(points []sweep.Point) (parts []Part, sum float64, err error) {
+	for index, term := range need.Terms {
+		dimension, err := sweep.Find(term.Dimension)
+		if err != nil {
+			return nil, 0, err
+		}
+		figure, err := sweep.Named(term.Figure)
+		if err != nil {
+			return nil, 0, err
+		}
+		line, drawn := Along(points, dimension, figure)
+		if !drawn {
+			return nil, 0, fmt.Errorf("no line of %s along %s: too few runs are recorded", term.Figure, term.Dimension)
+		}
+		value := 0.0
+		switch {
+		case index == 0 && term.Dimension == "carriers" && line.Certain():
+			value = line.At(term.Amount)
+		case index == 0 && term.Dimension == "carriers":
+			value = line.At(float64(sweep.Base.Carriers))
+		case line.Certain():
+			value = line.Slope * term.Amount
+		}
+		for range term.Power {
+			value *= float64(Nodes) / float64(sweep.Base.Carriers)
+		}
+		parts, sum = append(parts, Part{term, line, value}), sum+value
+	}
+	return parts, sum, nil
+}
--- a/internal/depot/sweep/run.go
+++ b/internal/depot/sweep/run.go
@@ -47,8 +47,8 @@
 	place   *machine.Machine // the operator's
 	book    *gazetteer.Book
 	run     *Run
-	serial  int // of the changes' contents
-	claims  int
+	serial  int     // of the changes' contents
+	alone   float64 // what this process had resident before the carriers came
 }
 
 // Play plays one run: it starts the core as processes and the carriers as hollow ones in this process, and measures.
@@ -105,6 +105,11 @@
 	if _, _, err := play.apply(play.options.Patience); err != nil {
 		return err
 	}
+	alone, err := resident("self", "VmRSS")
+	if err != nil {
+		return err
+	}
+	play.alone = alone
 	began := time.Now()
 	if err := play.crowd.Arrive(arrival); err != nil {
 		return err
@@ -272,7 +277,7 @@
 	}
 	count, seconds := float64(play.size.Carriers), play.run.Seconds
 	play.run.Roles[carriers] = Role{Processes: play.size.Carriers, Processor: (after.processor[carriers] - before.processor[carriers]) / seconds / count,
-		Resident: peak / count, Kinds: rates(before.kinds[carriers], after.kinds[carriers], seconds*count)}
+		Resident: (peak - play.alone) / count, Kinds: rates(before.kinds[carriers], after.kinds[carriers], seconds*count)}
 	for _, process := range play.fleet.Core() {
 		core, err := status(process)
 		if err != nil {
--- /dev/null
+++ b/internal/depot/sweep/sweep_test.go
@@ -0,0 +1,144 @@
+package sweep
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+func daemons(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	if output, err := exec.Command("go", "build", "-buildvcs=false", "-o", folder+"/", "snowflow/cmd/sorter", "snowflow/cmd/postmaster").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	return folder
+}
+
+// TestTinySweep plays one run with five hollow carriers against real control programs, failures too. Only what is recorded
+// is judged, not how long anything took.
+func TestTinySweep(t *testing.T) {
+	size := Size{Carriers: 5, Services: 7, Routes: 3, Changes: 2, Calls: 20, Restarts: 1}
+	options := Options{Window: 500 * time.Millisecond, Patience: time.Minute, Failures: true, Folder: t.TempDir(), Binaries: daemons(t), Base: 243}
+	run, err := Play(size, options, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if run.Size != size || run.Seconds <= 0 || run.Content == 0 || run.Guards != size.Services {
+		t.Errorf("the record says %+v", run)
+	}
+	if len(run.TakeUp) != size.Changes || len(run.Answered) != size.Changes {
+		t.Errorf("of %d changes, %d were timed at the carriers and %d at the operator", size.Changes, len(run.TakeUp), len(run.Answered))
+	}
+	if run.Claims.Granted+run.Claims.Other != 10 || run.Claims.Granted == 0 {
+		t.Errorf("of 10 claims %+v", run.Claims)
+	}
+	for _, name := range roles {
+		role, known := run.Roles[name]
+		if !known || role.Resident <= 0 || role.All().SentBytes <= 0 || role.All().Received <= 0 {
+			t.Errorf("%s: %+v", name, role)
+		}
+	}
+	if len(run.Roles) != len(roles) || run.Roles["carrier"].Processes != size.Carriers {
+		t.Errorf("the roles are %v", run.Roles)
+	}
+	for role, kinds := range map[string][]string{"carrier": {"sorter_poll", "desired_poll", "whois", "claim"}, "sorter primary": {"sorter_poll", "claim", "replicate", "sessions_tell", "tenure_ask"},
+		"postmaster primary": {"desired_poll", "desired_apply", "replicate"}} {
+		for _, kind := range kinds {
+			if run.Roles[role].Kinds[kind].SentBytes == 0 {
+				t.Errorf("%s sent nothing of %s", role, kind)
+			}
+		}
+	}
+	failures := run.Failures
+	if failures == nil || failures.Claims == nil || failures.Reads == nil || failures.Applies == nil || failures.Ready == nil || failures.Whole == nil || failures.Bytes <= 0 {
+		t.Errorf("failures: %+v", failures)
+	}
+	for _, figure := range Figures() {
+		if _, known := figure.Of(run); !known {
+			t.Errorf("the run tells no %s", figure.Name)
+		}
+	}
+}
+
+// TestSweepCutOff: sizes whose runs were all played stay recorded, and the one that was cut off leaves nothing.
+func TestSweepCutOff(t *testing.T) {
+	dimension, err := Find("carriers")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := Plan{Dimension: dimension, Sizes: []int{50, 60, 70}, Runs: 2, Window: time.Second, Results: filepath.Join(t.TempDir(), "results")}
+	cut, said := errors.New("cut off"), 0
+	err = Sweep(plan, func(size Size, number int) (Run, error) {
+		if size.Carriers == 60 && number == 2 {
+			return Run{}, cut
+		}
+		return Run{Size: size, Number: number, Seconds: 1, TakeUp: []float64{0.5}}, nil
+	}, func(string, ...any) { said++ })
+	if !errors.Is(err, cut) || said != 3 {
+		t.Errorf("ended with %v after %d runs", err, said)
+	}
+	points, err := Results(plan.Results)
+	if err != nil || len(points) != 1 || points[0].Value != 50 || len(points[0].Runs) != 2 || points[0].Runs[1].Number != 2 || !reflect.DeepEqual(points[0].Runs[0].TakeUp, []float64{0.5}) {
+		t.Errorf("recorded are %+v, %v", points, err)
+	}
+	if names, err := os.ReadDir(plan.Results); err != nil || len(names) != 1 {
+		t.Errorf("the folder holds %v, %v", names, err)
+	}
+}
+
+// TestBoundsRefuse: what wouldn't fit is refused with the figure, and so are points that can't be played.
+func TestBoundsRefuse(t *testing.T) {
+	bounds := Bounds{Memory: 4 << 30, Files: 20000}
+	for _, dimension := range Dimensions {
+		for _, value := range dimension.Sizes {
+			if err := bounds.Check(dimension.At(value)); err != nil {
+				t.Errorf("%s %d: %v", dimension.Name, value, err)
+			}
+		}
+	}
+	for name, course := range map[string]struct {
+		size Size
+		want string
+	}{
+		"memory":      {Size{Carriers: 3200, Services: 1}, "half of this machine's memory is 4096 MB"},
+		"files":       {Size{Carriers: 2850, Services: 1}, "open files"},
+		"no carriers": {Size{Services: 1}, "carriers must be one at least"},
+		"no services": {Size{Carriers: 5}, "services must be one at least"},
+		"below zero":  {Size{Carriers: 5, Services: 1, Calls: -1}, "no figure below zero"},
+	} {
+		bounds := bounds
+		if name == "files" {
+			bounds.Memory = 1 << 40
+		}
+		if err := bounds.Check(course.size); err == nil || !strings.Contains(err.Error(), course.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Find("weather"); err == nil {
+		t.Error("an unknown dimension is found")
+	}
+	if own, err := Half(); err != nil || own.Memory == 0 || own.Files == 0 {
+		t.Errorf("this machine's bounds are %+v, %v", own, err)
+	}
+}
+
+// TestAlong: only runs that differ from the base in one figure are on its line.
+func TestAlong(t *testing.T) {
+	for _, dimension := range Dimensions {
+		moved := dimension.At(77)
+		for _, other := range Dimensions {
+			if on := other.Along(moved); on != (other.Name == dimension.Name) {
+				t.Errorf("a size moved along %s is on %s: %v", dimension.Name, other.Name, on)
+			}
+		}
+		if !dimension.Along(Base) {
+			t.Errorf("the base isn't on %s", dimension.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/office/machine/tally_test.go
@@ -0,0 +1,73 @@
+package machine
+
+import (
+	"testing"
+
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/frame"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// TestKindsAreCounted: each message counts once at each end, under its own kind, with the bytes of its whole frame.
+func TestKindsAreCounted(t *testing.T) {
+	table := office.Table{}
+	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+		return &wire.ClaimTell{Outcome: ask.Scope}, nil
+	})
+	office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return nil, seal.Invalid.New("no") })
+	called, address, _ := served(t, table)
+	caller := New(nil, nil, nil)
+	for range 3 {
+		if err := caller.Call(address, wire.Kind_claim, &wire.ClaimAsk{Scope: "ab"}, &wire.ClaimTell{}, 10*postmark.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := caller.Call(address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, 10*postmark.Second); !seal.IsRefused(err) {
+		t.Fatal(err)
+	}
+	const claim = frame.HeaderLength + 4 // one field: its number, its length and two letters
+	if got, want := caller.Kinds()[wire.Kind_claim], (Tally{Sent: 3, SentBytes: 3 * claim, Received: 3, ReceivedBytes: 3 * claim}); got != want {
+		t.Errorf("the caller counts %+v, not %+v", got, want)
+	}
+	if got, want := called.Kinds()[wire.Kind_claim], caller.Kinds()[wire.Kind_claim]; got != want {
+		t.Errorf("the called counts %+v, not %+v", got, want)
+	}
+	if got := caller.Kinds()[wire.Kind_whois]; got.Sent != 1 || got.Received != 1 || got.ReceivedBytes <= frame.HeaderLength {
+		t.Errorf("a refusal counts as %+v", got)
+	}
+	if len(caller.Kinds()) != 2 {
+		t.Errorf("other kinds count too: %v", caller.Kinds())
+	}
+	for kind := range wire.Kind_name {
+		if kind >= kinds {
+			t.Errorf("kind %d isn't counted", kind)
+		}
+	}
+}
+
+// TestHangUp: who waits on a connection that this process ends is told that it's lost, and the next call dials anew.
+func TestHangUp(t *testing.T) {
+	table, came, held := office.Table{}, make(chan struct{}), make(chan struct{})
+	office.Handle(table, wire.Kind_pass, func(*wire.PassAsk) (*wire.PassTell, error) {
+		close(came)
+		<-held
+		return &wire.PassTell{}, nil
+	})
+	office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return &wire.WhoisTell{}, nil })
+	_, address, _ := served(t, table)
+	defer close(held)
+	caller, lost := New(nil, nil, nil), make(chan error, 1)
+	go func() {
+		lost <- caller.Call(address, wire.Kind_pass, &wire.PassAsk{}, &wire.PassTell{}, postmark.Minute)
+	}()
+	<-came
+	caller.HangUp()
+	if err := <-lost; !seal.IsLost(err) {
+		t.Errorf("the call ended with %v", err)
+	}
+	if err := caller.Call(address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, 10*postmark.Second); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
