--- a/internal/depot/capacity/fit.go
+++ b/internal/depot/capacity/fit.go
@@ -52,12 +52,17 @@
 	return Fit(values, measured)
 }
 
-// Pairs gives what a figure's line is drawn through.
+// Pairs gives what a figure's line is drawn through: nothing if all is of one size, whose windows only differ a little.
 func Pairs(points []sweep.Point, dimension sweep.Dimension, figure sweep.Figure) (values, measured []float64) {
+	sizes := map[sweep.Size]bool{}
 	for _, run := range sweep.Along(points, dimension) {
 		if value, known := figure.Of(run); known {
 			values, measured = append(values, dimension.Value(run)), append(measured, value)
+			sizes[run.Size] = true
 		}
 	}
+	if len(sizes) < 2 {
+		return nil, nil
+	}
 	return values, measured
 }
--- a/internal/depot/capacity/need.go
+++ b/internal/depot/capacity/need.go
@@ -40,12 +40,15 @@
 	By    string  // the mechanism that carries it
 }
 
+// baseChanges is the changes a second of the base, which slopes along services and routes were measured at.
+const baseChanges = 4.0 / window
+
 // What the base's changes, four in a window, have to be multiplied by to give the letter's.
-const changesOverBase = Changes / (4.0 / window)
+const changesOverBase = Changes / baseChanges
 
-// parts gives the terms of a figure: alone in the number of carriers, then what each other dimension adds. With shared, the
+// adding gives the terms of a figure: alone in the number of carriers, then what each other dimension adds. With shared, the
 // figure is that of a process that all carriers talk to, so what each carrier adds is multiplied by their number.
-func parts(figure string, shared bool) []Term {
+func adding(figure string, shared bool) []Term {
 	grows := 0
 	if shared {
 		grows = 1
@@ -54,40 +57,63 @@
 		{"carriers", figure, Nodes, 0},
 		{"services", figure, Services - 10, grows},
 		{"routes", figure, (Routes - 10) * changesOverBase, grows},
-		{"calls", figure, perCarrier(Claims, shared), 0},
+		{"calls", figure, perCarrier(shared), 0},
 		{"restarts", figure, Restarts, grows + 1},
 	}
 }
 
-// perCarrier is the claims a second at which a carrier of the base claims as often as one of the letter's size.
-func perCarrier(claims float64, shared bool) float64 {
+// traffic gives the terms of a role's bytes. What services add to polls of sorters comes with each poll, what they and routes
+// add to a desired state with each change.
+func traffic(role string, shared bool, kinds ...string) (terms []Term) {
+	grows := 0
+	if shared {
+		grows = 1
+	}
+	terms = []Term{{"carriers", role + " bytes", Nodes, 0}}
+	every := map[string][]Term{
+		"sorter_poll":  {{"services", role + " bytes of sorter_poll", Services - 10, grows}, {"restarts", role + " bytes of sorter_poll", Restarts, grows + 1}},
+		"desired_poll": {{"services", role + " bytes of desired_poll", (Services - 10) * changesOverBase, grows}, {"routes", role + " bytes of desired_poll", (Routes - 10) * changesOverBase, grows}},
+		"claim":        {{"calls", role + " bytes of claim", perCarrier(shared), 0}},
+	}
+	for _, kind := range kinds {
+		terms = append(terms, every[kind]...)
+	}
+	return terms
+}
+
+// perCarrier is the claims a second: all of them, or those at which a carrier of the base claims as often as one of the
+// letter's size.
+func perCarrier(shared bool) float64 {
 	if shared {
-		return claims
+		return Claims
 	}
-	return claims / Nodes * float64(sweep.Base.Carriers)
+	return Claims / Nodes * float64(sweep.Base.Carriers)
 }
 
 // Needs are the page's lines.
 var Needs = []Need{
 	{"carrier", "control traffic, calm", "B/s", []Term{{"carriers", "carrier bytes", Nodes, 0}}, 7000, "`carrier/roll`, `carrier/desk` (shared-state, roll-out)"},
-	{"carrier", "control traffic, all", "B/s", parts("carrier bytes", false), 7000, "as above, and `sorter/directory`, `sorter/pigeonhole` (membership, failure-detection)"},
+	{"carrier", "control traffic, all", "B/s", traffic("carrier", false, "sorter_poll", "desired_poll", "claim"), 7000, "as above, and `sorter/directory`, `sorter/pigeonhole` (membership, failure-detection)"},
 	{"carrier", "processor for control, calm", "µs/s", []Term{{"carriers", "carrier processor", Nodes, 0}}, 19000, "`carrier/roll`, `carrier/desk`, `house` governor (processor)"},
-	{"carrier", "processor for control, all", "µs/s", parts("carrier processor", false), 19000, "as above"},
+	{"carrier", "processor for control, all", "µs/s", adding("carrier processor", false), 19000, "as above"},
 	{"carrier", "memory", "KB", []Term{{"carriers", "carrier memory", Nodes, 0}, {"services", "carrier memory", Services - 10, 0}, {"routes", "carrier memory", Routes - 10, 0}}, 128000, "`carrier/roll` directory, `franking` view (membership, roll-out)"},
 	{"sorter", "primary: messages, calm", "1/s", []Term{{"carriers", "sorter primary messages", Nodes, 0}}, 0, "`sorter` polls (shared-state)"},
-	{"sorter", "primary: traffic, all", "B/s", parts("sorter primary bytes", true), 125e6, "`sorter/directory`, `sorter/pigeonhole` (membership, shared-state)"},
+	{"sorter", "primary: traffic, all", "B/s", traffic("sorter primary", true, "sorter_poll", "claim"), 125e6, "`sorter/directory`, `sorter/pigeonhole` (membership, shared-state)"},
 	{"sorter", "primary: processor, calm", "µs/s", []Term{{"carriers", "sorter primary processor", Nodes, 0}}, 8e6, "`sorter` polls, `sorter/directory` (membership)"},
+	{"sorter", "primary: processor for guards' records", "µs/s", []Term{{"services", "sorter primary processor", Services - 10, 1}}, 8e6, "`sorter/pigeonhole`, whole with each poll (shared-state)"},
 	{"sorter", "primary: processor for claims", "µs/s", []Term{{"calls", "sorter primary processor", Claims, 0}}, 8e6, "`sorter/counterfoil`, `countersign` group commit (run-once)"},
 	{"sorter", "primary: memory, calm", "KB", []Term{{"carriers", "sorter primary memory", Nodes, 0}}, 0, "`sorter/directory`, connections (membership)"},
 	{"sorter", "backup: traffic, calm", "B/s", []Term{{"carriers", "sorter backup bytes", Nodes, 0}}, 125e6, "`sorter` sessions told, `countersign` (recovery)"},
 	{"sorter", "backup: processor, calm", "µs/s", []Term{{"carriers", "sorter backup processor", Nodes, 0}}, 8e6, "as above"},
 	{"sorter", "claims answered again after the primary's death", "s", []Term{{"carriers", "until claims again", Nodes, 0}}, 0, "`countersign` (election)"},
 	{"postmaster", "primary: messages, calm", "1/s", []Term{{"carriers", "postmaster primary messages", Nodes, 0}}, 0, "`postmaster` held polls (roll-out)"},
-	{"postmaster", "primary: traffic, all", "B/s", parts("postmaster primary bytes", true), 125e6, "`postmaster` held polls, whole states (roll-out)"},
+	{"postmaster", "primary: traffic, mean of a day", "B/s", traffic("postmaster primary", true, "desired_poll"), 125e6, "`postmaster` held polls, whole states (roll-out)"},
 	{"postmaster", "primary: processor, calm", "µs/s", []Term{{"carriers", "postmaster primary processor", Nodes, 0}}, 8e6, "as above"},
 	{"postmaster", "primary: memory, calm", "KB", []Term{{"carriers", "postmaster primary memory", Nodes, 0}}, 0, "`postmaster` holders, `postmaster/ledger` (roll-out)"},
 	{"postmaster", "one desired state", "B", []Term{{"carriers", "desired state", Nodes, 0}, {"services", "desired state", Services - 10, 0}, {"routes", "desired state", Routes - 10, 0}}, 0, "`postmaster/ledger`, `franking` (roll-out)"},
-	{"postmaster", "a change in force at the slowest carrier", "s", []Term{{"carriers", "take-up, slowest carrier", Nodes, 0}}, 9, "`postmaster` news and words, `carrier/desk` (roll-out)"},
+	{"postmaster", "primary: sending a change to all within 9 s", "B", []Term{{"services", "postmaster primary bytes of desired_poll", (Services - 10) / baseChanges, 1}, {"routes", "postmaster primary bytes of desired_poll", (Routes - 10) / baseChanges, 1}}, 9 * 125e6, "`postmaster` held polls, whole states (roll-out)"},
+	{"postmaster", "primary: processor for sending it", "µs", []Term{{"services", "postmaster primary processor", (Services - 10) / baseChanges, 1}, {"routes", "postmaster primary processor", (Routes - 10) / baseChanges, 1}}, 9 * 8e6, "as above"},
+	{"postmaster", "a change of a small state (2 KB) in force at the slowest carrier", "s", []Term{{"carriers", "take-up, slowest carrier", Nodes, 0}}, 9, "`postmaster` news and words, `carrier/desk` (roll-out)"},
 	{"postmaster", "a change acknowledged after the primary's death", "s", []Term{{"carriers", "until changes again", Nodes, 0}}, 9, "`postmaster` leases (roll-out, election)"},
 	{"witness", "sorter: processor, calm", "µs/s", []Term{{"carriers", "sorter witness processor", Nodes, 0}}, 8e6, "`sorter` sessions told, `countersign` register (election)"},
 	{"witness", "sorter: memory, calm", "KB", []Term{{"carriers", "sorter witness memory", Nodes, 0}}, 0, "`sorter/directory` (membership)"},
@@ -102,7 +128,7 @@
 	Value float64
 }
 
-// Parts works the terms out. The first term is a line's value at the size, or at the most that was played if it doesn't rise;
+// Parts works the terms out. A first term along carriers is the line's value at the size, or at the most that was played if it doesn't rise;
 // the others are slopes times a difference. Only a slope that is above twice its standard error counts.
 func (need Need) Parts(points []sweep.Point) (parts []Part, sum float64, err error) {
 	for index, term := range need.Terms {
@@ -120,9 +146,9 @@
 		}
 		value := 0.0
 		switch {
-		case index == 0 && line.Rises():
+		case index == 0 && term.Dimension == "carriers" && line.Rises():
 			value = line.At(term.Amount)
-		case index == 0:
+		case index == 0 && term.Dimension == "carriers":
 			value = line.At(line.Most)
 		case line.Rises():
 			value = line.Slope * term.Amount
--- a/internal/depot/capacity/page.go
+++ b/internal/depot/capacity/page.go
@@ -42,6 +42,28 @@
 	return fmt.Sprintf("%.3g", value)
 }
 
+// scales write a value in the unit that suits its size, from the least that each is for.
+var scales = map[string][]struct {
+	least, by float64
+	unit      string
+}{
+	"B/s":  {{1e6, 1e6, "MB/s"}, {1e3, 1e3, "KB/s"}},
+	"B":    {{1e9, 1e9, "GB"}, {1e6, 1e6, "MB"}, {1e3, 1e3, "KB"}},
+	"KB":   {{1e6, 1e6, "GB"}, {1e3, 1e3, "MB"}},
+	"µs":   {{1e6, 1e6, "processor-seconds"}},
+	"µs/s": {{1e6, 1e6, "processors"}, {1e3, 1e4, "% of a processor"}},
+}
+
+// Amount writes a value with its unit.
+func Amount(value float64, unit string) string {
+	for _, scale := range scales[unit] {
+		if math.Abs(value) >= scale.least {
+			return Number(value/scale.by) + " " + scale.unit
+		}
+	}
+	return Number(value) + " " + unit
+}
+
 func median(values []float64) float64 {
 	ordered := slices.Sorted(slices.Values(values))
 	if len(ordered) == 0 {
@@ -78,18 +100,27 @@
 }
 
 func played(points []sweep.Point) (string, error) {
-	text := table("swept", "size", "runs", "window, s", "desired state, KB", "guards' records", "load average before")
+	text := table("swept", "size", "runs", "window, s", "desired state, KB", "guards' records", "load average before", "runs in which a primary changed: sorters, postmasters")
 	for _, point := range points {
 		of := func(read func(run sweep.Run) float64) []float64 {
 			return collect(point.Runs, func(run sweep.Run) (float64, bool) { return read(run), true })
 		}
 		line(text, point.Dimension, fmt.Sprint(point.Value), fmt.Sprint(len(point.Runs)), spread(of(func(run sweep.Run) float64 { return run.Seconds })),
 			Number(median(of(func(run sweep.Run) float64 { return float64(run.Content) / 1000 }))), Number(median(of(func(run sweep.Run) float64 { return float64(run.Guards) }))),
-			spread(of(func(run sweep.Run) float64 { return run.Load })))
+			spread(of(func(run sweep.Run) float64 { return run.Load })), fmt.Sprintf("%d, %d", moved(point, "sorter"), moved(point, "postmaster")))
 	}
 	return text.String(), nil
 }
 
+func moved(point sweep.Point, group string) (count int) {
+	for _, run := range point.Runs {
+		if run.Moved(group) {
+			count++
+		}
+	}
+	return count
+}
+
 func quantile(values []float64, part float64) float64 {
 	ordered := slices.Sorted(slices.Values(values))
 	if len(ordered) == 0 {
@@ -138,21 +169,21 @@
 func slopes(points []sweep.Point) (string, error) {
 	text := table("along", "of", "at the base", "slope", "standard error", "runs")
 	for _, dimension := range sweep.Dimensions {
-		without := []string{}
+		without := 0
 		for _, figure := range sweep.Figures() {
 			drawn, possible := Along(points, dimension, figure)
 			if !possible {
 				continue
 			}
 			if !drawn.Certain() {
-				without = append(without, figure.Name)
+				without++
 				continue
 			}
 			base, _ := baseValue(points, dimension)
 			line(text, dimension.Name, figure.Name, Number(drawn.At(base))+" "+figure.Unit, Number(drawn.Slope)+" "+figure.Unit+" for a "+dimension.Unit, Number(drawn.Error), fmt.Sprint(drawn.Points))
 		}
-		if len(without) > 0 {
-			line(text, dimension.Name, fmt.Sprintf("no slope beyond twice its error: %s", strings.Join(without, "; ")), "", "", "", "")
+		if without > 0 {
+			line(text, dimension.Name, fmt.Sprintf("%d more, with no slope beyond twice its error", without), "", "", "", "")
 		}
 	}
 	return text.String(), nil
@@ -184,16 +215,16 @@
 			if !part.Line.Rises() {
 				note = " (doesn't rise)"
 			}
-			made = append(made, fmt.Sprintf("%s %s%s", part.Term.Dimension, Number(part.Value), note))
+			made = append(made, fmt.Sprintf("%s %s%s", part.Term.Dimension, Amount(part.Value, need.Unit), note))
 		}
 		bound, holds := "none given", "-"
 		if need.Bound > 0 {
-			bound, holds = Number(need.Bound)+" "+need.Unit, "yes"
+			bound, holds = Amount(need.Bound, need.Unit), "yes"
 			if sum > need.Bound {
 				holds = fmt.Sprintf("**no, %s times over**", Number(sum/need.Bound))
 			}
 		}
-		line(text, need.Role, need.What, Number(sum)+" "+need.Unit, strings.Join(made, ", "), bound, holds, need.By)
+		line(text, need.Role, need.What, Amount(sum, need.Unit), strings.Join(made, ", "), bound, holds, need.By)
 	}
 	return text.String(), nil
 }
--- a/internal/depot/sweep/run.go
+++ b/internal/depot/sweep/run.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"snowflow/internal/countersign"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/hollow"
 	"snowflow/internal/depot/layout"
@@ -278,11 +279,12 @@
 	count, seconds := float64(play.size.Carriers), play.run.Seconds
 	play.run.Roles[carriers] = Role{Processes: play.size.Carriers, Processor: (after.processor[carriers] - before.processor[carriers]) / seconds / count,
 		Resident: (peak - play.alone) / count, Kinds: rates(before.kinds[carriers], after.kinds[carriers], seconds*count)}
+	standing, err := play.standing()
+	if err != nil {
+		return err
+	}
 	for _, process := range play.fleet.Core() {
-		core, err := status(process)
-		if err != nil {
-			return err
-		}
+		core := standing[process.Program]
 		peak, err := resident(strconv.Itoa(process.Identity()), "VmHWM")
 		if err != nil {
 			return err
@@ -293,6 +295,24 @@
 	return nil
 }
 
+// standing is how both groups stand by their primaries' word, once each has a backup.
+func (play *play) standing() (map[string]countersign.Status, error) {
+	found := map[string]countersign.Status{}
+	_, reached := until(play.options.Patience, func() bool {
+		for _, process := range play.fleet.Core() {
+			core, err := status(process)
+			if err == nil && core.Answering && core.Primary == process.Name && core.Backup != "" {
+				found[process.Program] = core
+			}
+		}
+		return len(found) == 2
+	})
+	if !reached {
+		return nil, fmt.Errorf("after %v only %d of 2 groups have a primary with a backup", play.options.Patience, len(found))
+	}
+	return found, nil
+}
+
 // spread runs a number of things one after another, evenly over the window.
 func (play *play) spread(count int, do func(index int) error) error {
 	began := time.Now()
@@ -371,12 +391,12 @@
 	result := &Failures{CutoffSecs: play.options.Patience.Seconds()}
 	play.run.Failures = result
 	killed := []*fleet.Process{}
+	standing, err := play.standing()
+	if err != nil {
+		return err
+	}
 	for _, process := range play.fleet.Core() {
-		core, err := status(process)
-		if err != nil {
-			return err
-		}
-		if core.Primary == process.Name {
+		if standing[process.Program].Primary == process.Name {
 			killed = append(killed, process)
 		}
 	}
--- a/internal/depot/sweep/sweep.go
+++ b/internal/depot/sweep/sweep.go
@@ -109,6 +109,16 @@
 	return runs
 }
 
+// Moved tells whether a group's primary changed within the window: then voters were asked for promises.
+func (run Run) Moved(group string) bool {
+	for name, role := range run.Roles {
+		if strings.HasPrefix(name, group+" ") && role.Kinds["register_promise"].Received > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Figure is something that is measured in each run.
 type Figure struct {
 	Name string
