--- a/internal/depot/capacity/page.go
+++ b/internal/depot/capacity/page.go
@@ -100,21 +100,21 @@
 }
 
 func played(points []sweep.Point) (string, error) {
-	text := table("swept", "size", "runs", "window, s", "desired state, KB", "guards' records", "load average before", "runs in which a primary changed: sorters, postmasters")
+	text := table("swept", "size", "runs", "window, s", "desired state, KB", "guards' records", "load average before", "runs in which an epoch changed: sorters, postmasters")
 	for _, point := range points {
 		of := func(read func(run sweep.Run) float64) []float64 {
 			return collect(point.Runs, func(run sweep.Run) (float64, bool) { return read(run), true })
 		}
 		line(text, point.Dimension, fmt.Sprint(point.Value), fmt.Sprint(len(point.Runs)), spread(of(func(run sweep.Run) float64 { return run.Seconds })),
 			Number(median(of(func(run sweep.Run) float64 { return float64(run.Content) / 1000 }))), Number(median(of(func(run sweep.Run) float64 { return float64(run.Guards) }))),
-			spread(of(func(run sweep.Run) float64 { return run.Load })), fmt.Sprintf("%d, %d", moved(point, "sorter"), moved(point, "postmaster")))
+			spread(of(func(run sweep.Run) float64 { return run.Load })), fmt.Sprintf("%d, %d", changed(point, "sorter"), changed(point, "postmaster")))
 	}
 	return text.String(), nil
 }
 
-func moved(point sweep.Point, group string) (count int) {
+func changed(point sweep.Point, group string) (count int) {
 	for _, run := range point.Runs {
-		if run.Moved(group) {
+		if run.Changed(group) {
 			count++
 		}
 	}
--- /dev/null
+++ b/internal/depot/hollow/hollow_test.go
@@ -0,0 +1,64 @@
+package hollow
+
+import (
+	"sync"
+	"testing"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// TestLifeEnds: tasks that sleep, wait or call when their life ends don't go on, and their deferred work is done.
+func TestLifeEnds(t *testing.T) {
+	place := newLife()
+	signal := place.NewSignal()
+	place.end()
+	place.end() // an end is final, and may come twice
+	for name, wait := range map[string]func(){
+		"sleep":  func() { place.Sleep(postmark.Micros(1)) },
+		"signal": func() { signal.Fire(); signal.Wait(postmark.Minute) },
+		"call": func() {
+			_ = place.Call("127.0.0.1:1", wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, postmark.Minute)
+		},
+	} {
+		var done sync.WaitGroup
+		done.Add(1)
+		place.Go(func() {
+			defer done.Done()
+			wait()
+			t.Errorf("a task goes on behind its %s", name)
+		})
+		done.Wait()
+	}
+}
+
+// TestAdoptionsAreNoted: when a serial was adopted is known, and of nothing else.
+func TestAdoptionsAreNoted(t *testing.T) {
+	place := newLife()
+	place.Report(bulletin.DesiredAdopted, map[string]any{"serial": uint64(3)})
+	place.Report(bulletin.ClockStepped, map[string]any{"serial": uint64(4)})
+	if _, known := place.when(3); !known {
+		t.Error("an adoption isn't known")
+	}
+	if _, known := place.when(4); known {
+		t.Error("another event is taken for an adoption")
+	}
+}
+
+// TestEveryServiceIsCalledByTwo: with calls enough for two callers of each service, each has two different ones at least.
+func TestEveryServiceIsCalledByTwo(t *testing.T) {
+	for _, size := range []Settings{{Carriers: 5, Services: 7, Calls: 4}, {Carriers: 50, Services: 10, Calls: 4}, {Carriers: 50, Services: 580, Calls: 24}, {Carriers: 800, Services: 10, Calls: 4}} {
+		callers := map[int]int{}
+		for index := range size.Carriers {
+			for _, service := range NewCrowd(size).Called(index) {
+				callers[service]++
+			}
+		}
+		for service := range size.Services {
+			if callers[service] < 2 {
+				t.Errorf("%+v: service %d is called by %d", size, service, callers[service])
+			}
+		}
+	}
+}
--- a/internal/depot/sweep/sweep.go
+++ b/internal/depot/sweep/sweep.go
@@ -109,8 +109,9 @@
 	return runs
 }
 
-// Moved tells whether a group's primary changed within the window: then voters were asked for promises.
-func (run Run) Moved(group string) bool {
+// Changed tells whether a group's epoch changed within the window, to another primary or backup: then voters were asked for
+// promises.
+func (run Run) Changed(group string) bool {
 	for name, role := range run.Roles {
 		if strings.HasPrefix(name, group+" ") && role.Kinds["register_promise"].Received > 0 {
 			return true
