--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -74,6 +74,8 @@
 	moment    *wire.HolderMoment
 	momentAt  postmark.Micros
 	polled    postmark.Micros
+	reached   bool // the last poll reached a sorter
+	young     bool // which had only just begun to be told
 }
 
 // New makes a roll; session gives this carrier's session as it is now.
@@ -90,18 +92,36 @@
 	for {
 		started := roll.place.Now()
 		roll.Poll()
-		if remaining := PollEvery - (roll.place.Now() - started); remaining > 0 {
+		if remaining := roll.pause() - (roll.place.Now() - started); remaining > 0 {
 			roll.soon.Wait(remaining)
 		}
 	}
 }
 
+// soonAgain is the cadence of polls while nobody was reached, or a sorter that has only just started is being told who is there.
+const soonAgain = 200 * postmark.Millisecond
+
+// pause is how long after the start of a poll the next one starts.
+func (roll *Roll) pause() postmark.Micros {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	if !roll.reached || roll.young {
+		return soonAgain + postmark.Micros(roll.place.Random()%uint64(soonAgain/4))
+	}
+	return PollEvery
+}
+
 // Poll asks the primary sorter, or another one when that fails.
 func (roll *Roll) Poll() {
 	leader := roll.book.Leader(sorters)
 	names := roll.book.Members(sorters)
 	sort.SliceStable(names, func(one, other int) bool { return names[one] == leader && names[other] != leader })
 	reached := false
+	defer func() {
+		roll.lock.Lock()
+		defer roll.lock.Unlock()
+		roll.reached = reached
+	}()
 	for _, name := range names {
 		tell, asked, err := roll.ask(name)
 		if err != nil {
@@ -157,6 +177,7 @@
 	}
 	// A sorter that has only just begun to be told may not know all; who is known stays known until it does.
 	young := tell.DirectoryAge > 0 && postmark.Micros(tell.DirectoryAge) < grownUp
+	roll.young = young
 	other := tell.DirectorySource != roll.source
 	if !other && !young {
 		roll.whole = true
