--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -114,7 +114,7 @@
 		place.Sleep(passage.choices.lookEvery())
 		for _, owed := range passage.choices.quiet() {
 			place.Go(func() {
-				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
+				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{Sign: true}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
 				if err != nil {
 					place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
 				}
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -213,6 +213,9 @@
 func (book *Book) Register(table office.Table) {
 	office.Handle(table, wire.Kind_whois, func(ask *wire.WhoisAsk) (*wire.WhoisTell, error) {
 		book.Learn(ask.Known)
+		if ask.Sign {
+			return &wire.WhoisTell{}, nil
+		}
 		return &wire.WhoisTell{Known: book.Known(), Primaries: book.Primaries()}, nil
 	})
 }
--- /dev/null
+++ b/internal/gazetteer/gazetteer_test.go
@@ -0,0 +1,52 @@
+package gazetteer
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// TestSignOfLife: who only asks for a sign of life gets no list of the core, which goes to and fro between zones for each long
+// request; who asks for the core gets it.
+func TestSignOfLife(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	asked := simulated.Add("asked", "asked", "one", func(place *world.Place) (office.Table, error) {
+		book := New(place, &wire.PeerAddress{Name: "asked", Address: "asked", Group: "sorter"}, nil)
+		table := office.Table{}
+		book.Register(table)
+		return table, nil
+	})
+	var sign, whole *wire.WhoisTell
+	asker := simulated.Add("asker", "asker", "one", func(place *world.Place) (office.Table, error) {
+		place.Go(func() {
+			sign, whole = &wire.WhoisTell{}, &wire.WhoisTell{}
+			for _, call := range []struct {
+				ask  *wire.WhoisAsk
+				tell *wire.WhoisTell
+			}{{&wire.WhoisAsk{Sign: true}, sign}, {&wire.WhoisAsk{}, whole}} {
+				if err := place.Call("asked", wire.Kind_whois, call.ask, call.tell, postmark.Second); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+		return office.Table{}, nil
+	})
+	simulated.Start(asked)
+	simulated.Start(asker)
+	simulated.Run(simulated.Now() + 5*postmark.Second)
+	if simulated.Panicked != nil {
+		t.Fatal(simulated.Panicked)
+	}
+	if proto.Size(sign) != 0 {
+		t.Errorf("a sign of life is %d bytes: %v", proto.Size(sign), sign)
+	}
+	if len(whole.GetKnown()) != 1 {
+		t.Errorf("the core is told as %v", whole)
+	}
+}
