The choice of a backend counts the route's own work, not the mix at it

Cause: a backend's work time was the mean of all it does. Gates now tell the work of the pass's route beside the mean; the wait still goes by the mix. Ruled out: signs of life, which stay within zones. TestWorkByRoute failed before.

--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -187,7 +187,7 @@
 	var tell *wire.PassTell
 	outcome := gate.last.Run(func(errand *lastpost.Errand) { tell = gate.pass(ask, errand) })
 	if outcome == lastpost.Done {
-		tell.Load = gate.env.Hutch.Load(ask.Instance)
+		tell.Load = gate.env.Hutch.Load(ask.Instance, ask.Route)
 		return tell, nil
 	}
 	verdict := seal.MayHaveRun
--- a/internal/carrier/gate/slots/slots.go
+++ b/internal/carrier/gate/slots/slots.go
@@ -169,10 +169,18 @@
 
 // workOf is the mean for a kind, or for all while too few of it were measured.
 func (slots *Slots) workOf(kind string) postmark.Micros {
+	if work := slots.WorkOf(kind); work > 0 {
+		return work
+	}
+	return slots.Work()
+}
+
+// WorkOf is the mean time for which a request of a kind holds its slot; zero while too few of it were measured.
+func (slots *Slots) WorkOf(kind string) postmark.Micros {
 	if known := slots.kinds[kind]; known != nil && known.measured >= enough {
 		return postmark.Micros(known.work)
 	}
-	return slots.Work()
+	return 0
 }
 
 // Measured tells whether Work comes from requests that were worked on.
--- a/internal/carrier/hutch/admission.go
+++ b/internal/carrier/hutch/admission.go
@@ -139,15 +139,16 @@
 	}
 }
 
-// Load is how a backend stands, for callers to choose by; nothing if it isn't here.
-func (hutch *Hutch) Load(instance string) *wire.Load {
+// Load is how a backend stands, for callers of a kind of request to choose by; nothing if it isn't here.
+func (hutch *Hutch) Load(instance, kind string) *wire.Load {
 	hutch.lock.Lock()
 	defer hutch.lock.Unlock()
 	present := hutch.entries[instance]
 	if present == nil {
 		return nil
 	}
-	load := &wire.Load{Slots: present.slots.Count(), Running: uint32(present.slots.Taken()), Waiting: uint32(present.slots.Waiting()), WarmMicros: int64(hutch.warm(present))}
+	load := &wire.Load{Slots: present.slots.Count(), Running: uint32(present.slots.Taken()), Waiting: uint32(present.slots.Waiting()), WarmMicros: int64(hutch.warm(present)),
+		RouteMicros: int64(present.slots.WorkOf(kind))}
 	if present.slots.Measured() {
 		load.WorkMicros = int64(present.slots.Work())
 	}
--- a/internal/carrier/hutch/report_test.go
+++ b/internal/carrier/hutch/report_test.go
@@ -99,11 +99,11 @@
 		report.Warmup = 3 * postmark.Second
 		_, _ = backends.Tell(report)
 		place.Sleep(postmark.Second)
-		if load := backends.Load("one"); load.WarmMicros > int64(2*postmark.Second) || load.WarmMicros < int64(1900*postmark.Millisecond) {
+		if load := backends.Load("one", ""); load.WarmMicros > int64(2*postmark.Second) || load.WarmMicros < int64(1900*postmark.Millisecond) {
 			t.Errorf("%d left", load.WarmMicros)
 		}
 		place.Sleep(3 * postmark.Second)
-		if load := backends.Load("one"); load.WarmMicros != 0 || load.Slots != 6 {
+		if load := backends.Load("one", ""); load.WarmMicros != 0 || load.Slots != 6 {
 			t.Errorf("%v", load)
 		}
 	})
@@ -141,7 +141,7 @@
 		waits("a", 0)
 		waits("b", 0)
 		place.Sleep(10 * postmark.Millisecond)
-		if load := backends.Load("one"); load.Running != 2 || load.Waiting != 2 {
+		if load := backends.Load("one", ""); load.Running != 2 || load.Waiting != 2 {
 			t.Errorf("%v", load)
 		}
 		first.Leave(slots.Worked)
@@ -162,7 +162,7 @@
 		first.Leave(slots.Worked)
 		// The next one at the address starts empty, and what the last one still works on isn't its.
 		_, _ = backends.Tell(word("two", 1, 1, hutch.Alive))
-		if load := backends.Load("two"); load.Running != 0 {
+		if load := backends.Load("two", ""); load.Running != 0 {
 			t.Errorf("%v", load)
 		}
 		held, fault := backends.Admit(ask(place, "two", 300*postmark.Millisecond))
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -213,7 +213,7 @@
 		fit = worse
 	}
 	if counted(fit) {
-		chosen = chooser.soonest(fit, now, distance)
+		chosen = chooser.soonest(fit, wish.route, now, distance)
 	} else {
 		chosen = chooser.lighter(chooser.near(directory, fit))
 	}
--- a/internal/carrier/passage/moves_test.go
+++ b/internal/carrier/passage/moves_test.go
@@ -148,10 +148,10 @@
 	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
 		choices := newChooser(place, "a", false, 20*ms)
 		near, far := roll.Candidate{Instance: "near", Domain: "a", Slots: 6}, roll.Candidate{Instance: "far", Domain: "b", Slots: 6}
-		pick := func() string { return choices.soonest([]roll.Candidate{near, far}, place.Now(), choices.far).Instance }
+		pick := func() string { return choices.soonest([]roll.Candidate{near, far}, "", place.Now(), choices.far).Instance }
 		tell := func(instance string, running, waiting uint32, work postmark.Micros) {
 			choices.inFlight[instance] = 1 // the pass that brings it
-			choices.heard(instance, &wire.Load{Slots: 6, Running: running, Waiting: waiting, WorkMicros: int64(work)})
+			choices.heard(instance, "", &wire.Load{Slots: 6, Running: running, Waiting: waiting, WorkMicros: int64(work)})
 			delete(choices.inFlight, instance)
 		}
 		for range 30 {
@@ -192,6 +192,47 @@
 	}
 }
 
+// TestWorkByRoute: a short request keeps to its zone though that backend has much long work of another kind; where its own kind
+// takes long there, it goes to where that takes less.
+func TestWorkByRoute(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	ended := false
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		choices := newChooser(place, "a", false, 20*ms)
+		near, far := roll.Candidate{Instance: "near", Domain: "a", Slots: 6}, roll.Candidate{Instance: "far", Domain: "b", Slots: 6}
+		pick := func(route string) string {
+			return choices.soonest([]roll.Candidate{near, far}, route, place.Now(), choices.far).Instance
+		}
+		tell := func(instance, route string, work, own postmark.Micros) {
+			choices.inFlight[instance] = 1 // the pass that brings it
+			choices.heard(instance, route, &wire.Load{Slots: 6, Running: 1, WorkMicros: int64(work), RouteMicros: int64(own)})
+			delete(choices.inFlight, instance)
+		}
+		for range 30 {
+			tell("near", "lookup", 300*ms, 50*ms)
+			tell("far", "lookup", 100*ms, 50*ms)
+		}
+		if pick("lookup") != "near" {
+			t.Error("a lookup takes as long in both, and went to another zone because of other requests' work")
+		}
+		tell("near", "submission", 300*ms, 400*ms)
+		tell("far", "submission", 100*ms, 150*ms)
+		if pick("submission") != "far" {
+			t.Error("a submission takes much longer at home, and stayed")
+		}
+		if pick("lookup") != "near" {
+			t.Error("what was heard of submissions counts for lookups")
+		}
+		ended = true
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + postmark.Second)
+	if !ended {
+		t.Fatal(simulated.Panicked)
+	}
+}
+
 // TestHeavyRoutesKeepHome: a route with large answers stays in its zone while a backend is fit there, however full; small ones
 // don't, and a zone without fit backends is no reason to fail.
 func TestHeavyRoutesKeepHome(t *testing.T) {
@@ -202,8 +243,8 @@
 		choices := newChooser(place, "a", false, 20*ms)
 		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{"packs": {{Carrier: "home", Instance: "home", Domain: "a", Slots: 2}, {Carrier: "away", Instance: "away", Domain: "b", Slots: 2}}}}
 		choices.inFlight["home"] = 1
-		choices.heard("home", &wire.Load{Slots: 2, Running: 2, Waiting: 12, WorkMicros: int64(100 * ms)})
-		choices.heard("away", &wire.Load{Slots: 2, WorkMicros: int64(100 * ms)})
+		choices.heard("home", "", &wire.Load{Slots: 2, Running: 2, Waiting: 12, WorkMicros: int64(100 * ms)})
+		choices.heard("away", "", &wire.Load{Slots: 2, WorkMicros: int64(100 * ms)})
 		pick := func(route string, avoid map[string]bool) (string, bool) {
 			candidate, last, leave, _ := choices.choose(directory, wish{service: "packs", route: route, aim: 100 * ms, avoid: avoid})
 			leave()
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -324,7 +324,7 @@
 	if err != nil {
 		return passage.lost(trip, ticket, candidate, ask, err)
 	}
-	passage.choices.heard(candidate.Instance, tell.Load)
+	passage.choices.heard(candidate.Instance, trip.Path.Name, tell.Load)
 	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once && !trip.Single
--- a/internal/carrier/passage/readings.go
+++ b/internal/carrier/passage/readings.go
@@ -25,23 +25,27 @@
 	// workWeight is what the work time counts for beside the wait. By its whole, a quick backend is filled before any other gets
 	// work, from beyond the zone too, and what is short of slots next is the queue there.
 	workWeight = 0.25
+	// mostRoutes bounds what is kept of a backend by route.
+	mostRoutes = 256
 	// level is the part by which two expected times may differ and count as the same: what they are made of is no
 	// better known, and callers that all took the least one would all go to the same backend.
 	level = 0.1
 )
 
 // reading is the last load that a backend's gate told.
-// Invariant: others counts what other callers had there, so that the own requests, known exactly, can be added.
+// Invariants: others counts what other callers had there, so that the own requests, known exactly, can be added; routes holds
+// only works above zero, of mostRoutes routes at most.
 type reading struct {
 	slots  float64
-	work   float64 // microseconds; zero while not measured
+	work   float64            // microseconds; zero while not measured
+	routes map[string]float64 // the work of one route's requests
 	others float64
 	usual  float64
 	at     postmark.Micros
 }
 
 // heard takes a told load. The pass whose answer told it is still counted as in flight here, and no longer there.
-func (chooser *chooser) heard(instance string, load *wire.Load) {
+func (chooser *chooser) heard(instance, route string, load *wire.Load) {
 	if load == nil || load.Slots == 0 {
 		return
 	}
@@ -50,12 +54,15 @@
 	present := chooser.readings[instance]
 	others := math.Max(0, float64(load.Running+load.Waiting)-float64(chooser.inFlight[instance]-1))
 	if present == nil {
-		present = &reading{usual: others}
+		present = &reading{usual: others, routes: map[string]float64{}}
 		chooser.forget()
 		chooser.readings[instance] = present
 	}
 	present.usual += (others - present.usual) / usualMemory
 	present.slots, present.work, present.others, present.at = float64(load.Slots), float64(load.WorkMicros), others, chooser.place.Now()
+	if _, known := present.routes[route]; load.RouteMicros > 0 && (known || len(present.routes) < mostRoutes) {
+		present.routes[route] = float64(load.RouteMicros)
+	}
 }
 
 // forget leaves out readings of backends that were not heard of for long: most of them are gone.
@@ -77,8 +84,8 @@
 func halved(age, half postmark.Micros) float64 { return math.Exp2(-float64(age) / float64(half)) }
 
 // siblings is what a service's backends are like, those heard of lately above all.
-func (chooser *chooser) siblings(fit []roll.Candidate, now postmark.Micros) sibling {
-	var works, measured, loads, slots float64
+func (chooser *chooser) siblings(fit []roll.Candidate, route string, now postmark.Micros) sibling {
+	var works, measured, loads, slots, own, ownMeasured float64
 	for index := range fit {
 		known := chooser.readings[fit[index].Instance]
 		if known == nil {
@@ -89,11 +96,18 @@
 		if known.work > 0 {
 			works, measured = works+weight*known.work, measured+weight
 		}
+		if work := known.routes[route]; work > 0 {
+			own, ownMeasured = own+weight*work, ownMeasured+weight
+		}
 	}
 	mean := sibling{work: firstWork}
 	if measured > 0 {
 		mean.work = works / measured
 	}
+	mean.own = mean.work
+	if ownMeasured > 0 {
+		mean.own = own / ownMeasured
+	}
 	if slots > 0 {
 		mean.load = loads / slots
 	}
@@ -101,12 +115,12 @@
 }
 
 // soonest is one of the candidates that are expected to answer first.
-func (chooser *chooser) soonest(fit []roll.Candidate, now, distance postmark.Micros) roll.Candidate {
-	siblings := chooser.siblings(fit, now)
+func (chooser *chooser) soonest(fit []roll.Candidate, route string, now, distance postmark.Micros) roll.Candidate {
+	siblings := chooser.siblings(fit, route, now)
 	chooser.scores = chooser.scores[:0]
 	best := math.Inf(1)
 	for index := range fit {
-		score := chooser.expected(&fit[index], siblings, now, distance)
+		score := chooser.expected(&fit[index], siblings, route, now, distance)
 		best = min(best, score)
 		chooser.scores = append(chooser.scores, score)
 	}
@@ -123,12 +137,12 @@
 	return fit[chosen]
 }
 
-// sibling is the mean of a service's backends; load is by slot.
-type sibling struct{ work, load float64 }
+// sibling is the mean of a service's backends; load is by slot, own the work of the route's requests alone.
+type sibling struct{ work, own, load float64 }
 
 // expected is the time in microseconds after which a backend may be expected to answer.
-func (chooser *chooser) expected(candidate *roll.Candidate, siblings sibling, now, distance postmark.Micros) float64 {
-	slots, work := float64(candidate.Slots), siblings.work
+func (chooser *chooser) expected(candidate *roll.Candidate, siblings sibling, route string, now, distance postmark.Micros) float64 {
+	slots, work, own := float64(candidate.Slots), siblings.work, siblings.own
 	others := siblings.load * slots
 	if known := chooser.readings[candidate.Instance]; known != nil {
 		weight := halved(now-known.at, usualHalves)
@@ -136,19 +150,24 @@
 		if known.work > 0 {
 			work += (known.work - work) * weight
 		}
+		if known.routes[route] > 0 {
+			own += (known.routes[route] - own) * weight
+		} else if siblings.own == siblings.work {
+			own = work // nothing is known of the route anywhere
+		}
 		others += (known.others - known.usual) * halved(now-known.at, max(loadHalves, postmark.Micros(work)))
 	} else if candidate.Warming {
-		work *= warmingFactor
+		work, own = work*warmingFactor, own*warmingFactor
 	}
-	time := score(float64(chooser.inFlight[candidate.Instance])+math.Max(0, others), slots, work)
+	time := score(float64(chooser.inFlight[candidate.Instance])+math.Max(0, others), slots, work, own)
 	if !chooser.blind && candidate.Domain != chooser.domain {
 		time += float64(distance)
 	}
 	return time
 }
 
-// score is the work time, and the wait for a slot: with fewer there than slots none is to be expected, but what is known of
-// others' requests is old and rough, so the bend is rounded.
-func score(present, slots, work float64) float64 {
-	return workWeight*work + work/slots*math.Log1p(math.Exp(min(present+1-slots, 30))) + work/slots*max(present+1-slots-30, 0)
+// score is the own work time, and the wait for a slot: with fewer there than slots none is to be expected, but what is known of
+// others' requests is old and rough, so the bend is rounded. work is that of all who wait there.
+func score(present, slots, work, own float64) float64 {
+	return workWeight*own + work/slots*math.Log1p(math.Exp(min(present+1-slots, 30))) + work/slots*max(present+1-slots-30, 0)
 }
--- a/internal/carrier/passage/spread_test.go
+++ b/internal/carrier/passage/spread_test.go
@@ -122,10 +122,10 @@
 			place.Sleep(postmark.Micros(float64(work) / speeds[candidate.Instance]))
 			pass.Leave(slots.Worked)
 		}
-		load := keeper.Load(candidate.Instance)
+		load := keeper.Load(candidate.Instance, "")
 		place.Sleep(way)
 		if !queueing.today {
-			choices.heard(candidate.Instance, load)
+			choices.heard(candidate.Instance, "", load)
 		}
 		leave()
 		if fault != nil && !last {
