A stopping carrier's backends stay in use while it lingers

Cause: at its warning a carrier told everybody that it leaves, then lingered for 2.2 s until the platform had led its callers elsewhere. Its backend was out of use from the warning until others' next poll after the restart: 2.35 s to 6.05 s in a roll of terminations, three to four of six backends of a service at once. Now the session says leaving at the end of lingering.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -65,7 +65,8 @@
 	Rota        *rota.Rota
 	Gate        *gate.Gate
 	Passage     *passage.Passage
-	leaving     atomic.Bool
+	draining    atomic.Bool // it's to be sent no more callers
+	leaving     atomic.Bool // and its backends are to be chosen no more
 	vigil       *vigil.Vigil
 }
 
@@ -135,7 +136,7 @@
 
 // Ready tells whether this carrier may be sent callers, and if not why.
 func (carrier *Carrier) Ready() (ready bool, why string) {
-	if carrier.leaving.Load() {
+	if carrier.draining.Load() {
 		return false, "draining"
 	}
 	view, live := carrier.Desk.Current()
@@ -167,10 +168,14 @@
 // The parts of a drain: others are told at once, and are given spreadTime to stop choosing this carrier.
 const spreadTime = 1500 * postmark.Millisecond
 
+// lingerSpread is that of a carrier that lingered: its callers are gone, and who hasn't heard yet is only moved on.
+const lingerSpread = 300 * postmark.Millisecond
+
 // lastWords is the end of the grace, in which whatever is still under way is given up and told so.
 const lastWords = 300 * postmark.Millisecond
 
-// Drain stops taking callers' requests, answers everything that was read, and drains the lane. It ends within grace.
+// Drain stops taking callers' requests, answers everything that was read, and drains the lane. It ends within grace. While it
+// lingers only the platform hears of it; others go on choosing the backends beside it, which are as good as before.
 // shut closes the callers' door, once they have had time to go elsewhere; what was read before, refusals too, is
 // answered after it.
 func (carrier *Carrier) Drain(grace postmark.Micros, shut func()) bool {
@@ -178,15 +183,18 @@
 	cutoff := place.Now() + grace
 	last := cutoff - min(grace/5, lastWords)
 	place.Report(bulletin.ProcessDraining, map[string]any{"running": carrier.Passage.Running() + carrier.Gate.Running()})
-	carrier.leaving.Store(true)
-	carrier.Roll.Soon()
-	began := place.Now()
-	if linger := min(carrier.env.Linger, last-began); linger > 0 {
+	carrier.draining.Store(true)
+	spread := spreadTime
+	if linger := min(carrier.env.Linger, last-place.Now()); linger > 0 {
 		place.Sleep(linger)
+		spread = lingerSpread
 	}
+	carrier.leaving.Store(true)
+	carrier.Roll.Soon()
+	told := place.Now()
 	carrier.Passage.Refuse()
 	carrier.Passage.Drain(last - place.Now())
-	place.Sleep(min(spreadTime-(place.Now()-began), last-place.Now()-lastWords))
+	place.Sleep(min(spread-(place.Now()-told), last-place.Now()-lastWords))
 	carrier.Gate.Refuse()
 	shut()
 	whole := carrier.Gate.Drain(last - place.Now())
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -90,6 +90,8 @@
 	// Copies, Voters and Gone are the core's own settings, its defaults if left out.
 	Copies, Voters int
 	Gone           postmark.Micros
+	// Linger is how long a carrier that stops as planned goes on before it turns callers away.
+	Linger postmark.Micros
 }
 
 // Breakage turns a part of the mesh off, to show that the checkers see it.
@@ -298,7 +300,7 @@
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
 		one := carrier.New(carrier.Env{Place: place, Book: book, Name: name, Domain: fmt.Sprintf("zone-%d", index%mesh.sizes.Zones+1),
-			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}, ServeOn: mesh.sizes.Bounds.ServeOn})
+			Address: name + ":carrier", Delivery: &courier{mesh: mesh, place: place}, ServeOn: mesh.sizes.Bounds.ServeOn, Linger: mesh.sizes.Linger})
 		one.Gate.Unclaimed(mesh.breakage.NoClaims)
 		one.Gate.ByService(mesh.breakage.ByService)
 		one.Desk.Untenured(mesh.breakage.NoTenure)
