Holder time goes on from the view a new backup is given: no epoch a second without writes

Cause: a view had the holder time of the primary's last write. A quiet postmaster that lost its backup gave the next one a view seconds old, then sent the present time; the backup's line allowed one second more, and turned it down. With a lease of 600 ms three refusals come within 0.7 s, before the primary asks what the backup allows, so it took another backup, again and again until a write came. Now the view has the newest holder time that was told, and the lead goes on from there. Ruled out: the backup's slack (a leap may not be believed) and asking at every commit (a call more).

--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -152,7 +152,7 @@
 		member.copy.fenced = max(member.copy.fenced, value.Epoch)
 		member.lock.Lock()
 		defer member.lock.Unlock()
-		member.lead = lead{epoch: value.Epoch, ballot: ballot, chosen: value, since: member.env.Place.Now(), base: member.copy.holderTime, baseAt: member.env.Place.Now()}
+		member.lead = lead{epoch: value.Epoch, ballot: ballot, chosen: value, since: member.env.Place.Now(), base: member.copy.holderTime, baseAt: member.env.Place.Now(), exchanged: member.env.Place.Now()}
 	})
 	number := bulletin.TookOver
 	if value.Epoch == 1 {
@@ -507,11 +507,18 @@
 // wanted where no further voter can be had, but never none.
 func (member *Member) settle(failed []*wire.Holder) bool {
 	member.lock.Lock()
-	epoch, value := member.lead.epoch, member.value
+	epoch, value, state := member.lead.epoch, member.value, member.lead
 	member.lock.Unlock()
 	if epoch == 0 {
 		return false
 	}
+	// A new backup's line begins at the view's holder time, which must be one that has certainly come, and none before what was told.
+	// Holder time goes on from there: what passed since is for the backup's own clock to say.
+	began, held := member.env.Place.Now(), postmark.Micros(0)
+	member.keeper.Do(func() {
+		member.copy.holderTime = max(member.copy.holderTime, state.told(began))
+		held = member.copy.holderTime
+	})
 	backups, lastResort := member.instructed(epoch, member.candidates(value, failed), failed)
 	if len(backups) == 0 {
 		return false
@@ -544,7 +551,7 @@
 	}
 	member.lead.epoch, member.lead.ballot, member.lead.chosen, member.lead.backups, member.lead.outbid = fresh.Epoch, ballot, fresh, backups, false
 	member.lead.failures, member.lead.slowSyncs, member.lead.slowReplies = 0, 0, 0
-	member.lead.exchanged = member.env.Place.Now()
+	member.lead.base, member.lead.baseAt, member.lead.exchanged = held, began, began
 	member.lead.lastResort = lastResort
 	member.lock.Unlock()
 	member.renew()
