Return: a restarted voter votes once its grantees are over; ballots begin when a quorum is free

Cause: after a return of all machines primaries stood 1.27 s after it: a lease's wait of every voter, then a patience that was counted from the start, in steps, twice a beat longer at the former primary; after the loss of the leading machine reads, ballots and the choice of a backup waited for the dark machine, and the first ballot was mostly lost, since it wasn't above what the own seat had promised. Now a voter's record names the lives that may hold a lease of its, and it votes at once if reads show all of them over; who succeeds looks whether a quorum is free, and goes then; backups that don't answer go last.

--- a/internal/countersign/copy.go
+++ b/internal/countersign/copy.go
@@ -275,5 +275,5 @@
 func (member *Member) heardPrimary() {
 	member.lock.Lock()
 	defer member.lock.Unlock()
-	member.lastHeard = member.env.Place.Now()
+	member.lastHeard, member.young = member.env.Place.Now(), false
 }
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -117,6 +117,8 @@
 	valueBallot   uint64
 	lead          lead
 	lastHeard     postmark.Micros
+	young         bool                       // nothing was heard of a primary, or done about one, in this life
+	seats         map[string]sighting        // the last that each other seat told of itself
 	told          string                     // the last that was told of rosters that differ
 	heard         map[string]postmark.Micros // when each voter last answered this primary
 	applicants    map[string]applicant
@@ -127,6 +129,8 @@
 	// relieved is when something was last done about a slow disk, completed when further backups were last looked for; only the
 	// work task uses them.
 	relieved, completed postmark.Micros
+	// life is a number that no other life of this process has.
+	life uint64
 	// nudge wakes the task that attends to this member's place.
 	nudge office.Signal
 
@@ -176,10 +180,11 @@
 // Open reads what the disk holds. Start must follow.
 func Open(env Env) (*Member, error) {
 	env.Defaults()
-	member := &Member{env: env, Vigil: vigil.New(env.Place), heard: map[string]postmark.Micros{}, applicants: map[string]applicant{}, proposed: map[string]bool{}}
+	member := &Member{env: env, Vigil: vigil.New(env.Place), heard: map[string]postmark.Micros{}, applicants: map[string]applicant{}, proposed: map[string]bool{},
+		seats: map[string]sighting{}, young: true, life: env.Place.Random() | 1}
 	member.Vigil.OnLeap(func(postmark.Micros) {
 		// What this seat granted may seem to be over and not be.
-		member.seat.Do(func() { member.voter.votesFrom = max(member.voter.votesFrom, env.Place.Now()+env.Tenure) })
+		member.seat.Do(func() { member.voter.waitOut(env.Place.Now() + env.Tenure) })
 	})
 	member.seat, member.keeper, member.proposer = office.NewOwner(env.Place), office.NewOwner(env.Place), office.NewOwner(env.Place)
 	member.inbox, member.nudge = office.NewInbox[*proposal](env.Place), env.Place.NewSignal()
@@ -261,7 +266,7 @@
 			member.env.Handed(ask.Epoch, ask.Content)
 		}
 		member.lock.Lock()
-		member.lastHeard = -postmark.Minute
+		member.lastHeard, member.young = -postmark.Minute, false
 		member.lock.Unlock()
 		member.nudge.Fire()
 		return &wire.HandoverTell{Taken: true}, nil
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -11,9 +11,11 @@
 
 // attend keeps this member's place: it joins, renews the tenure it has, and takes over when the primary is silent.
 func (member *Member) attend() {
-	place, pause := member.env.Place, member.env.Beat
-	for ; ; pause = member.rest() {
+	place, pause, vacantSince := member.env.Place, member.glance(), postmark.Micros(-1)
+	soon := postmark.Minute
+	for ; ; pause = min(member.rest(), soon) {
 		member.nudge.Wait(pause)
+		soon = postmark.Minute
 		joined := false
 		member.seat.Do(func() { joined = member.voter.record.Joined })
 		if !joined {
@@ -24,7 +26,7 @@
 			continue
 		}
 		member.lock.Lock()
-		leading := member.lead.epoch != 0
+		leading, young := member.lead.epoch != 0, member.young
 		silent := place.Now() - member.lastHeard
 		member.lock.Unlock()
 		if leading {
@@ -37,7 +39,8 @@
 			place.Sleep(member.env.Tenure - member.env.Beat)
 			continue
 		}
-		if silent <= member.env.Tenure || member.tenureStands() {
+		if silent <= member.env.Tenure && !young || member.tenureStands() {
+			vacantSince = -1
 			continue
 		}
 		member.refresh()
@@ -45,18 +48,38 @@
 		value := member.value
 		member.lock.Unlock()
 		// The backup is first in line; a primary that restarted waits a little longer, and so does each next voter at genesis.
+		backup := holds(backupsOf(value), member.self())
+		free, wait := member.vacant()
+		if now := place.Now(); !free {
+			vacantSince = -1
+		} else if vacantSince < 0 {
+			vacantSince = now
+		}
+		ready := value != nil && free && (backup || member.succeeds(value) || place.Now()-vacantSince >= member.env.Beat)
 		patience := member.env.Tenure + member.env.Beat
 		if value == nil {
 			patience = postmark.Micros(member.rank()) * member.env.Tenure
-		} else if !holds(backupsOf(value), member.self()) {
+		} else if !backup {
 			patience += 2 * member.env.Beat
 		}
-		if silent > patience+postmark.Micros(place.Random()%uint64(member.env.Beat)) {
+		if ready || silent > patience+postmark.Micros(place.Random()%uint64(member.env.Beat)) {
 			member.takeOver(value)
+		} else if value != nil && !free {
+			soon = max(wait, postmark.Millisecond)
 		}
 	}
 }
 
+// grown notes that a primary was heard of, or that this member tried to be one.
+func (member *Member) grown() {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	member.young = false
+}
+
+// glance is how soon a process that has just started, or sees nobody lead, looks again.
+func (member *Member) glance() postmark.Micros { return member.env.Beat / 6 }
+
 // tenureStands tells whether this seat still grants somebody else's tenure, a sign of life of the primary.
 func (member *Member) tenureStands() (stands bool) {
 	self := member.self()
@@ -71,21 +94,31 @@
 // be silent for too long. A handover cuts it short.
 func (member *Member) rest() postmark.Micros {
 	member.lock.Lock()
-	leading, silent := member.lead.epoch != 0, member.env.Place.Now()-member.lastHeard
+	leading, young, silent := member.lead.epoch != 0, member.young && member.value != nil, member.env.Place.Now()-member.lastHeard
 	member.lock.Unlock()
-	joined := false
-	member.seat.Do(func() { joined = member.voter.record.Joined })
+	joined, stands := false, postmark.Micros(0)
+	self := member.self()
+	member.seat.Do(func() {
+		joined = member.voter.record.Joined
+		if member.rivalHeld(self) {
+			stands = member.voter.grant.until - member.env.Place.Now()
+		}
+	})
 	switch {
 	case !joined:
 		return member.env.Beat
 	case leading:
 		return member.pace()
-	case silent >= 0 && silent < member.env.Tenure:
-		return max(member.env.Tenure-silent, member.env.Beat)
-	case member.tenureStands():
-		return member.pace()
+	case stands > 0:
+		return stands + postmark.Millisecond
+	case young && silent < 2*member.env.Tenure:
+		return member.glance()
+	case silent < member.env.Tenure:
+		return min(member.env.Tenure-silent, member.env.Tenure) + postmark.Millisecond
+	case silent > 4*member.env.Tenure:
+		return member.env.Beat
 	}
-	return member.env.Beat
+	return 2 * member.glance()
 }
 
 // amongVoters tells whether the newest roster heard of has this member.
@@ -102,12 +135,10 @@
 	return member.value != nil && (sameHolder(member.value.Primary, self) || holds(backupsOf(member.value), self))
 }
 
-// refresh reads the other voters' registers: this seat may have missed the ballot that names it as a holder.
+// refresh reads the other voters' registers: this seat may have missed the ballot that names it as a holder. Answers that come
+// late are taken note of all the same.
 func (member *Member) refresh() {
-	for _, reply := range gather(member, member.acquaintances(), member.env.Patience, member.read, nil) {
-		member.learn(reply.Accepted, reply.Value)
-		member.sawBallot(reply.Promised)
-	}
+	gather(member, member.acquaintances(), 2*member.glance(), member.read, nil)
 }
 
 // takeOver opens the next epoch with this member as primary, if the register names it as a holder of every
@@ -117,6 +148,7 @@
 	if known != nil && !sameHolder(known.Primary, self) && !holds(backupsOf(known), self) {
 		return
 	}
+	member.grown()
 	value, ballot, err := member.change(func(value *wire.RegisterValue) (*wire.RegisterValue, error) {
 		if value == nil {
 			if known != nil {
@@ -613,15 +645,18 @@
 }
 
 // candidates orders the other voters: the one that counts double first, so that its half of a split core has a copy, then the
-// present copy, and last one that just failed.
+// present copy, behind them whoever hasn't answered for a lease's length, and last one that just failed.
 func (member *Member) candidates(value *wire.RegisterValue, failed []*wire.Holder) []string {
 	present, _ := member.configuration()
-	var heavy, first, rest, last []string
+	var heavy, first, rest, quiet, last []string
+	now := member.env.Place.Now()
 	for _, name := range member.others() {
 		switch {
 		case len(present.joint) > 0 && !slices.Contains(present.joint, name): // it's about to leave
 		case slices.Contains(names(failed), name):
 			last = append(last, name)
+		case now-member.heardAt(name) > member.env.Tenure:
+			quiet = append(quiet, name)
 		case name == present.voters.heavy():
 			heavy = append(heavy, name)
 		case slices.Contains(names(backupsOf(value)), name):
@@ -630,7 +665,7 @@
 			rest = append(rest, name)
 		}
 	}
-	return slices.Concat(heavy, first, rest, last)
+	return slices.Concat(heavy, first, rest, quiet, last)
 }
 
 func withHolder(roster []*wire.Holder, holders ...*wire.Holder) []*wire.Holder {
--- a/internal/countersign/proposer.go
+++ b/internal/countersign/proposer.go
@@ -88,7 +88,11 @@
 			return member.answerAccept(ask)
 		}
 		tell := &wire.AcceptTell{}
-		return tell, member.write(name, wire.Kind_register_accept, ask, tell)
+		err := member.write(name, wire.Kind_register_accept, ask, tell)
+		if err == nil {
+			member.hear(name)
+		}
+		return tell, err
 	}, func(replies map[string]*wire.AcceptTell, _ int) bool {
 		return decided(granters(replies, (*wire.AcceptTell).GetGranted)) && replies[member.env.Name] != nil
 	})
@@ -141,13 +145,20 @@
 	round.asked = append(round.asked, fresh...)
 	before := round.promised()
 	replies := gather(member, fresh, member.env.Tenure, func(name string) (*wire.PromiseTell, error) {
-		ask := &wire.PromiseAsk{To: name, Ballot: round.ballot, Proposer: round.self, Voters: wanted.voters, JointVoters: wanted.joint, Known: known}
+		ask := &wire.PromiseAsk{To: name, Ballot: round.ballot, Proposer: round.self, Voters: wanted.voters, JointVoters: wanted.joint, Known: known, Life: member.life}
 		if name == member.env.Name {
 			return member.answerPromise(ask)
 		}
 		tell := &wire.PromiseTell{}
-		return tell, member.write(name, wire.Kind_register_promise, ask, tell)
+		err := member.write(name, wire.Kind_register_promise, ask, tell)
+		if err == nil {
+			member.hear(name)
+		}
+		return tell, err
 	}, func(replies map[string]*wire.PromiseTell, _ int) bool {
+		if own := replies[member.env.Name]; own != nil && !own.Granted {
+			return true // nothing comes of it
+		}
 		own := round.promises[member.env.Name] != nil || replies[member.env.Name] != nil
 		return own && wanted.decides(append(granters(replies, (*wire.PromiseTell).GetGranted), before...))
 	})
@@ -244,7 +255,7 @@
 	present, known := member.configuration()
 	return present, gather(member, present.all(), patience, func(name string) (*wire.TenureTell, error) {
 		ask := &wire.TenureAsk{To: name, Epoch: epoch, Ballot: ballot, Holder: self, Release: release,
-			Voters: present.voters, JointVoters: present.joint, Known: known}
+			Voters: present.voters, JointVoters: present.joint, Known: known, Life: member.life}
 		if name == member.env.Name {
 			return member.answerTenure(ask)
 		}
--- a/internal/countersign/roster.go
+++ b/internal/countersign/roster.go
@@ -99,6 +99,16 @@
 	member.heard[name] = member.env.Place.Now()
 }
 
+// heardAt is when a voter last answered, long ago if never.
+func (member *Member) heardAt(name string) postmark.Micros {
+	member.lock.Lock()
+	defer member.lock.Unlock()
+	if at, known := member.heard[name]; known {
+		return at
+	}
+	return -postmark.Minute
+}
+
 // look makes out the situation of an answering primary.
 func (member *Member) look() (epoch uint64, present configuration, leased bool, found situation) {
 	now := member.env.Place.Now()
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -21,16 +21,25 @@
 //   - a ballot is accepted only if it is exactly the one promised, in this life, within the last tenure: a voter that
 //     lost its disk thus can't complete a ballot that its older self promised;
 //   - grant is never shortened but by its holder, and no rival of its holder is promised anything before grant.until;
-//   - nothing is promised, accepted or granted before votesFrom, because an earlier life may have granted a tenure.
+//   - nothing is promised, accepted or granted before votesFrom, because an earlier life may have granted a tenure;
+//   - whoever may hold a lease granted here is among record.Grantees, on disk before the grant is answered;
+//   - votesFrom is only cut short while it stands for an earlier life's grants alone, and once each of the grantees is known to be
+//     over: a lease is held by one life of a process, and ends with it.
 type voter struct {
 	box        *strongbox.Box
 	record     *wire.RegisterRecord
 	promisedAt postmark.Micros
 	promisedTo *wire.Holder // in this life
 	votesFrom  postmark.Micros
+	inherited  bool // votesFrom stands for an earlier life's grants, of which record.Grantees tells
 	grant      grant
 }
 
+// waitOut has nothing promised before some moment, whatever becomes known.
+func (voter *voter) waitOut(until postmark.Micros) {
+	voter.votesFrom, voter.inherited = max(voter.votesFrom, until), false
+}
+
 type grant struct {
 	holder *wire.Holder
 	until  postmark.Micros
@@ -68,7 +77,7 @@
 	// Who votes may stand nowhere but here: after a start of the whole core nobody else could tell.
 	member.learn(record.Accepted, record.Value)
 	member.sawBallot(record.Promised)
-	member.voter.votesFrom = place.Now() + member.env.Tenure
+	member.voter.votesFrom, member.voter.inherited = place.Now()+member.env.Tenure, record.Joined && len(record.Grantees) > 0
 	if record.Incarnation == 0 {
 		record.Name, record.Incarnation = member.env.Name, place.Random()|1
 		return member.keepRecord(record)
@@ -99,6 +108,7 @@
 	}
 	member.voter.record = record
 	member.learn(record.Accepted, record.Value)
+	member.sawBallot(record.Promised) // a rival's too: a ballot of one's own must be above it
 	return nil
 }
 
@@ -128,7 +138,8 @@
 				return
 			}
 		}
-		tell.Genesis = member.env.Genesis
+		tell.Genesis, tell.Life = member.env.Genesis, member.life
+		tell.Bound, tell.BoundTo = member.bound()
 		tell.Intact, tell.Blank = record.Joined, !record.Joined
 		tell.Incarnation, tell.Promised, tell.Accepted, tell.Value = record.Incarnation, record.Promised, record.Accepted, record.Value
 	})
@@ -151,7 +162,9 @@
 		if tell.Why = member.objection(ask.Proposer, ask.Ballot <= record.Promised); tell.Why != "" {
 			return
 		}
-		if err = member.changeRecord(func(record *wire.RegisterRecord) { record.Promised = ask.Ballot }); err != nil {
+		if err = member.changeRecord(func(record *wire.RegisterRecord) {
+			record.Promised, record.Grantees = ask.Ballot, member.grantees(ask.Proposer.Name, ask.Life)
+		}); err != nil {
 			return
 		}
 		member.voter.promisedAt, member.voter.promisedTo = member.env.Place.Now(), ask.Proposer
@@ -226,11 +239,13 @@
 
 func (member *Member) answerTenure(ask *wire.TenureAsk) (*wire.TenureTell, error) {
 	tell := &wire.TenureTell{}
+	var err error
 	member.seat.Do(func() {
 		voter := &member.voter
 		tell.Promised, tell.Accepted, tell.Value = voter.record.Promised, voter.record.Accepted, voter.record.Value
 		if ask.Release {
-			if sameHolder(voter.grant.holder, ask.Holder) {
+			// A life that ended may be asking late, and the lease be its process's next one's.
+			if sameHolder(voter.grant.holder, ask.Holder) && sameGrantees(voter.record.Grantees, []*wire.Grantee{{Name: ask.Holder.Name, Life: ask.Life}}) {
 				voter.grant = grant{}
 			}
 			return
@@ -245,12 +260,20 @@
 		if tell.Why = member.objection(ask.Holder, rival || newer); tell.Why != "" {
 			return
 		}
+		if grantees := member.grantees(ask.Holder.Name, ask.Life); !sameGrantees(grantees, voter.record.Grantees) {
+			if err = member.changeRecord(func(record *wire.RegisterRecord) { record.Grantees = grantees }); err != nil {
+				return
+			}
+		}
 		voter.grant = grant{holder: ask.Holder, until: member.env.Place.Now() + member.env.Tenure}
 		tell.Granted = true
+		if ask.Holder.Name != member.env.Name {
+			member.grown()
+		}
 		member.leads(ask.Epoch, ask.Holder.Name)
 		member.catchUp(ask.Holder.Name, ask.Known)
 	})
-	return tell, nil
+	return tell, err
 }
 
 // join brings a process with a blank folder in: at genesis, when every voter of the settings is blank, in contact and there for
@@ -298,7 +321,7 @@
 	}
 	member.seat.Do(func() {
 		if !virgin {
-			member.voter.votesFrom = member.env.Place.Now() + member.env.Tenure
+			member.voter.waitOut(member.env.Place.Now() + member.env.Tenure)
 		} else {
 			member.voter.votesFrom = member.env.Place.Now()
 		}
@@ -328,5 +351,9 @@
 // read asks another process for its register.
 func (member *Member) read(name string) (*wire.RegisterReadTell, error) {
 	tell := &wire.RegisterReadTell{}
-	return tell, member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
+	err := member.call(name, wire.Kind_register_read, &wire.RegisterReadAsk{To: name, From: member.env.Name, Voters: member.env.Voters}, tell)
+	if err == nil {
+		member.sighted(name, tell)
+	}
+	return tell, err
 }
--- a/internal/mailround/round/return_test.go
+++ b/internal/mailround/round/return_test.go
@@ -51,3 +51,93 @@
 		mesh.World.Close()
 	}
 }
+
+// answers runs the world until a primary of each group answers, and tells how long that took.
+func (mesh *Mesh) answers(most postmark.Micros) postmark.Micros {
+	began := mesh.World.Now()
+	mesh.World.Run(began + 5*postmark.Millisecond) // until then, who started is still shown as it was
+	for (mesh.leader("sorter") == nil || mesh.leader("postmaster") == nil) && mesh.World.Now()-began < most {
+		mesh.World.Run(mesh.World.Now() + 5*postmark.Millisecond)
+	}
+	return mesh.World.Now() - began
+}
+
+// TestReturn: all of the core is down at once, or comes back with one disk lost; both groups answer soon after, since every life
+// that may have held a lease is over. Where a machine stays away, its lease is waited out.
+func TestReturn(t *testing.T) {
+	lease := 600 * postmark.Millisecond
+	for _, one := range []struct {
+		name string
+		lost string // whose disk is lost, or who stays away
+		away bool
+		most postmark.Micros
+	}{
+		{"all are back", "", false, lease / 2},
+		{"the primary's disk is lost", "primary", false, lease / 2},
+		{"the backup's disk is lost", "backup", false, lease / 2},
+		{"the primary stays away", "primary", true, 3 * lease / 2},
+	} {
+		for _, cores := range []int{3, 4} {
+			t.Run(fmt.Sprintf("%s/%d", one.name, cores), func(t *testing.T) {
+				t.Parallel()
+				var longest, sum, count postmark.Micros
+				for _, seed := range seeds(t, 1, 2, 3, 4, 5, 6) {
+					mesh := quickCore(seed, cores)
+					primary := mesh.leader("sorter")
+					lost := map[string]string{"primary": primary.Machine, "backup": mesh.World.Node(mesh.sorters[primary.Name].Member.Backups()[0]).Machine}[one.lost]
+					mesh.World.Run(mesh.World.Now() + mesh.span(0, lease))
+					for _, node := range mesh.allCore() {
+						mesh.World.PowerLoss(node)
+						if node.Machine == lost && !one.away {
+							mesh.World.LoseDisk(node)
+						}
+					}
+					mesh.World.Run(mesh.World.Now() + mesh.span(10*postmark.Millisecond, postmark.Second))
+					for _, node := range mesh.allCore() {
+						if node.Machine != lost || !one.away {
+							mesh.World.Start(node)
+						}
+					}
+					took := mesh.answers(10 * postmark.Second)
+					longest, sum, count = max(longest, took), sum+took, count+1
+					mesh.World.Close()
+				}
+				t.Logf("mean %d ms, longest %d ms", sum/count/postmark.Millisecond, longest/postmark.Millisecond)
+				if longest > one.most {
+					t.Errorf("the longest return took %d microseconds", longest)
+				}
+			})
+		}
+	}
+}
+
+// TestLossOfBothPrimaries: the machine that leads a group is gone without a word; the other one leads soon after its lease.
+func TestLossOfBothPrimaries(t *testing.T) {
+	lease := 600 * postmark.Millisecond
+	for _, cores := range []int{3, 4} {
+		t.Run(fmt.Sprint(cores), func(t *testing.T) {
+			t.Parallel()
+			var longest, sum, count postmark.Micros
+			for _, seed := range seeds(t, 1, 2, 3, 4, 5, 6) {
+				mesh := quickCore(seed, cores)
+				for range 4 {
+					mesh.World.Run(mesh.World.Now() + mesh.span(5*postmark.Second, 6*postmark.Second))
+					machine := mesh.leader("sorter").Machine
+					for _, node := range mesh.coreNodes(machine) {
+						mesh.World.PowerLoss(node)
+					}
+					took := mesh.answers(10 * postmark.Second)
+					longest, sum, count = max(longest, took), sum+took, count+1
+					for _, node := range mesh.coreNodes(machine) {
+						mesh.World.Start(node)
+					}
+				}
+				mesh.World.Close()
+			}
+			t.Logf("mean %d ms, longest %d ms", sum/count/postmark.Millisecond, longest/postmark.Millisecond)
+			if longest > 3*lease/2 {
+				t.Errorf("the longest failover took %d microseconds", longest)
+			}
+		})
+	}
+}
