--- /dev/null
+++ b/internal/mailround/round/return_test.go
@@ -0,0 +1,143 @@
+package round
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/countersign"
+	"snowflow/internal/postmark"
+)
+
+// reports counts an event of a group's processes in the log from some line on.
+func (mesh *Mesh) reports(from int, group string, number int) (count int) {
+	for _, line := range mesh.log[from:] {
+		if fields := strings.SplitN(line, " ", 4); strings.HasPrefix(fields[1], group) && fields[2] == fmt.Sprint(number) {
+			count++
+		}
+	}
+	return count
+}
+
+// quickCore is a core with the platform's lease that has been quiet for a while, and a carrier.
+func quickCore(seed uint64, cores int) *Mesh {
+	mesh := Build(seed, Sizes{Cores: cores, Carriers: 1, Zones: 1, Backends: 1}, Breakage{})
+	mesh.World.Run(mesh.World.Now() + 5*postmark.Second)
+	mesh.adjust = func(env *countersign.Env) { env.Tenure = 600 * postmark.Millisecond }
+	for _, node := range mesh.allCore() {
+		mesh.World.Kill(node)
+		mesh.World.Start(node)
+	}
+	mesh.World.Run(mesh.World.Now() + 15*postmark.Second)
+	return mesh
+}
+
+// TestQuietPrimaryTakesAnotherBackup: a primary that had nothing to write for long loses its backup, and then has another for good.
+// Its view once had the holder time of its last write, so each new backup turned down what came next, again and again.
+func TestQuietPrimaryTakesAnotherBackup(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2, 3) {
+		mesh := quickCore(seed, 4)
+		primary := mesh.leader("postmaster")
+		backup := mesh.World.Node(mesh.masters[primary.Name].Member.Backups()[0])
+		for _, node := range mesh.coreNodes(backup.Machine) {
+			mesh.World.PowerLoss(node)
+		}
+		from := len(mesh.log)
+		mesh.World.Run(mesh.World.Now() + 10*postmark.Second)
+		if settled := mesh.reports(from, "postmaster", bulletin.Settled); settled != 1 {
+			t.Errorf("seed %d: %d epochs with another backup, not one", seed, settled)
+		}
+		mesh.World.Close()
+	}
+}
+
+// answers runs the world until a primary of each group answers, and tells how long that took.
+func (mesh *Mesh) answers(most postmark.Micros) postmark.Micros {
+	began := mesh.World.Now()
+	mesh.World.Run(began + 5*postmark.Millisecond) // until then, who started is still shown as it was
+	for (mesh.leader("sorter") == nil || mesh.leader("postmaster") == nil) && mesh.World.Now()-began < most {
+		mesh.World.Run(mesh.World.Now() + 5*postmark.Millisecond)
+	}
+	return mesh.World.Now() - began
+}
+
+// TestReturn: all of the core is down at once, or comes back with one disk lost; both groups answer soon after, since every life
+// that may have held a lease is over. Where a machine stays away, its lease is waited out.
+func TestReturn(t *testing.T) {
+	lease := 600 * postmark.Millisecond
+	for _, one := range []struct {
+		name string
+		lost string // whose disk is lost, or who stays away
+		away bool
+		most postmark.Micros
+	}{
+		{"all are back", "", false, lease / 2},
+		{"the primary's disk is lost", "primary", false, lease / 2},
+		{"the backup's disk is lost", "backup", false, lease / 2},
+		{"the primary stays away", "primary", true, 3 * lease / 2},
+	} {
+		for _, cores := range []int{3, 4} {
+			t.Run(fmt.Sprintf("%s/%d", one.name, cores), func(t *testing.T) {
+				t.Parallel()
+				var longest, sum, count postmark.Micros
+				for _, seed := range seeds(t, 1, 2, 3, 4, 5, 6) {
+					mesh := quickCore(seed, cores)
+					primary := mesh.leader("sorter")
+					lost := map[string]string{"primary": primary.Machine, "backup": mesh.World.Node(mesh.sorters[primary.Name].Member.Backups()[0]).Machine}[one.lost]
+					mesh.World.Run(mesh.World.Now() + mesh.span(0, lease))
+					for _, node := range mesh.allCore() {
+						mesh.World.PowerLoss(node)
+						if node.Machine == lost && !one.away {
+							mesh.World.LoseDisk(node)
+						}
+					}
+					mesh.World.Run(mesh.World.Now() + mesh.span(10*postmark.Millisecond, postmark.Second))
+					for _, node := range mesh.allCore() {
+						if node.Machine != lost || !one.away {
+							mesh.World.Start(node)
+						}
+					}
+					took := mesh.answers(10 * postmark.Second)
+					longest, sum, count = max(longest, took), sum+took, count+1
+					mesh.World.Close()
+				}
+				t.Logf("mean %d ms, longest %d ms", sum/count/postmark.Millisecond, longest/postmark.Millisecond)
+				if longest > one.most {
+					t.Errorf("the longest return took %d microseconds", longest)
+				}
+			})
+		}
+	}
+}
+
+// TestLossOfBothPrimaries: the machine that leads a group is gone without a word; the other one leads soon after its lease.
+func TestLossOfBothPrimaries(t *testing.T) {
+	lease := 600 * postmark.Millisecond
+	for _, cores := range []int{3, 4} {
+		t.Run(fmt.Sprint(cores), func(t *testing.T) {
+			t.Parallel()
+			var longest, sum, count postmark.Micros
+			for _, seed := range seeds(t, 1, 2, 3, 4, 5, 6) {
+				mesh := quickCore(seed, cores)
+				for range 4 {
+					mesh.World.Run(mesh.World.Now() + mesh.span(5*postmark.Second, 6*postmark.Second))
+					machine := mesh.leader("sorter").Machine
+					for _, node := range mesh.coreNodes(machine) {
+						mesh.World.PowerLoss(node)
+					}
+					took := mesh.answers(10 * postmark.Second)
+					longest, sum, count = max(longest, took), sum+took, count+1
+					for _, node := range mesh.coreNodes(machine) {
+						mesh.World.Start(node)
+					}
+				}
+				mesh.World.Close()
+			}
+			t.Logf("mean %d ms, longest %d ms", sum/count/postmark.Millisecond, longest/postmark.Millisecond)
+			if longest > 3*lease/2 {
+				t.Errorf("the longest failover took %d microseconds", longest)
+			}
+		})
+	}
+}
