Directory by changes since the version a carrier names, checked by a digest of the whole

Cause: whole directories went to every carrier with the poll after each change, so a restart cost each carrier the more the more carriers there are. Sorters now keep which carrier each of their versions changed and answer with what changed since; a version of another life is found by its digest. Sets with a digest of the whole moved from franking/changes to resource.

Also: a session deleted before it was ended left no new version, so carriers went on seeing it; counting members sorted them.

--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -26,6 +26,7 @@
 	Enrolled           = 212
 	SessionOpened      = 301
 	SessionEnded       = 302
+	DirectoryRefused   = 303
 	BackendRegistered  = 310
 	BackendLeft        = 311
 	BackendOverdue     = 312
@@ -84,6 +85,7 @@
 	Enrolled:           {log.InfoLevel, "a process that no roster names keeps the register, and asks to vote"},
 	SessionOpened:      {log.InfoLevel, "session opened"},
 	SessionEnded:       {log.WarnLevel, "session ended"},
+	DirectoryRefused:   {log.WarnLevel, "changes of the directory refused, asking for the whole"},
 	BackendRegistered:  {log.InfoLevel, "backend registered"},
 	BackendLeft:        {log.InfoLevel, "backend leaving or replaced"},
 	BackendOverdue:     {log.WarnLevel, "backend's beats are overdue"},
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -218,6 +218,7 @@
 	Guards      []wicket.Shown  `json:"guards"`
 	Degraded    bool            `json:"guards_degraded"` // it goes by its own windows
 	Members     int             `json:"members_seen"`
+	Directory   roll.Taken      `json:"directory_taken"`
 }
 
 // Status tells how this carrier stands.
@@ -226,6 +227,6 @@
 		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Degraded: carrier.Wicket.Degraded(), Members: carrier.Roll.Directory().Live}
 	status.Ready, status.Why = carrier.Ready()
 	serial, age := carrier.Desk.Serial()
-	status.Serial, status.Age, status.Taken = serial, int64(age), carrier.Desk.Taken()
+	status.Serial, status.Age, status.Taken, status.Directory = serial, int64(age), carrier.Desk.Taken(), carrier.Roll.Taken()
 	return status
 }
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -7,11 +7,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/bulletin"
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/office/vigil"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/resource"
 	"snowflow/internal/seal"
 	"snowflow/internal/sorter/directory"
 )
@@ -39,7 +41,15 @@
 	Warming     bool   // its backend said that it's slower yet
 }
 
-// Directory is one view of who is there. Invariant: it doesn't change once made; candidates are sorted by instance.
+func (candidate *Candidate) before(other *Candidate) bool {
+	if candidate.Instance != other.Instance {
+		return candidate.Instance < other.Instance
+	}
+	return candidate.Carrier < other.Carrier
+}
+
+// Directory is one view of who is there. Invariant: it doesn't change once made; candidates are sorted by instance, and by carrier
+// where an instance is at two.
 type Directory struct {
 	Candidates map[string][]Candidate
 	// Carriers counts live carriers by domain.
@@ -64,9 +74,9 @@
 
 	lock      sync.Mutex
 	directory *Directory
-	source    uint64
-	whole     bool // the directory is, or was once, that of a grown-up source
-	serial    uint64
+	held      held
+	grown     bool // the directory is, or was once, that of a grown-up source
+	taken     Taken
 	beat      uint64
 	live      uint32 // the most carriers told of within shareMemory, so that parts don't grow while views differ
 	liveAt    postmark.Micros
@@ -80,7 +90,7 @@
 
 // New makes a roll; session gives this carrier's session as it is now.
 func New(place office.Office, book *gazetteer.Book, session func() *wire.Session, vigil *vigil.Vigil) *Roll {
-	return &Roll{place: place, book: book, session: session, vigil: vigil, soon: place.NewSignal(), directory: &Directory{Candidates: map[string][]Candidate{}, Carriers: map[string]int{}, Addresses: map[string]string{}},
+	return &Roll{place: place, book: book, session: session, vigil: vigil, soon: place.NewSignal(), directory: index(resource.Empty), held: nothing,
 		polled: -postmark.Minute, born: place.Now()}
 }
 
@@ -127,12 +137,20 @@
 		if err != nil {
 			continue
 		}
-		roll.take(tell, asked)
+		if roll.take(tell, asked) != nil {
+			// What changed doesn't fit what is held, which is doubtful now, so the whole is asked for.
+			whole, askedWhole, err := roll.ask(name)
+			if err != nil {
+				continue
+			}
+			_ = roll.take(whole, askedWhole) // a whole is never refused
+			tell = whole
+		}
 		reached = true
 		if !tell.Primary && name != roll.book.Leader(sorters) && roll.book.Leader(sorters) != leader {
 			// The answer named another primary: ask that one in the same round.
 			if second, askedSecond, err := roll.ask(roll.book.Leader(sorters)); err == nil {
-				roll.take(second, askedSecond)
+				_ = roll.take(second, askedSecond) // one that doesn't fit is told whole with the next poll
 				tell = second
 			}
 		}
@@ -153,7 +171,7 @@
 	roll.lock.Lock()
 	roll.beat++
 	session.Beat = roll.beat
-	ask := &wire.SorterPollAsk{Session: session, DirectorySource: roll.source, DirectorySerial: roll.serial}
+	ask := &wire.SorterPollAsk{Session: session, DirectorySource: roll.held.source, DirectorySerial: roll.held.serial, DirectoryCheck: roll.held.check(), DirectoryGrown: roll.grown}
 	roll.lock.Unlock()
 	ask.Activity = roll.Activity()
 	asked := roll.place.Now()
@@ -161,7 +179,8 @@
 	return tell, asked, roll.book.Call(name, wire.Kind_sorter_poll, ask, tell, 600*postmark.Millisecond)
 }
 
-func (roll *Roll) take(tell *wire.SorterPollTell, asked postmark.Micros) {
+// take takes an answer in. An error is told if the directory's changes in it were refused; the rest of it is taken all the same.
+func (roll *Roll) take(tell *wire.SorterPollTell, asked postmark.Micros) error {
 	roll.book.Hint(tell.Primaries)
 	roll.lock.Lock()
 	defer roll.lock.Unlock()
@@ -178,20 +197,69 @@
 	// A sorter that has only just begun to be told may not know all; who is known stays known until it does.
 	young := tell.DirectoryAge > 0 && postmark.Micros(tell.DirectoryAge) < grownUp
 	roll.young = young
-	other := tell.DirectorySource != roll.source
+	other := tell.DirectorySource != roll.held.source
 	if !other && !young {
-		roll.whole = true
+		roll.grown = true
 	}
-	if !tell.DirectorySame && !(other && young && roll.whole) {
-		roll.whole = !young
-		roll.source, roll.serial = tell.DirectorySource, tell.DirectorySerial
-		roll.directory = index(tell.Sessions)
+	if tell.DirectorySame || other && young && roll.grown || roll.held.past(tell) {
+		return nil
 	}
+	next, err := roll.held.next(tell)
+	if err != nil {
+		roll.taken.Refused++
+		roll.held.doubt()
+		roll.place.Report(bulletin.DirectoryRefused, map[string]any{"serial": tell.DirectorySerial, "have": roll.held.serial, "error": err.Error()})
+		return err
+	}
+	roll.grown = !young
+	roll.held = next
+	roll.directory = index(next.set)
+	if tell.DirectoryChanged {
+		roll.taken.Changes++
+	} else {
+		roll.taken.Wholes++
+	}
+	return nil
+}
+
+// Taken is how the directory came, in numbers of answers.
+type Taken struct {
+	Changes uint64 `json:"changes"`
+	Wholes  uint64 `json:"wholes"`
+	Refused uint64 `json:"refused"`
+}
+
+// Taken tells how the directory came.
+func (roll *Roll) Taken() Taken {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	return roll.taken
+}
+
+// Unchecked has changes applied onto whatever is held and whatever comes of it, for showing that checkers see it.
+func (roll *Roll) Unchecked(unchecked bool) {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	roll.held.unchecked = unchecked
+}
+
+// Of is the directory that has these sessions.
+func Of(sessions []*wire.Session) *Directory {
+	present := whole(sessions)
+	return index(present.set)
+}
+
+// Version names the directory that's held: the life of the sorter that told it, and that life's serial.
+func (roll *Roll) Version() (source, serial uint64) {
+	roll.lock.Lock()
+	defer roll.lock.Unlock()
+	return roll.held.source, roll.held.serial
 }
 
-func index(sessions []*wire.Session) *Directory {
+func index(set *resource.Set) *Directory {
 	directory := &Directory{Candidates: map[string][]Candidate{}, Carriers: map[string]int{}, Addresses: map[string]string{}}
-	for _, session := range sessions {
+	for _, one := range set.All() {
+		session := one.Message.(*wire.Session)
 		directory.Addresses[session.Carrier] = session.Address
 		if session.Leaving {
 			continue
@@ -208,7 +276,7 @@
 		}
 	}
 	for _, candidates := range directory.Candidates {
-		sort.Slice(candidates, func(one, other int) bool { return candidates[one].Instance < candidates[other].Instance })
+		sort.Slice(candidates, func(one, other int) bool { return candidates[one].before(&candidates[other]) })
 	}
 	return directory
 }
@@ -245,7 +313,7 @@
 func (roll *Roll) Known() bool {
 	roll.lock.Lock()
 	defer roll.lock.Unlock()
-	return roll.source != 0
+	return roll.held.source != 0
 }
 
 // Share is this carrier's part of an allowance for the whole mesh: nothing before it was told how many share it, nor
--- a/internal/franking/changes/changes.go
+++ b/internal/franking/changes/changes.go
@@ -5,22 +5,23 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
-	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/franking"
 	"snowflow/internal/parcel/wire"
+	"snowflow/internal/resource"
 )
 
-// Digest is a SHA-256 sum.
-type Digest [sha256.Size]byte
+// A version is a set of resources.
+type (
+	Digest   = resource.Digest
+	Resource = resource.Resource
+	Set      = resource.Set
+)
 
 // The kinds of resources, as their keys begin.
 const (
@@ -29,77 +30,8 @@
 	Path    = "path"
 )
 
-// Resource is one part of a version. Invariants: the message never changes; the digest is over its deterministic encoding.
-type Resource struct {
-	Key     string
-	Message proto.Message
-	digest  Digest
-}
-
-// Kind and Name are the two parts of a resource's key.
-func (resource *Resource) Kind() string { kind, _, _ := strings.Cut(resource.Key, "/"); return kind }
-
-// Name is what the resource is known by among those of its kind.
-func (resource *Resource) Name() string { _, name, _ := strings.Cut(resource.Key, "/"); return name }
-
-// buckets is the number of parts that a set's digest is made of. It's told to nobody, yet both sides of a difference must have the
-// same, so it never changes.
-const buckets = 256
-
-// bucket holds the resources whose keys' hashes name it. Invariants: it never changes once it's in a set; the digest is over
-// the keys and digests of its resources, in the order of the keys.
-type bucket struct {
-	resources map[string]*Resource
-	digest    Digest
-}
-
-// Set is one version. Invariants: it never changes once made; two sets share the buckets in which they don't differ; digest is
-// over the buckets' digests, in their order.
-type Set struct {
-	buckets [buckets]*bucket
-	size    int
-	digest  Digest
-}
-
-// Digest is the digest of the whole: two sets have the same one only if all their resources are the same.
-func (set *Set) Digest() []byte { return set.digest[:] }
-
-// Len is the number of resources.
-func (set *Set) Len() int { return set.size }
-
-// Get finds a resource by its key, or nothing.
-func (set *Set) Get(key string) *Resource {
-	if present := set.buckets[index(key)]; present != nil {
-		return present.resources[key]
-	}
-	return nil
-}
-
-// All lists the resources in the order of their keys.
-func (set *Set) All() (all []*Resource) {
-	for _, present := range set.buckets {
-		if present != nil {
-			all = slices.AppendSeq(all, maps.Values(present.resources))
-		}
-	}
-	slices.SortFunc(all, byKey)
-	return all
-}
-
-func byKey(one, other *Resource) int { return strings.Compare(one.Key, other.Key) }
-
-func index(key string) int { return int(xxhash.Sum64String(key) % buckets) }
-
 var deterministic = proto.MarshalOptions{Deterministic: true}
 
-func resource(key string, message proto.Message) (*Resource, error) {
-	content, err := deterministic.Marshal(message)
-	if err != nil {
-		return nil, err
-	}
-	return &Resource{Key: key, Message: message, digest: sha256.Sum256(content)}, nil
-}
-
 func methodOf(written string) string {
 	if written == "" {
 		return "*"
@@ -108,17 +40,17 @@
 }
 
 func routeResource(route *wire.Route) (*Resource, error) {
-	return resource(Route+"/"+route.Name, route)
+	return resource.New(Route+"/"+route.Name, route)
 }
 func serviceResource(service *wire.ServiceInForce) (*Resource, error) {
-	return resource(Service+"/"+service.Name, service)
+	return resource.New(Service+"/"+service.Name, service)
 }
 func pathResource(path *wire.ServicePath) (*Resource, error) {
-	return resource(Path+"/"+path.GetPath().GetMethod()+" "+path.GetPath().GetPrefix(), path)
+	return resource.New(Path+"/"+path.GetPath().GetMethod()+" "+path.GetPath().GetPrefix(), path)
 }
 
 // ErrDoubtful: a desired state is no set of resources. Check refuses such states, but a build that checked less may have accepted one.
-var ErrDoubtful = errors.New("changes: no set of resources")
+var ErrDoubtful = resource.ErrDoubtful
 
 // Read takes a desired state apart. What it holds must not be changed afterwards.
 func Read(state *wire.DesiredState) (*Set, error) {
@@ -162,67 +94,7 @@
 	if err := errors.Join(faults...); err != nil {
 		return nil, err
 	}
-	return (&Set{}).with(read, nil, len(read))
-}
-
-// with is the set in which some resources are set and some removed, and which then has to have so many.
-func (set *Set) with(put []*Resource, removed []string, size int) (*Set, error) {
-	next := &Set{buckets: set.buckets, size: set.size}
-	touched := map[int]bool{}
-	open := func(key string) *bucket {
-		at := index(key)
-		if !touched[at] {
-			touched[at] = true
-			fresh := &bucket{resources: map[string]*Resource{}}
-			if former := next.buckets[at]; former != nil {
-				fresh.resources = maps.Clone(former.resources)
-			}
-			next.buckets[at] = fresh
-		}
-		return next.buckets[at]
-	}
-	for _, key := range removed {
-		present := open(key)
-		if present.resources[key] != nil {
-			next.size--
-		}
-		delete(present.resources, key)
-	}
-	for _, one := range put {
-		present := open(one.Key)
-		if present.resources[one.Key] == nil {
-			next.size++
-		}
-		present.resources[one.Key] = one
-	}
-	if next.size != size {
-		return nil, fmt.Errorf("%w: %d resources in place of %d, some key is there twice", ErrDoubtful, next.size, size)
-	}
-	for at := range touched {
-		next.buckets[at].seal()
-		if len(next.buckets[at].resources) == 0 {
-			next.buckets[at] = nil
-		}
-	}
-	whole := sha256.New()
-	for _, present := range next.buckets {
-		if present == nil {
-			present = &bucket{}
-		}
-		whole.Write(present.digest[:])
-	}
-	whole.Sum(next.digest[:0])
-	return next, nil
-}
-
-func (bucket *bucket) seal() {
-	sum := sha256.New()
-	for _, key := range slices.Sorted(maps.Keys(bucket.resources)) {
-		name := sha256.Sum256([]byte(key))
-		sum.Write(name[:])
-		sum.Write(bucket.resources[key].digest[:])
-	}
-	sum.Sum(bucket.digest[:0])
+	return (&Set{}).With(read, nil, len(read))
 }
 
 // Difference is in what a version differs from another, each list in the order of the keys.
@@ -237,37 +109,10 @@
 	return len(difference.Added)+len(difference.Changed)+len(difference.Removed) == 0
 }
 
-// Diff compares two versions. Buckets that are the same aren't looked into.
+// Diff compares two versions.
 func Diff(old, new *Set) *Difference {
-	difference := &Difference{base: old.digest, digest: new.digest}
-	for at := range buckets {
-		former, present := old.buckets[at], new.buckets[at]
-		if former == nil {
-			former = &bucket{}
-		}
-		if present == nil {
-			present = &bucket{}
-		}
-		if former.digest == present.digest {
-			continue
-		}
-		for key, one := range present.resources {
-			earlier := former.resources[key]
-			if earlier == nil {
-				difference.Added = append(difference.Added, one)
-			} else if earlier.digest != one.digest {
-				difference.Changed = append(difference.Changed, one)
-			}
-		}
-		for key, one := range former.resources {
-			if present.resources[key] == nil {
-				difference.Removed = append(difference.Removed, one)
-			}
-		}
-	}
-	for _, list := range [][]*Resource{difference.Added, difference.Changed, difference.Removed} {
-		slices.SortFunc(list, byKey)
-	}
+	difference := &Difference{base: old.Sum(), digest: new.Sum()}
+	difference.Added, difference.Changed, difference.Removed = resource.Diff(old, new)
 	return difference
 }
 
@@ -366,14 +211,14 @@
 	if err := proto.Unmarshal(content, told); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
-	if !bytes.Equal(told.Base, base.digest[:]) {
+	if !bytes.Equal(told.Base, base.Digest()) {
 		return nil, ErrBase
 	}
 	put, err := resources(told)
 	if err != nil {
 		return nil, err
 	}
-	difference, size := &Difference{}, base.size-len(told.Removed)
+	difference, size := &Difference{}, base.Len()-len(told.Removed)
 	for _, one := range put {
 		if base.Get(one.Key) == nil {
 			size++
@@ -387,11 +232,11 @@
 		}
 		difference.Removed = append(difference.Removed, former)
 	}
-	next, err := base.with(put, told.Removed, size)
+	next, err := base.With(put, told.Removed, size)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDigest, err)
 	}
-	if !bytes.Equal(told.Digest, next.digest[:]) {
+	if !bytes.Equal(told.Digest, next.Digest()) {
 		return nil, ErrDigest
 	}
 	return &Step{Set: next, Version: told.Version, ContentDigest: told.ContentDigest, Resources: len(put) + len(told.Removed), Change: Change(base, difference)}, nil
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -55,10 +55,11 @@
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
 	adjust      func(*countersign.Env)
-	retired     map[string]bool                                            // core machines that are gone for good
-	genesis     map[string][]string                                        // the voters of the first start, by group
-	afterWrite  func(node *world.Node, kind wire.Kind)                     // told of each write that a sorter acknowledges, if set
-	polled      func(ask *wire.DesiredPollAsk, tell *wire.DesiredPollTell) // may change what a carrier is told of versions, if set
+	retired     map[string]bool                                                         // core machines that are gone for good
+	genesis     map[string][]string                                                     // the voters of the first start, by group
+	afterWrite  func(node *world.Node, kind wire.Kind)                                  // told of each write that a sorter acknowledges, if set
+	polled      func(ask *wire.DesiredPollAsk, tell *wire.DesiredPollTell)              // may change what a carrier is told of versions, if set
+	directed    func(sorter string, ask *wire.SorterPollAsk, tell *wire.SorterPollTell) // may change what a carrier is told by a sorter, if set
 	rushes      int
 	labour      postmark.Micros // what a backend's work takes besides
 	patient     bool            // callers come back when they were told to, until they are served
@@ -111,6 +112,7 @@
 	Stubborn     bool   // who does a duty goes on past its tenure
 	Forgetful    bool   // a version that is taken up replaces what was counted of services
 	WrongBase    bool   // what the newest version changes is applied onto whatever a carrier has
+	Unchecked    bool   // what changed of the directory is applied onto whatever a carrier has
 	ByService    bool   // keys are claimed for one service only
 }
 
@@ -244,6 +246,7 @@
 			one.Member.Vigil.Trusting(mesh.breakage.TrustClock)
 			one.Register(table)
 			mesh.listen(place.Node(), table)
+			mesh.direct(name, table)
 			one.Start()
 			return table, nil
 		}
@@ -289,6 +292,20 @@
 	}
 }
 
+// direct has directed told of each answer of a sorter to a carrier's poll, on its way.
+func (mesh *Mesh) direct(sorter string, table office.Table) {
+	answer := table[wire.Kind_sorter_poll]
+	table[wire.Kind_sorter_poll] = func(content []byte) (proto.Message, error) {
+		reply, err := answer(content)
+		if tell, is := reply.(*wire.SorterPollTell); err == nil && is && mesh.directed != nil {
+			ask := &wire.SorterPollAsk{}
+			_ = proto.Unmarshal(content, ask)
+			mesh.directed(sorter, ask, tell)
+		}
+		return reply, err
+	}
+}
+
 func (mesh *Mesh) addCarrier(index int, seeds []string) {
 	name := fmt.Sprintf("carrier-%d", index+1)
 	mesh.carriers = append(mesh.carriers, name)
@@ -302,6 +319,7 @@
 		one.Gate.Unclaimed(mesh.breakage.NoClaims)
 		one.Gate.ByService(mesh.breakage.ByService)
 		one.Desk.Untenured(mesh.breakage.NoTenure)
+		one.Roll.Unchecked(mesh.breakage.Unchecked)
 		one.Rota.Stubborn(mesh.breakage.Stubborn)
 		one.Purse.Unlimited(mesh.breakage.NoBudget)
 		one.Wicket.Unleased(mesh.breakage.Unleased)
--- a/internal/sorter/directory/directory.go
+++ b/internal/sorter/directory/directory.go
@@ -12,6 +12,7 @@
 
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/resource"
 )
 
 // SessionLife is how long a carrier stays a member without being heard.
@@ -22,7 +23,7 @@
 
 // Directory is one sorter's table of sessions.
 // Invariants: of two tellings of one incarnation the one with the higher beat stands; of two incarnations the one
-// heard last; serial rises whenever what carriers are shown changes.
+// heard last; shown has what carriers see of each session that stands, and its last change made the newest version.
 type Directory struct {
 	clock    postmark.Clock
 	source   uint64
@@ -30,10 +31,21 @@
 	sessions map[string]*entry
 	activity lately // whose calls ended
 	demand   lately // whose tries wanted entry
-	serial   uint64
+	shown    *resource.Set
+	versions []version // the newest last; there is always one
+	forgot   uint64    // the versions before them
 	born     postmark.Micros
 }
 
+// version is one change of what carriers are shown. Its serial is one more than the one's before it.
+type version struct {
+	carrier string // which came, changed or went
+	check   uint64 // of the whole since
+}
+
+// keptVersions bounds the versions that carriers are told changes from.
+const keptVersions = 4096
+
 // lately holds, by service, when a carrier last did something.
 type lately map[string]map[string]postmark.Micros
 
@@ -65,7 +77,8 @@
 
 // New makes a directory; source tells its serials from those of another life.
 func New(clock postmark.Clock, source uint64) *Directory {
-	return &Directory{clock: clock, source: source, born: clock.Now(), sessions: map[string]*entry{}, activity: lately{}, demand: lately{}, serial: 1}
+	return &Directory{clock: clock, source: source, born: clock.Now(), sessions: map[string]*entry{}, activity: lately{}, demand: lately{},
+		shown: resource.Empty, versions: []version{{check: resource.Empty.Sum().Check()}}}
 }
 
 // Tell takes a session as heard age ago. It tells whether the session is new here.
@@ -90,15 +103,46 @@
 	if directory.clock.Now()-heard >= SessionLife {
 		updated.ended = true
 	}
-	if present == nil || !sameShown(present, updated) {
-		directory.serial++
-	}
 	directory.sessions[session.Carrier] = updated
+	directory.show(session.Carrier)
 	return fresh && !updated.ended
 }
 
-func sameShown(one, other *entry) bool {
-	return one.ended == other.ended && proto.Equal(shown(one.session), shown(other.session))
+// show makes the next version, if carriers now see something else of one of them.
+func (directory *Directory) show(carrier string) {
+	former, present := directory.shown.Get(carrier), directory.sessions[carrier]
+	var put []*resource.Resource
+	var gone []string
+	size := directory.shown.Len()
+	switch stands := present != nil && !present.ended; {
+	case !stands && former == nil:
+		return
+	case !stands:
+		gone, size = []string{carrier}, size-1
+	default:
+		visible := shown(present.session)
+		if former != nil && proto.Equal(former.Message, visible) {
+			return
+		}
+		if former == nil {
+			size++
+		}
+		one, err := resource.New(carrier, visible)
+		if err != nil {
+			return // it came as a message, so it can be written as one
+		}
+		put = []*resource.Resource{one}
+	}
+	next, err := directory.shown.With(put, gone, size)
+	if err != nil {
+		return // one resource comes, changes or goes, and is counted so
+	}
+	directory.shown = next
+	directory.versions = append(directory.versions, version{carrier: carrier, check: next.Sum().Check()})
+	if spare := len(directory.versions) - keptVersions; spare >= keptVersions/4 {
+		directory.versions = append([]version(nil), directory.versions[spare:]...)
+		directory.forgot += uint64(spare)
+	}
 }
 
 // shown is the part of a session that carriers see.
@@ -131,15 +175,14 @@
 	now := directory.clock.Now()
 	for _, name := range directory.names() {
 		present := directory.sessions[name]
-		if now-present.heard >= keepEnded {
-			delete(directory.sessions, name)
-			continue
-		}
 		if !present.ended && now-present.heard >= SessionLife {
 			present.ended = true
-			directory.serial++
+			directory.show(name)
 			ended = append(ended, &wire.Holder{Name: name, Incarnation: present.session.Incarnation})
 		}
+		if now-present.heard >= keepEnded {
+			delete(directory.sessions, name)
+		}
 	}
 	return ended
 }
@@ -163,19 +206,82 @@
 	return sessions
 }
 
-// View gives the directory as carriers see it, unless they have it already.
-func (directory *Directory) View(source, serial uint64) (viewSource, viewSerial uint64, same bool, sessions []*wire.Session) {
+// Base is what a carrier says that it has.
+type Base struct {
+	Source, Serial uint64
+	Check          uint64 // of what it has; zero where it takes wholes only
+	Grown          bool   // it passes over what a directory younger than SessionLife shows
+}
+
+// View is what a carrier is told of the directory.
+// Invariant: with Changed, the base's sessions without Gone and with Sessions in place of those of their names are the whole, whose digest
+// is Digest; without, Sessions are the whole.
+type View struct {
+	Source, Serial uint64
+	Same           bool // what the carrier has stays
+	Changed        bool
+	Sessions       []*wire.Session
+	Gone           []string
+	Digest         []byte
+}
+
+// View tells a carrier what it hasn't: nothing, what changed since the version that it has, or everything where that version isn't known
+// here any more, isn't what it says it is, or is hardly shorter to mend than to tell anew.
+func (directory *Directory) View(base Base) View {
 	directory.lock.Lock()
 	defer directory.lock.Unlock()
-	if source == directory.source && serial == directory.serial {
-		return directory.source, directory.serial, true, nil
+	newest := directory.forgot + uint64(len(directory.versions))
+	view := View{Source: directory.source, Serial: newest}
+	if base.Source != directory.source && base.Grown && directory.clock.Now()-directory.born < SessionLife {
+		view.Same = true
+		return view
 	}
-	for _, name := range directory.names() {
-		if present := directory.sessions[name]; !present.ended {
-			sessions = append(sessions, shown(present.session))
+	if base.Source == directory.source && base.Serial == newest && (base.Check == 0 || base.Check == directory.versions[len(directory.versions)-1].check) {
+		view.Same = true
+		return view
+	}
+	view.Digest = directory.shown.Digest()
+	if from, known := directory.known(base); known {
+		altered := map[string]bool{}
+		for _, one := range directory.versions[from+1:] {
+			altered[one.carrier] = true
+		}
+		if view.Changed = len(altered) <= directory.shown.Len()/2; view.Changed {
+			for _, name := range slices.Sorted(maps.Keys(altered)) {
+				if present := directory.shown.Get(name); present != nil {
+					view.Sessions = append(view.Sessions, present.Message.(*wire.Session))
+				} else {
+					view.Gone = append(view.Gone, name)
+				}
+			}
+			return view
+		}
+	}
+	for _, present := range directory.shown.All() {
+		view.Sessions = append(view.Sessions, present.Message.(*wire.Session))
+	}
+	return view
+}
+
+// known finds the version that a carrier has: by its serial if it's of this life, and else by its content, since another sorter, or an
+// earlier life of this one, may have shown the same.
+func (directory *Directory) known(base Base) (index int, known bool) {
+	if base.Check == 0 {
+		return 0, false
+	}
+	if base.Source != directory.source {
+		for index = len(directory.versions) - 1; index >= 0; index-- {
+			if directory.versions[index].check == base.Check {
+				return index, true
+			}
 		}
+		return 0, false
 	}
-	return directory.source, directory.serial, false, sessions
+	if base.Serial <= directory.forgot || base.Serial > directory.forgot+uint64(len(directory.versions)) {
+		return 0, false
+	}
+	index = int(base.Serial - directory.forgot - 1)
+	return index, directory.versions[index].check == base.Check
 }
 
 // Age is how long this directory has been told of sessions; it's above zero.
@@ -184,8 +290,15 @@
 }
 
 // Live counts the members.
-func (directory *Directory) Live() int {
-	return len(directory.Members())
+func (directory *Directory) Live() (count int) {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	for _, present := range directory.sessions {
+		if !present.ended && !present.session.Leaving {
+			count++
+		}
+	}
+	return count
 }
 
 // activeLife is how long a call keeps its carrier counted as active on a service.
--- a/internal/sorter/directory/directory_test.go
+++ b/internal/sorter/directory/directory_test.go
@@ -21,9 +21,9 @@
 		beat++
 		time.now += postmark.Second
 		sessions.Tell(&wire.Session{Carrier: "one", Incarnation: 1, Beat: beat, Backends: []*wire.Backend{{Service: "forms", Instance: "first", Condition: "alive", Slots: slots, Warm: warm, InFlight: inFlight}}}, true)
-		_, now, _, shown := sessions.View(0, 0)
-		changed, serial = now != serial, now
-		return shown[0].Backends[0], changed
+		view := sessions.View(directory.Base{})
+		changed, serial = view.Serial != serial, view.Serial
+		return view.Sessions[0].Backends[0], changed
 	}
 	for _, row := range []struct {
 		what     string
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -186,7 +186,12 @@
 	}
 	sorter.directory.Called(ask.Session.Carrier, ask.Activity)
 	tell := &wire.SorterPollTell{Carriers: uint32(sorter.directory.Live()), Primaries: sorter.env.Book.Primaries()}
-	tell.DirectorySource, tell.DirectorySerial, tell.DirectorySame, tell.Sessions = sorter.directory.View(ask.DirectorySource, ask.DirectorySerial)
+	view := sorter.directory.View(directory.Base{Source: ask.DirectorySource, Serial: ask.DirectorySerial, Check: ask.DirectoryCheck, Grown: ask.DirectoryGrown})
+	tell.DirectorySource, tell.DirectorySerial, tell.DirectorySame = view.Source, view.Serial, view.Same
+	tell.Sessions, tell.DirectoryChanged, tell.DirectoryGone, tell.DirectoryDigest = view.Sessions, view.Changed, view.Gone, view.Digest
+	if view.Changed {
+		tell.DirectoryBaseSource, tell.DirectoryBaseSerial = ask.DirectorySource, ask.DirectorySerial
+	}
 	tell.DirectoryAge = int64(sorter.directory.Age())
 	tell.Primary = sorter.Member.Read(func(epoch uint64, now postmark.Micros) {
 		tell.Epoch, tell.HolderTime = epoch, int64(now)
@@ -198,6 +203,9 @@
 	return tell, nil
 }
 
+// Shown is the directory as a carrier that has nothing is told it.
+func (sorter *Sorter) Shown() directory.View { return sorter.directory.View(directory.Base{}) }
+
 func (sorter *Sorter) told(ask *wire.SessionsAsk) (*wire.SessionsTell, error) {
 	for _, session := range ask.Sessions {
 		sorter.directory.Tell(session, false)
