Friday's route changes with real processes: depot friday-routes, its quiet twin, and compare

The simulator's changes moved to internal/friday, which both play. Carriers' status tells the digest of what is in force, so the checks of keys, versions and counters read real processes; a watcher's test has each catch a broken carrier.

--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -18,7 +18,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "depot", Short: "rehearsals: a fleet on loopback, its outside, failures and checkers", SilenceUsage: true, SilenceErrors: true, Version: release.Version}
-	root.AddCommand(run(), list(), measuring(), hollow(), writing())
+	root.AddCommand(run(), list(), measuring(), hollow(), writing(), comparing())
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return house.Misused(err) })
 	house.Main(root)
 }
--- /dev/null
+++ b/cmd/depot/pairs.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"snowflow/internal/depot/scenario"
+	"snowflow/internal/house"
+)
+
+// errWorse ends compare with exit code 1.
+var errWorse = errors.New("lookups are served worse with changes than the noise explains")
+
+// comparing sets runs with route changes against runs without.
+func comparing() *cobra.Command {
+	var quiet, busy []string
+	command := &cobra.Command{Use: "compare", Short: "set lookups in runs with changes against runs without, by their reports", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		if len(quiet) == 0 || len(quiet) != len(busy) {
+			return house.Misused(errors.New("name as many reports without changes as with, one at least"))
+		}
+		without, err := reports(quiet)
+		if err != nil {
+			return house.Misused(err)
+		}
+		with, err := reports(busy)
+		if err != nil {
+			return house.Misused(err)
+		}
+		worse := false
+		for _, compared := range scenario.Compare(without, with, scenario.Lookup) {
+			worse = worse || compared.Beyond()
+			fmt.Println(compared.Line())
+		}
+		if worse {
+			return errWorse
+		}
+		return nil
+	}}
+	command.Flags().StringSliceVar(&quiet, "quiet", nil, "reports of runs without changes, by depot run --json")
+	command.Flags().StringSliceVar(&busy, "busy", nil, "reports of runs with changes")
+	return command
+}
+
+func reports(files []string) (read []scenario.Report, err error) {
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		var report scenario.Report
+		if err := json.Unmarshal(content, &report); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		read = append(read, report)
+	}
+	return read, nil
+}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -210,7 +210,8 @@
 	Ready       bool            `json:"ready"`
 	Why         string          `json:"why,omitempty"`
 	Serial      uint64          `json:"desired_serial"`
-	Age         int64           `json:"desired_age_micros"` // since it was taken up
+	Check       string          `json:"desired_check,omitempty"` // digest of the resources in force
+	Age         int64           `json:"desired_age_micros"`      // since it was taken up
 	Taken       desk.Taken      `json:"desired_taken"`
 	Running     int64           `json:"requests_running"`
 	Passes      int64           `json:"passes_running"`
@@ -226,7 +227,7 @@
 	status := Status{Name: carrier.env.Name, Domain: carrier.env.Domain, Incarnation: carrier.incarnation, Running: carrier.Passage.Running(),
 		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Degraded: carrier.Wicket.Degraded(), Members: carrier.Roll.Directory().Live}
 	status.Ready, status.Why = carrier.Ready()
-	serial, age := carrier.Desk.Serial()
-	status.Serial, status.Age, status.Taken, status.Directory = serial, int64(age), carrier.Desk.Taken(), carrier.Roll.Taken()
+	serial, age, check := carrier.Desk.InForce()
+	status.Serial, status.Age, status.Check, status.Taken, status.Directory = serial, int64(age), check, carrier.Desk.Taken(), carrier.Roll.Taken()
 	return status
 }
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -105,6 +106,20 @@
 	return desk.view.Serial, desk.place.Now() - desk.adopted
 }
 
+// InForce is the adopted serial, how long ago it was adopted, and the digest of its resources, by which two carriers can be seen to serve by
+// the same; that is empty where there are none.
+func (desk *Desk) InForce() (serial uint64, age postmark.Micros, check string) {
+	desk.lock.Lock()
+	defer desk.lock.Unlock()
+	if desk.view == nil {
+		return 0, 0, ""
+	}
+	if desk.set != nil {
+		check = hex.EncodeToString(desk.set.Digest())
+	}
+	return desk.view.Serial, desk.place.Now() - desk.adopted, check
+}
+
 // Renew waits, at most patience, until the desk has adopted at least this serial.
 func (desk *Desk) Renew(serial uint64, patience postmark.Micros) bool {
 	cutoff := desk.place.Now() + patience
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -99,7 +99,7 @@
 }
 
 func init() {
-	add(Scenario{"kill-carriers", "kill carriers one after another; each comes back after two seconds", []int{1, 3, 5, 8}, func(stage *Stage) error {
+	add(Scenario{Name: "kill-carriers", Short: "kill carriers one after another; each comes back after two seconds", Rules: []int{1, 3, 5, 8}, Run: func(stage *Stage) error {
 		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
 			victim := random(stage.Fleet.Carriers)
 			stage.Say("killing %s", victim.Name)
@@ -110,7 +110,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"kill-primaries", "kill the sorters' and the postmasters' primary in turn", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "kill-primaries", Short: "kill the sorters' and the postmasters' primary in turn", Rules: []int{1, 3, 5, 7, 12}, Run: func(stage *Stage) error {
 		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
 			group := stage.Fleet.Sorters
 			if turn%2 == 1 {
@@ -131,7 +131,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"lose-disk", "a core machine ends with its disk lost, and comes back blank", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "lose-disk", Short: "a core machine ends with its disk lost, and comes back blank", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		stage.Wait(stage.part(0.3))
 		for _, group := range [][]*fleet.Process{stage.Fleet.Sorters, stage.Fleet.Postmasters} {
 			victim := stage.Primary(group)
@@ -146,7 +146,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"damage-disk", "a byte of each primary's record file goes bad while it's down; it takes a fresh copy", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "damage-disk", Short: "a byte of each primary's record file goes bad while it's down; it takes a fresh copy", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		for turn, group := range [][]*fleet.Process{stage.Fleet.Sorters, stage.Fleet.Postmasters} {
 			stage.Wait(stage.part(0.2))
 			if _, err := stage.Operator.Apply(stage.variant(turn), "any", 40*time.Second); err != nil {
@@ -168,7 +168,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"full-disk", "the disk of each primary, then of a whole core machine, is full for a while", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "full-disk", Short: "the disk of each primary, then of a whole core machine, is full for a while", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		fill := func(processes ...*fleet.Process) error {
 			for _, process := range processes {
 				stage.Say("%s finds its disk full", process.Name)
@@ -209,7 +209,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"slow-disk", "a core machine's disk takes 400 ms longer for a sync, as backup and as primary; then it's well again", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "slow-disk", Short: "a core machine's disk takes 400 ms longer for a sync, as backup and as primary; then it's well again", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		machine := random([]int{0, 1, 2})
 		slow := []*fleet.Process{stage.Fleet.Sorters[machine], stage.Fleet.Postmasters[machine]}
 		again := func(linger time.Duration) error {
@@ -250,7 +250,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"kill-core", "kill the whole core at once, some seconds later start it again", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "kill-core", Short: "kill the whole core at once, some seconds later start it again", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		stage.Wait(stage.part(0.4))
 		core := stage.Fleet.Core()
 		for _, process := range core {
@@ -264,7 +264,7 @@
 		stage.Wait(stage.part(0.2))
 		return nil
 	}})
-	add(Scenario{"closing", "a closing fault: kill everything, start it again, and be back within 15 s", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "closing", Short: "a closing fault: kill everything, start it again, and be back within 15 s", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		stage.Wait(stage.part(0.5))
 		for _, process := range stage.Fleet.All() {
 			process.Signal(syscall.SIGKILL)
@@ -277,7 +277,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"rolling", "restart every machine in turn by a planned stop", []int{1, 3, 7, 9, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "rolling", Short: "restart every machine in turn by a planned stop", Rules: []int{1, 3, 7, 9, 12}, Run: func(stage *Stage) error {
 		for _, process := range stage.Fleet.All() {
 			stage.Say("stopping %s", process.Name)
 			if !process.Stop(12 * time.Second) {
@@ -291,7 +291,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"hurried", "warn carriers under full traffic with slow backends, and kill them 3, 4 and 5 s later", []int{1, 3, 9, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "hurried", Short: "warn carriers under full traffic with slow backends, and kill them 3, 4 and 5 s later", Rules: []int{1, 3, 9, 12}, Run: func(stage *Stage) error {
 		for _, backend := range stage.Backends {
 			backend.Work(2_500_000)
 		}
@@ -316,7 +316,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"versions", "roll every machine from an earlier build to this one, serving all the while", []int{1, 3, 7, 9, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "versions", Short: "roll every machine from an earlier build to this one, serving all the while", Rules: []int{1, 3, 7, 9, 12}, Run: func(stage *Stage) error {
 		if stage.Options.Older == "" {
 			return fmt.Errorf("the versions scenario needs --older, a folder of an earlier build's daemons")
 		}
@@ -340,7 +340,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"backends", "replace backends one by one, empty one machine, and remove an instance", []int{1, 3, 4, 5, 8}, func(stage *Stage) error {
+	add(Scenario{Name: "backends", Short: "replace backends one by one, empty one machine, and remove an instance", Rules: []int{1, 3, 4, 5, 8}, Run: func(stage *Stage) error {
 		for _, service := range stage.Fleet.Layout.Services {
 			for _, old := range stage.Of(service.Name) {
 				if err := stage.replace(old, 3*time.Second); err != nil {
@@ -351,7 +351,7 @@
 		stage.Wait(3 * time.Second)
 		return nil
 	}})
-	add(Scenario{"address-reuse", "end backends without a word and give their addresses to other services two seconds later", []int{1, 3, 5, 8}, func(stage *Stage) error {
+	add(Scenario{Name: "address-reuse", Short: "end backends without a word and give their addresses to other services two seconds later", Rules: []int{1, 3, 5, 8}, Run: func(stage *Stage) error {
 		services := stage.Fleet.Layout.Services
 		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
 			old := random(stage.Of(services[turn%len(services)].Name))
@@ -368,7 +368,7 @@
 		}
 		return nil
 	}})
-	add(Scenario{"wrong-bytes", "backends run and lose answers, send short, long, garbled and endless ones, and say not executed", []int{1, 2, 3, 8}, func(stage *Stage) error {
+	add(Scenario{Name: "wrong-bytes", Short: "backends run and lose answers, send short, long, garbled and endless ones, and say not executed", Rules: []int{1, 2, 3, 8}, Run: func(stage *Stage) error {
 		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
 			var spoiled []*standin.Backend
 			for _, service := range stage.Fleet.Layout.Services {
@@ -383,7 +383,7 @@
 		}
 		return nil
 	}})
-	add(Scenario{"guard", "a whole service fails for a while; its guard opens, probes and closes again", []int{1, 2, 8, 10}, func(stage *Stage) error {
+	add(Scenario{Name: "guard", Short: "a whole service fails for a while; its guard opens, probes and closes again", Rules: []int{1, 2, 8, 10}, Run: func(stage *Stage) error {
 		service := stage.Fleet.Layout.Services[0].Name
 		stage.Wait(stage.part(0.2))
 		for _, backend := range stage.Of(service) {
@@ -404,7 +404,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"configurations", "storms of configurations, races between two operators, and invalid ones, with a carrier frozen", []int{1, 3, 5, 6, 7}, func(stage *Stage) error {
+	add(Scenario{Name: "configurations", Short: "storms of configurations, races between two operators, and invalid ones, with a carrier frozen", Rules: []int{1, 3, 5, 6, 7}, Run: func(stage *Stage) error {
 		number := 100
 		for cutoff := time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); {
 			victim := random(stage.Fleet.Carriers)
@@ -440,7 +440,7 @@
 		}
 		return nil
 	}})
-	add(Scenario{"freeze", "freeze carriers and primaries for four or eight seconds; they wake and must not act on what they knew", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "freeze", Short: "freeze carriers and primaries for four or eight seconds; they wake and must not act on what they knew", Rules: []int{1, 3, 5, 7, 12}, Run: func(stage *Stage) error {
 		for turn, cutoff := 0, time.Now().Add(stage.Options.Length); time.Now().Before(cutoff); turn++ {
 			victim := stage.Fleet.Carriers[turn%len(stage.Fleet.Carriers)]
 			if turn%3 == 1 {
@@ -457,7 +457,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"isolate", "cut single machines off, one way and both, carriers and core", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "isolate", Short: "cut single machines off, one way and both, carriers and core", Rules: []int{1, 3, 5, 7, 12}, Run: func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
 		}
@@ -483,7 +483,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"clocks", "the clocks of primaries and carriers step forward and back by seconds to an hour, while configurations are applied and a service fails", []int{1, 3, 6, 7, 10, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "clocks", Short: "the clocks of primaries and carriers step forward and back by seconds to an hour, while configurations are applied and a service fails", Rules: []int{1, 3, 6, 7, 10, 12}, Run: func(stage *Stage) error {
 		service := stage.Fleet.Layout.Services[0].Name
 		stage.manner(service, standin.Failing, 0)
 		stage.awaitGuard(service, "open", state(pigeonhole.Open))
@@ -512,7 +512,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"split", "split the core from itself and from the carriers", []int{1, 3, 5, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "split", Short: "split the core from itself and from the carriers", Rules: []int{1, 3, 5, 7, 12}, Run: func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
 		}
@@ -533,7 +533,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"halves", "split a core of four in two halves, whose carriers reach both, under configurations", []int{1, 3, 6, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "halves", Short: "split a core of four in two halves, whose carriers reach both, under configurations", Rules: []int{1, 3, 6, 7, 12}, Run: func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
 		}
@@ -556,7 +556,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"troubled", "one carrier's network to the others is slow, then garbles what it carries, then is cut; nobody else may notice", []int{1, 3, 11}, func(stage *Stage) error {
+	add(Scenario{Name: "troubled", Short: "one carrier's network to the others is slow, then garbles what it carries, then is cut; nobody else may notice", Rules: []int{1, 3, 11}, Run: func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
 		}
@@ -584,7 +584,7 @@
 		stage.Wait(stage.part(0.2))
 		return nil
 	}})
-	add(Scenario{"move-seeds", "two core machines move to other addresses, one after the other, and a carrier restarts on stale seeds", []int{1, 3, 7, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "move-seeds", Short: "two core machines move to other addresses, one after the other, and a carrier restarts on stale seeds", Rules: []int{1, 3, 7, 12}, Run: func(stage *Stage) error {
 		for index := range 2 {
 			stage.Wait(stage.part(0.2))
 			if !stage.awaitSafe(index) {
@@ -605,7 +605,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"rush", "many times the traffic for a while, at backends with few workers", []int{1, 3, 8}, func(stage *Stage) error {
+	add(Scenario{Name: "rush", Short: "many times the traffic for a while, at backends with few workers", Rules: []int{1, 3, 8}, Run: func(stage *Stage) error {
 		for _, backend := range stage.Backends {
 			backend.Bound(4, 40000)
 		}
@@ -620,7 +620,7 @@
 		stage.Wait(stage.part(0.2))
 		return nil
 	}})
-	add(Scenario{"acknowledge", "apply configurations with all carriers there, then right after one was killed", []int{1, 3, 6, 7}, func(stage *Stage) error {
+	add(Scenario{Name: "acknowledge", Short: "apply configurations with all carriers there, then right after one was killed", Rules: []int{1, 3, 6, 7}, Run: func(stage *Stage) error {
 		waits := func(what string, times int, before func()) error {
 			for number := range times {
 				before()
--- a/internal/depot/scenario/guards.go
+++ b/internal/depot/scenario/guards.go
@@ -106,7 +106,7 @@
 }
 
 func init() {
-	add(Scenario{"trial", "a service fails and recovers; while its probes are out, their holders and the record's are killed and frozen", []int{1, 2, 8, 10, 12}, func(stage *Stage) error {
+	add(Scenario{Name: "trial", Short: "a service fails and recovers; while its probes are out, their holders and the record's are killed and frozen", Rules: []int{1, 2, 8, 10, 12}, Run: func(stage *Stage) error {
 		service := stage.Fleet.Layout.Services[0].Name
 		for _, fault := range trialFaults {
 			stage.manner(service, standin.Failing, 0)
@@ -130,7 +130,7 @@
 		stage.returned()
 		return nil
 	}})
-	add(Scenario{"trials", "two callers' networks are slow and they ask more than all others, while a service fails and recovers", []int{1, 3, 10, 11}, func(stage *Stage) error {
+	add(Scenario{Name: "trials", Short: "two callers' networks are slow and they ask more than all others, while a service fails and recovers", Rules: []int{1, 3, 10, 11}, Run: func(stage *Stage) error {
 		if stage.Fleet.Relays == nil {
 			return errNoRelays
 		}
--- a/internal/depot/scenario/scenarios.go
+++ b/internal/depot/scenario/scenarios.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"snowflow/internal/inspector"
 )
 
 // Scenario is one rehearsal's course.
@@ -14,6 +16,10 @@
 	Short string
 	Rules []int // the rules that must have seen something
 	Run   func(stage *Stage) error
+	// Prepare is done before callers start, if there's something to do.
+	Prepare func(stage *Stage) error
+	// Checks are made besides the rules.
+	Checks []inspector.Check
 }
 
 // All are the scenarios by name.
@@ -22,7 +28,7 @@
 func add(scenario Scenario) { All[scenario.Name] = scenario }
 
 func init() {
-	add(Scenario{"steady", "no failure at all", []int{1, 3, 5, 6, 7, 8}, func(stage *Stage) error {
+	add(Scenario{Name: "steady", Short: "no failure at all", Rules: []int{1, 3, 5, 6, 7, 8}, Run: func(stage *Stage) error {
 		stage.Wait(stage.Options.Length)
 		return nil
 	}})
@@ -48,6 +54,11 @@
 	if err != nil {
 		return Report{}, err
 	}
+	if chosen.Prepare != nil {
+		if err := chosen.Prepare(stage); err != nil {
+			return Report{}, err
+		}
+	}
 	say("fleet is ready, running %s", chosen.Name)
 	stage.Watch()
 	stage.Measure()
@@ -60,7 +71,7 @@
 	if err := stage.Operator.ReadBack(); err != nil {
 		return Report{}, fmt.Errorf("reading back the desired states: %w", err)
 	}
-	report := stage.Conclude(began)
+	report := stage.Conclude(began, chosen.Checks...)
 	for _, rule := range chosen.Rules {
 		if report.Seen[rule] == 0 {
 			report.Findings = append(report.Findings, fmt.Sprintf("rule %d: its checker saw nothing", rule))
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -20,6 +20,7 @@
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/layout"
 	"snowflow/internal/depot/standin"
+	"snowflow/internal/friday"
 	"snowflow/internal/inspector"
 	"snowflow/internal/postmark"
 	"snowflow/internal/sorter"
@@ -41,7 +42,8 @@
 	processor map[string]int64
 	cleanups  []func()
 	findings  []string // what a scenario itself found
-	astray    bool     // by the watcher's last look
+	friday    *friday.Day
+	astray    bool // by the watcher's last look
 	watching  chan struct{}
 }
 
@@ -238,14 +240,23 @@
 			astray = true
 			continue
 		}
-		if status.Ready {
-			stage.History.Adopt(process.Name, status.Serial, stage.Clock.Now())
-		}
+		stage.see(process.Name, status, stage.Clock.Now())
 		astray = astray || !status.Ready || status.Degraded
 	}
 	return astray
 }
 
+// see notes what a carrier serves by, and what its guards have counted.
+func (stage *Stage) see(name string, status carrier.Status, now postmark.Micros) {
+	if status.Ready {
+		stage.History.Serves(inspector.Adopted{Carrier: name, Serial: status.Serial, At: now, Sum: status.Check})
+	}
+	for _, shown := range status.Guards {
+		stage.History.Count(inspector.Counted{Carrier: name, Life: status.Incarnation, Service: shown.Service, At: now, Calls: shown.Calls, Window: shown.Window,
+			Verdict: fmt.Sprint(shown.Shared, shown.Serial, shown.Local, shown.Control)})
+	}
+}
+
 // Wait lets the traffic go on for a while.
 func (stage *Stage) Wait(span time.Duration) { time.Sleep(span) }
 
@@ -295,12 +306,18 @@
 }
 
 // Conclude makes the report.
-func (stage *Stage) Conclude(began time.Time) Report {
+func (stage *Stage) Conclude(began time.Time, checks ...inspector.Check) Report {
 	findings, seen := inspector.Inspect(stage.History)
 	report := Report{Layout: stage.Fleet.Layout.Name, Scenario: stage.Options.Scenario, Seconds: time.Since(began).Seconds(),
 		Kinds: map[string]map[string]int{}, Latency: map[string][3]int64{}, Seen: seen, Findings: []string{}, Tries: inspector.WorstTries(stage.History),
 		Processor: map[string]int64{}, Bytes: map[string]uint64{}}
 	report.Findings = append(report.Findings, stage.findings...)
+	for _, check := range checks {
+		found, _ := check.Run(stage.History)
+		for _, finding := range found {
+			report.Findings = append(report.Findings, finding.String())
+		}
+	}
 	for _, finding := range findings {
 		report.Findings = append(report.Findings, finding.String())
 	}
--- a/internal/depot/standin/caller.go
+++ b/internal/depot/standin/caller.go
@@ -33,16 +33,22 @@
 	ready   []*fleet.Process
 	stop    chan struct{}
 	waiting sync.WaitGroup
+	calling sync.WaitGroup // of them, the requests and those that start them
 	number  atomic.Int64
 	eager   []*fleet.Process // carriers that get three quarters of all requests, if any
 	mark    string           // tells these callers' requests from others'
+	ebb     chan struct{}
+	// Place gives a request's path; the kind's own with the number behind it if left out.
+	Place func(kind layout.Kind, number int64) string
+	// Patience is for how long after the first time a key is asked for again; without end if left out.
+	Patience time.Duration
 	// Again is how often a keyed request is repeated.
 	Again int
 }
 
 // NewCallers makes them.
 func NewCallers(running *fleet.Fleet, clock postmark.Clock, history *inspector.History) *Callers {
-	return &Callers{fleet: running, clock: clock, history: history, stop: make(chan struct{}), Again: 3, mark: fmt.Sprintf("%04x-", rand.Uint32()&0xffff),
+	return &Callers{fleet: running, clock: clock, history: history, stop: make(chan struct{}), ebb: make(chan struct{}), Again: 3, mark: fmt.Sprintf("%04x-", rand.Uint32()&0xffff),
 		client: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxIdleConns: 2048}}}
 }
 
@@ -58,8 +64,10 @@
 	}()
 	for _, kind := range callers.fleet.Layout.Kinds {
 		callers.waiting.Add(1)
+		callers.calling.Add(1)
 		go func() {
 			defer callers.waiting.Done()
+			defer callers.calling.Done()
 			callers.pace(kind, kind.Rate*factor)
 		}()
 	}
@@ -68,11 +76,13 @@
 // pace starts requests at a rate, each in a task of its own, so that slow answers don't slow the callers.
 func (callers *Callers) pace(kind layout.Kind, rate float64) {
 	began, sent := time.Now(), 0.0
-	for callers.pause(10 * time.Millisecond) {
+	for callers.pause(10*time.Millisecond) && !callers.ebbed() {
 		for due := time.Since(began).Seconds() * rate; sent < due; sent++ {
 			callers.waiting.Add(1)
+			callers.calling.Add(1)
 			go func() {
 				defer callers.waiting.Done()
+				defer callers.calling.Done()
 				callers.call(kind)
 			}()
 		}
@@ -139,13 +149,16 @@
 	if kind.Body > 0 {
 		body = bytes.Repeat([]byte("x"), kind.Body)
 	}
-	for again := 0; ; again++ {
+	for first, again := time.Now(), 0; ; again++ {
 		path := fmt.Sprintf("%s%d", kind.Path, number)
+		if callers.Place != nil {
+			path = callers.Place(kind, number)
+		}
 		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%s%d-%d", kind.Name, callers.mark, number, again), Key: key, Kind: kind.Name, Method: kind.Method, Path: path, Sent: callers.clock.Now()}
 		carrier := callers.pick()
 		attempt.Caller = carrier.Name
 		send(callers.client, callers.history, callers.clock, carrier, attempt, body)
-		if !kind.Keyed || attempt.Status >= 200 && attempt.Status < 300 && !attempt.Mesh || again >= callers.Again {
+		if !kind.Keyed || attempt.Status >= 200 && attempt.Status < 300 && !attempt.Mesh || again >= callers.Again || callers.Patience > 0 && time.Since(first) > callers.Patience {
 			return
 		}
 		if !callers.pause(time.Duration(1000+rand.IntN(1000)) * time.Millisecond) {
@@ -154,6 +167,21 @@
 	}
 }
 
+// Ebb sends nothing new, and waits until whoever sent a key was served or has asked often enough.
+func (callers *Callers) Ebb() {
+	close(callers.ebb)
+	callers.calling.Wait()
+}
+
+func (callers *Callers) ebbed() bool {
+	select {
+	case <-callers.ebb:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop ends the sending and waits for what is under way.
 func (callers *Callers) Stop() {
 	close(callers.stop)
--- a/internal/depot/standin/operator.go
+++ b/internal/depot/standin/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,7 +13,9 @@
 
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/franking"
+	"snowflow/internal/franking/changes"
 	"snowflow/internal/inspector"
+	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/postmaster/door"
 )
@@ -43,7 +46,7 @@
 		master := operator.Fleet.Postmasters[turn%len(operator.Fleet.Postmasters)]
 		applied, err := operator.once(master, content, expected, request)
 		if err == nil && applied.Outcome != "unknown" && applied.Outcome != door.Unreached {
-			operator.History.Apply(inspector.Applied{Serial: applied.Serial, Digest: applied.Digest, Valid: len(faults) == 0, Outcome: applied.Outcome, At: operator.Clock.Now()})
+			operator.History.Apply(inspector.Applied{Serial: applied.Serial, Digest: applied.Digest, Valid: len(faults) == 0, Outcome: applied.Outcome, At: operator.Clock.Now(), Sum: check(state)})
 			return applied, nil
 		}
 		if time.Now().After(cutoff) {
@@ -53,6 +56,18 @@
 	}
 }
 
+// check is the digest of a state's resources, as carriers tell it of what they have in force.
+func check(state *wire.DesiredState) string {
+	if state == nil {
+		return ""
+	}
+	set, err := changes.Read(state)
+	if err != nil {
+		return ""
+	}
+	return hex.EncodeToString(set.Digest())
+}
+
 // allow notes which services the content sends which kinds of traffic to.
 func (operator *Operator) allow(content []byte) {
 	state, _ := franking.Parse(content)
--- a/internal/inspector/changes.go
+++ b/internal/inspector/changes.go
@@ -19,6 +19,8 @@
 	KeysKept     = Check{"keys kept", keysKept}
 	TakenUp      = Check{"taken up", takenUp}
 	CountersKept = Check{"counters kept", countersKept}
+	// AsTold is the part of TakenUp that doesn't go by the clock, for machines on which nothing does.
+	AsTold = Check{"as told", asTold}
 )
 
 // Run makes a check, and finds fault with one that had nothing to look at.
@@ -85,6 +87,23 @@
 // takenUp: from 2 s after an acknowledgement on, whoever serves does so by that version or a newer one, and each version does
 // everywhere what its content says.
 func takenUp(history *History) (findings []Finding, seen int) {
+	findings, seen = asTold(history)
+	for _, adopted := range history.Adopted {
+		wanted := uint64(0)
+		for _, applied := range history.Applies {
+			if applied.Outcome == "accepted" && applied.At+promise < adopted.At {
+				wanted = max(wanted, applied.Serial)
+			}
+		}
+		if adopted.Serial < wanted {
+			findings = append(findings, fault("%s at %d serves by version %d; %d was acknowledged more than 2 s before", adopted.Carrier, adopted.At, adopted.Serial, wanted))
+		}
+	}
+	return findings, seen
+}
+
+// asTold: each version does everywhere what its content says.
+func asTold(history *History) (findings []Finding, seen int) {
 	sums := map[uint64]string{}
 	for _, applied := range history.Applies {
 		if applied.Outcome == "accepted" && applied.Sum != "" {
@@ -100,15 +119,6 @@
 				findings = append(findings, fault("%s at %d serves otherwise than version %d says", adopted.Carrier, adopted.At, adopted.Serial))
 			}
 		}
-		wanted := uint64(0)
-		for _, applied := range history.Applies {
-			if applied.Outcome == "accepted" && applied.At+promise < adopted.At {
-				wanted = max(wanted, applied.Serial)
-			}
-		}
-		if adopted.Serial < wanted {
-			findings = append(findings, fault("%s at %d serves by version %d; %d was acknowledged more than 2 s before", adopted.Carrier, adopted.At, adopted.Serial, wanted))
-		}
 	}
 	return findings, seen
 }
--- a/internal/mailround/round/friday.go
+++ b/internal/mailround/round/friday.go
@@ -1,16 +1,14 @@
 package round
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"slices"
 
-	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
+	"snowflow/internal/friday"
 	"snowflow/internal/inspector"
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
@@ -18,35 +16,27 @@
 	"snowflow/internal/postmaster"
 )
 
-// family is one of the services whose routes change on a Friday, with the other service that may take it over.
-type family struct{ kind, method, prefix, service, other string }
-
-var families = []family{{"submission", "POST", "/submissions/", "submission", "submission-next"}, {"correction", "PUT", "/corrections/", "correction", "correction-next"},
-	{"batch", "GET", "/batches/", "batches", "batches-next"}}
+var families = []friday.Family{{Kind: "submission", Method: "POST", Prefix: "/submissions/", Service: "submission", Other: "submission-next"},
+	{Kind: "correction", Method: "PUT", Prefix: "/corrections/", Service: "correction", Other: "correction-next"},
+	{Kind: "batch", Method: "GET", Prefix: "/batches/", Service: "batches", Other: "batches-next"}}
 
 // lookups are the services whose routes nobody changes.
-var lookups = []family{{"assignment", "GET", "/assignments/", "assignment", ""}, {"eligibility", "GET", "/eligibility/", "eligibility", ""}}
-
-// regions are the parts of a family that a route of their own may be added for.
-const regions = 10
+var lookups = []friday.Family{{Kind: "assignment", Method: "GET", Prefix: "/assignments/", Service: "assignment"}, {Kind: "eligibility", Method: "GET", Prefix: "/eligibility/", Service: "eligibility"}}
 
-// friday are the desired states that operators make one of the other.
-// Invariant: state is the last that was handed in, or the last that won a race.
-type friday struct {
-	state   *wire.DesiredState
-	changes int
-	counts  map[string]int // of the changes made, by what they do
+// fridays is a day of route changes in a mesh.
+type fridays struct {
+	*friday.Day
 	// apart is the moment before which no carrier is cut off and no primary dies: a carrier that misses a version because it's cut off,
 	// and then finds the primary dead, isn't in touch, and only who is in touch has a version within 2 s.
 	apart postmark.Micros
 }
 
 // alone tells whether a fault may take carriers out of touch now, and keeps others away for a span.
-func (friday *friday) alone(now, span postmark.Micros) bool {
-	if now < friday.apart {
+func (day *fridays) alone(now, span postmark.Micros) bool {
+	if now < day.apart {
 		return false
 	}
-	friday.apart = now + span
+	day.apart = now + span
 	return true
 }
 
@@ -55,16 +45,12 @@
 	group := &wire.Group{Name: "field", Guard: &wire.Guard{WindowCalls: proto.Uint32(100), MinimumCalls: proto.Uint32(20)}, Limits: &wire.Limits{CutoffMicros: proto.Int64(int64(5 * postmark.Second))}}
 	state := &wire.DesiredState{Groups: []*wire.Group{group}}
 	for _, one := range slices.Concat(families, lookups) {
-		for _, name := range []string{one.service, one.other} {
+		for _, name := range []string{one.Service, one.Other} {
 			if name != "" {
 				group.Services = append(group.Services, &wire.Service{Name: name})
 			}
 		}
-		route := &wire.Route{Name: one.kind, Method: one.method, Prefix: one.prefix, Class: wire.Path_read, Split: []*wire.Share{{Service: one.service, Weight: 1}}}
-		if one.method != "GET" {
-			route.Class = wire.Path_once
-		}
-		state.Routes = append(state.Routes, route)
+		state.Routes = append(state.Routes, one.Route())
 	}
 	for number := range 200 {
 		state.Routes = append(state.Routes, &wire.Route{Name: fmt.Sprint("archive-", number), Host: fmt.Sprintf("a%d.example", number%20), Prefix: fmt.Sprintf("/archive/%d/", number),
@@ -73,19 +59,6 @@
 	return state
 }
 
-// fridayContent writes a state down; the JSON library varies its white space.
-func fridayContent(state *wire.DesiredState) []byte {
-	content, err := protojson.Marshal(state)
-	if err != nil {
-		panic(err) // it's made of plain names
-	}
-	var compact bytes.Buffer
-	if err := json.Compact(&compact, content); err != nil {
-		panic(err)
-	}
-	return compact.Bytes()
-}
-
 func fridayServices() (names []string) {
 	for _, service := range fridayState().Groups[0].Services {
 		names = append(names, service.Name)
@@ -93,78 +66,29 @@
 	return names
 }
 
-// alterations are what may be done to a family's routes, own being those that it has.
-var alterations = []struct {
-	name string
-	make func(mesh *Mesh, state *wire.DesiredState, one family, own []*wire.Route)
-}{
-	{"moved", func(mesh *Mesh, _ *wire.DesiredState, one family, own []*wire.Route) {
-		route := pick(mesh, own)
-		to := map[string]string{one.service: one.other, one.other: one.service}[route.Split[0].Service]
-		route.Split = []*wire.Share{{Service: to, Weight: 1}}
-	}},
-	{"weights", func(mesh *Mesh, _ *wire.DesiredState, one family, own []*wire.Route) {
-		pick(mesh, own).Split = []*wire.Share{{Service: one.service, Weight: uint32(1 + mesh.World.Chance().IntN(9))}, {Service: one.other, Weight: uint32(mesh.World.Chance().IntN(9))}}
-	}},
-	{"time-out", func(mesh *Mesh, _ *wire.DesiredState, _ family, own []*wire.Route) {
-		pick(mesh, own).CutoffMicros = proto.Int64(int64(mesh.span(3*postmark.Second, 5*postmark.Second)))
-	}},
-	{"added", func(mesh *Mesh, state *wire.DesiredState, one family, own []*wire.Route) {
-		prefix := fmt.Sprintf("%s%d/", one.prefix, mesh.World.Chance().IntN(regions))
-		if !slices.ContainsFunc(own, func(route *wire.Route) bool { return route.Prefix == prefix }) {
-			state.Routes = append(state.Routes, &wire.Route{Name: fmt.Sprintf("%s-%d", one.kind, mesh.friday.changes), Method: one.method, Prefix: prefix, Class: own[0].Class,
-				Split: []*wire.Share{{Service: pick(mesh, []string{one.service, one.other}), Weight: 1}}})
-		}
-	}},
-	{"removed", func(mesh *Mesh, state *wire.DesiredState, one family, own []*wire.Route) {
-		// The family's general route stays, so its requests still have one.
-		gone := pick(mesh, own)
-		state.Routes = slices.DeleteFunc(state.Routes, func(route *wire.Route) bool { return route == gone && gone.Prefix != one.prefix })
-	}},
-	{"renamed", func(mesh *Mesh, _ *wire.DesiredState, one family, own []*wire.Route) {
-		pick(mesh, own).Name = fmt.Sprintf("%s-%d", one.kind, mesh.friday.changes)
-	}},
-}
-
-// alter makes the next state of the last, with one change to a family's routes.
-func (mesh *Mesh) alter() *wire.DesiredState {
-	mesh.friday.changes++
-	state, one, chosen := proto.CloneOf(mesh.friday.state), pick(mesh, families), pick(mesh, alterations)
-	var own []*wire.Route
-	for _, route := range state.Routes {
-		if route.Method == one.method && (route.Prefix == one.prefix || len(route.Prefix) == len(one.prefix)+2 && route.Prefix[:len(one.prefix)] == one.prefix) {
-			own = append(own, route)
-		}
-	}
-	chosen.make(mesh, state, one, own)
-	state.Note = fmt.Sprint("change ", mesh.friday.changes)
-	mesh.friday.counts[one.kind+" "+chosen.name]++
-	return state
-}
-
 var (
 	routeAlone = fault{"change a route", func(mesh *Mesh) {
-		mesh.friday.state = mesh.alter()
-		content := fridayContent(mesh.friday.state)
+		mesh.friday.State = mesh.friday.Alter()
+		content := friday.Content(mesh.friday.State)
 		mesh.Outside.Go(func() { mesh.apply(content, true, 0, 20*postmark.Second) })
 	}}
 	// Each of a storm follows the one before, as an operator's script would have it.
 	routeStorm = fault{"a storm of route changes", func(mesh *Mesh) {
 		mesh.Outside.Go(func() {
 			for range 8 {
-				mesh.friday.state = mesh.alter()
-				content := fridayContent(mesh.friday.state)
+				mesh.friday.State = mesh.friday.Alter()
+				content := friday.Content(mesh.friday.State)
 				mesh.Outside.Go(func() { mesh.apply(content, true, 0, 20*postmark.Second) })
 				mesh.Outside.Sleep(60 * postmark.Millisecond)
 			}
 		})
 	}}
 	routeRace = fault{"two operators race with route changes", func(mesh *Mesh) {
-		expected, states := mesh.latest, []*wire.DesiredState{mesh.alter(), mesh.alter()}
+		expected, states := mesh.latest, []*wire.DesiredState{mesh.friday.Alter(), mesh.friday.Alter()}
 		for _, state := range states {
 			mesh.Outside.Go(func() {
-				if tell := mesh.apply(fridayContent(state), false, expected, 20*postmark.Second); tell != nil && tell.Outcome == "accepted" {
-					mesh.friday.state = state
+				if tell := mesh.apply(friday.Content(state), false, expected, 20*postmark.Second); tell != nil && tell.Outcome == "accepted" {
+					mesh.friday.State = state
 				}
 			})
 		}
@@ -203,7 +127,7 @@
 
 // fridayTraffic has callers send forms, corrections, downloads and lookups. Whoever sends a key asks again until it's answered.
 func fridayTraffic(mesh *Mesh, perSecond int) {
-	mix := []family{families[0], families[0], families[1], families[2], lookups[0], lookups[0], lookups[1], lookups[1]}
+	mix := []friday.Family{families[0], families[0], families[1], families[2], lookups[0], lookups[0], lookups[1], lookups[1]}
 	chance := mesh.World.Chance()
 	mesh.Outside.Go(func() {
 		for number := 0; mesh.serving; number++ {
@@ -216,14 +140,14 @@
 // fridayPatience is how often a caller asks for a key, with a second or two between.
 const fridayPatience = 15
 
-func (mesh *Mesh) fridayCall(one family, number int) {
+func (mesh *Mesh) fridayCall(one friday.Family, number int) {
 	key, most := "", 1
-	if one.method != "GET" {
-		key, most = fmt.Sprintf("%s-key-%d", one.kind, number), fridayPatience
+	if one.Method != "GET" {
+		key, most = fmt.Sprintf("%s-key-%d", one.Kind, number), fridayPatience
 	}
 	for again := range most {
-		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", one.kind, number, again), Key: key, Kind: one.kind, Caller: pick(mesh, mesh.carriers), Method: one.method,
-			Path: fmt.Sprintf("%s%d/%d", one.prefix, number%regions, number), Sent: mesh.World.Now()}
+		attempt := &inspector.Attempt{ID: fmt.Sprintf("%s-%d-%d", one.Kind, number, again), Key: key, Kind: one.Kind, Caller: pick(mesh, mesh.carriers), Method: one.Method,
+			Path: fmt.Sprintf("%s%d/%d", one.Prefix, number%friday.Regions, number), Sent: mesh.World.Now()}
 		mesh.History.Send(attempt)
 		mesh.send(attempt)
 		if attempt.Status == 200 && !attempt.Mesh {
@@ -236,13 +160,13 @@
 // fridayPrepare tells the mesh where to look.
 func fridayPrepare(mesh *Mesh) {
 	mesh.counting = true
-	mesh.friday = &friday{state: fridayState(), counts: map[string]int{}}
+	mesh.friday = &fridays{Day: friday.New(fridayState(), families, mesh.World.Chance())}
 	mesh.samples = nil
 	for _, one := range slices.Concat(families, lookups) {
-		for region := range regions {
-			mesh.samples = append(mesh.samples, sample{one.kind, one.method, fmt.Sprintf("%s%d/1", one.prefix, region)})
+		for region := range friday.Regions {
+			mesh.samples = append(mesh.samples, sample{one.Kind, one.Method, fmt.Sprintf("%s%d/1", one.Prefix, region)})
 		}
-		mesh.History.Allow(one.kind, one.service, 0)
+		mesh.History.Allow(one.Kind, one.Service, 0)
 	}
 	if mesh.breakage.WrongBase {
 		mesh.misapply()
@@ -251,7 +175,7 @@
 
 // misapply has carriers get what the newest version changes in the one before it, applied onto whatever they have.
 func (mesh *Mesh) misapply() {
-	before, contents, last := map[string]string{}, map[string]*wire.DesiredState{}, franking.Digest(fridayContent(fridayState()))
+	before, contents, last := map[string]string{}, map[string]*wire.DesiredState{}, franking.Digest(friday.Content(fridayState()))
 	contents[last] = fridayState()
 	mesh.handed = func(content []byte) {
 		digest := franking.Digest(content)
@@ -313,6 +237,6 @@
 	add(Course{Name: "friday-routes", Short: "routes of submissions, corrections and downloads change alone, in storms and raced, while carriers restart and a primary dies",
 		Sizes:  Sizes{Cores: 4, Carriers: 12, Zones: 4, Backends: 4, Services: fridayServices(), Bounds: postmaster.Bounds{ServeOn: true}},
 		Length: 40 * postmark.Second, Rate: 300, Every: 900 * postmark.Millisecond, Rules: []int{1, 3, 5, 6, 7}, Traffic: fridayTraffic, Prepare: fridayPrepare,
-		Content: func(int) []byte { return fridayContent(fridayState()) }, Checks: []inspector.Check{inspector.KeysKept, inspector.TakenUp, inspector.CountersKept},
+		Content: func(int) []byte { return friday.Content(fridayState()) }, Checks: []inspector.Check{inspector.KeysKept, inspector.TakenUp, inspector.CountersKept},
 		First: append(slices.Clone(altered[:4]), killMaster, dieCarrier, drainCarrier), Faults: append(slices.Clone(altered), routeAlone, dieCarrier, drainCarrier, killMaster)})
 }
--- a/internal/mailround/round/friday_test.go
+++ b/internal/mailround/round/friday_test.go
@@ -36,18 +36,18 @@
 				t.Errorf("seed %d: %s", seed, finding)
 			}
 		}
-		t.Logf("seed %d: %d versions, changes %v", seed, busy.latest, busy.friday.counts)
-		if busy.latest < 60 || len(busy.friday.counts) < len(families)*len(alterations) {
-			t.Errorf("seed %d: only %d versions, changes %v", seed, busy.latest, busy.friday.counts)
+		t.Logf("seed %d: %d versions, changes %v", seed, busy.latest, busy.friday.Counts)
+		if busy.latest < 60 || len(busy.friday.Counts) < busy.friday.Kinds() {
+			t.Errorf("seed %d: only %d versions, changes %v", seed, busy.latest, busy.friday.Counts)
 		}
 		for _, one := range slices.Concat(families, lookups) {
-			served, sent := inspector.Share(quiet.History, one.kind, 0, quiet.World.Now())
-			servedBusy, sentBusy := inspector.Share(busy.History, one.kind, 0, busy.World.Now())
-			before, after := calm.Taken[one.kind], changed.Taken[one.kind]
-			t.Logf("seed %d: %s: without changes %d of %d at first, p50 %d p99 %d slowest %d microseconds; with them %d of %d, p50 %d p99 %d slowest %d", seed, one.kind,
+			served, sent := inspector.Share(quiet.History, one.Kind, 0, quiet.World.Now())
+			servedBusy, sentBusy := inspector.Share(busy.History, one.Kind, 0, busy.World.Now())
+			before, after := calm.Taken[one.Kind], changed.Taken[one.Kind]
+			t.Logf("seed %d: %s: without changes %d of %d at first, p50 %d p99 %d slowest %d microseconds; with them %d of %d, p50 %d p99 %d slowest %d", seed, one.Kind,
 				served, sent, before[len(before)/2], before[len(before)*99/100], before[len(before)-1], servedBusy, sentBusy, after[len(after)/2], after[len(after)*99/100], after[len(after)-1])
 			if servedBusy*sent < served*sentBusy {
-				t.Errorf("seed %d: %s: %d of %d served with changes, %d of %d without", seed, one.kind, servedBusy, sentBusy, served, sent)
+				t.Errorf("seed %d: %s: %d of %d served with changes, %d of %d without", seed, one.Kind, servedBusy, sentBusy, served, sent)
 			}
 		}
 		differences, wholes := uint64(0), uint64(0)
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -70,7 +70,7 @@
 	sums        map[*franking.View]string // of the views that were looked at
 	counting    bool                      // what guards have counted is noted
 	handed      func(content []byte)      // told of each content that an operator hands in, if set
-	friday      *friday
+	friday      *fridays
 }
 
 // sample is a request of a kind.
