Outlier detection at the gate: what a backend's answers say against its peers'

Cause: callers chose backends by load and by their own last few answers alone. At 73 callers each sends a backend less than one request a second, so each had to find out by itself, and a sick backend kept its share for the whole of its trouble.

Now each gate keeps its backend's standing, from all callers' requests: errors, broken answers, refusals to run, and requests under way for six times as long as usual; for all callers, and for those of each domain. It's held against what callers heard of the others: their middle share of faults and pace go along with each pass. An ejected backend is left probes, rarer with each that fails, and is taken back by more and more at once; what waits there moves on, at no cost to the retry budget. Not more than half of a service is ejected, and whoever has nowhere else to go is let in. What a slowed backend can't answer within the aim goes elsewhere.

Guards: faults of an ejected backend aren't counted, within that bound.

--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -29,6 +29,8 @@
 	BackendRegistered  = 310
 	BackendLeft        = 311
 	BackendOverdue     = 312
+	BackendEjected     = 313
+	BackendReturned    = 314
 	DesiredAccepted    = 401
 	DesiredRefused     = 402
 	DesiredAdopted     = 403
@@ -87,6 +89,8 @@
 	BackendRegistered:  {log.InfoLevel, "backend registered"},
 	BackendLeft:        {log.InfoLevel, "backend leaving or replaced"},
 	BackendOverdue:     {log.WarnLevel, "backend's beats are overdue"},
+	BackendEjected:     {log.WarnLevel, "backend does worse than its like, only probes are let in"},
+	BackendReturned:    {log.InfoLevel, "ejected backend is well again"},
 	DesiredAccepted:    {log.InfoLevel, "desired state accepted"},
 	DesiredRefused:     {log.WarnLevel, "desired state refused"},
 	DesiredAdopted:     {log.InfoLevel, "desired state adopted"},
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -12,6 +12,7 @@
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/lastpost"
 	"snowflow/internal/carrier/letter"
+	"snowflow/internal/carrier/outlier"
 	"snowflow/internal/carrier/restante"
 	"snowflow/internal/franking"
 	"snowflow/internal/office"
@@ -187,7 +188,7 @@
 	var tell *wire.PassTell
 	outcome := gate.last.Run(func(errand *lastpost.Errand) { tell = gate.pass(ask, errand) })
 	if outcome == lastpost.Done {
-		tell.Load = gate.env.Hutch.Load(ask.Instance)
+		tell.Load = gate.load(ask)
 		return tell, nil
 	}
 	verdict := seal.MayHaveRun
@@ -215,6 +216,11 @@
 	if fault != nil {
 		return gate.refused(ask, fault)
 	}
+	visit, fault := gate.visit(ask)
+	if fault != nil {
+		return gate.refused(ask, fault)
+	}
+	defer visit.Close(outlier.Unknown)
 	size, fault := gate.sendable(ask)
 	if fault != nil {
 		return gate.refused(ask, fault)
@@ -253,7 +259,9 @@
 		}
 		return nil
 	}
+	visit.Start()
 	answer, fault := gate.env.Delivery.Deliver(order)
+	visit.Close(worth(answer, fault))
 	stay.Leave(ended(answer, fault))
 	if fault == nil && answer.NotRun {
 		fault = seal.New(seal.NotExecuted, seal.NotRun, "backend %s answered %d, not executed", backend.Instance, answer.Status)
--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -9,6 +9,7 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/gate/slots"
+	"snowflow/internal/carrier/outlier"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -43,6 +44,7 @@
 	condition string
 	beat      postmark.Micros
 	slots     *slots.Slots
+	standing  *outlier.Detector
 	classes   map[bool]uint32 // requests in flight, by whether they run once
 	overdue   bool
 	gone      bool
--- a/internal/carrier/hutch/report.go
+++ b/internal/carrier/hutch/report.go
@@ -3,6 +3,7 @@
 import (
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/gate/slots"
+	"snowflow/internal/carrier/outlier"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -102,7 +103,7 @@
 		}
 	}
 	delete(hutch.ended, backend.Instance)
-	present := &entry{Backend: backend, classes: map[bool]uint32{}, slots: slots.New(hutch.Terms)}
+	present := &entry{Backend: backend, classes: map[bool]uint32{}, slots: slots.New(hutch.Terms), standing: outlier.New()}
 	hutch.entries[backend.Instance] = present
 	return present
 }
--- /dev/null
+++ b/internal/carrier/hutch/standing.go
@@ -0,0 +1,78 @@
+package hutch
+
+import (
+	"snowflow/internal/bulletin"
+	"snowflow/internal/carrier/outlier"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// Visit is a request that its backend's standing lets in. Its owner closes it once, whatever becomes of the request.
+type Visit struct {
+	hutch   *Hutch
+	present *entry
+	visit   *outlier.Visit
+}
+
+// Visit asks a backend's standing for a request. A refusal is certain: nothing ran.
+func (hutch *Hutch) Visit(instance string, ask outlier.Ask) (*Visit, *seal.Fault) {
+	hutch.lock.Lock()
+	present := hutch.entries[instance]
+	if present == nil {
+		hutch.lock.Unlock()
+		return nil, seal.New(seal.BackendUnknown, seal.NotRun, "no instance %s here", instance)
+	}
+	visit, wait := present.standing.Enter(hutch.place.Now(), ask)
+	defer hutch.settle(present)
+	if visit == nil {
+		fault := seal.New(seal.BackendAiling, seal.NotRun, "instance %s does worse than its like, only probes are let in", instance)
+		fault.RetryAfter = max(wait, postmark.Millisecond)
+		return nil, fault
+	}
+	return &Visit{hutch: hutch, present: present, visit: visit}, nil
+}
+
+// Start notes that the request is being handed over.
+func (visit *Visit) Start() {
+	visit.hutch.lock.Lock()
+	visit.visit.Start(visit.hutch.place.Now())
+	visit.hutch.lock.Unlock()
+}
+
+// Close tells what the request's end says of the backend; only the first call counts.
+func (visit *Visit) Close(outcome outlier.Outcome) {
+	visit.hutch.lock.Lock()
+	visit.visit.Close(visit.hutch.place.Now(), outcome)
+	visit.hutch.settle(visit.present)
+}
+
+// settle has whoever waits for an ejected backend go elsewhere, and reports. The lock is held, and let go.
+func (hutch *Hutch) settle(present *entry) {
+	changes := present.standing.Changes()
+	for _, change := range changes {
+		if change.Ejected && change.Domain == "" {
+			present.slots.Flush(hutch.place.Now())
+		}
+	}
+	hutch.lock.Unlock()
+	for _, change := range changes {
+		number := bulletin.BackendReturned
+		if change.Ejected {
+			number = bulletin.BackendEjected
+		}
+		hutch.place.Report(number, map[string]any{"service": present.Service, "instance": present.Instance, "callers": change.Domain, "faults": change.Faults, "times": change.Times})
+	}
+}
+
+// Stand adds a backend's standing with the callers of a domain to its told load.
+func (hutch *Hutch) Stand(load *wire.Load, instance, domain string) {
+	hutch.lock.Lock()
+	defer hutch.lock.Unlock()
+	if present := hutch.entries[instance]; present != nil && load != nil {
+		load.Faults, load.Pace = thousandths(present.standing.Faults(domain)), thousandths(present.standing.Pace())
+		load.Ejected = present.standing.Ejected(domain)
+	}
+}
+
+func thousandths(share float64) uint32 { return uint32(min(share, 1000) * 1000) }
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -26,21 +26,23 @@
 // Invariants: inFlight counts this carrier's own passes under way, by instance; owing holds a carrier exactly while
 // passes to it are under way, and since when it has given no answer; faults counts a backend's faults in a row.
 type chooser struct {
-	place    office.Office
-	domain   string
-	blind    bool
-	lock     sync.Mutex
-	inFlight map[string]int
-	avoided  map[string]postmark.Micros
-	owing    map[string]*debt
-	faults   map[string]int
-	far      postmark.Micros
-	silence  postmark.Micros
-	sizes    map[string]float64 // mean bytes of a route's requests with their answers
-	readings map[string]*reading
-	fit      []roll.Candidate // room for choose
-	worse    []roll.Candidate
-	scores   []float64
+	place     office.Office
+	domain    string
+	blind     bool
+	lock      sync.Mutex
+	inFlight  map[string]int
+	avoided   map[string]postmark.Micros
+	owing     map[string]*debt
+	faults    map[string]int
+	far       postmark.Micros
+	silence   postmark.Micros
+	sizes     map[string]float64 // mean bytes of a route's requests with their answers
+	readings  map[string]*reading
+	standings map[string]*standing
+	peers     map[string]*peers
+	fit       []roll.Candidate // room for choose
+	worse     []roll.Candidate
+	scores    []float64
 }
 
 type debt struct {
@@ -51,7 +53,7 @@
 }
 
 func newChooser(place office.Office, domain string, blind bool, far postmark.Micros) *chooser {
-	return &chooser{place: place, silence: usualSilence, domain: domain, blind: blind, far: far, sizes: map[string]float64{}, readings: map[string]*reading{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
+	return &chooser{place: place, silence: usualSilence, domain: domain, blind: blind, far: far, sizes: map[string]float64{}, readings: map[string]*reading{}, standings: map[string]*standing{}, peers: map[string]*peers{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
 func (chooser *chooser) shun(name string) {
--- a/internal/carrier/passage/moves.go
+++ b/internal/carrier/passage/moves.go
@@ -11,7 +11,7 @@
 
 // movable are the causes of refusals after which another backend is asked at once: nothing of the request came as far as a
 // backend, and another one may well take it.
-var movable = map[seal.Cause]bool{seal.Overloaded: true, seal.BackendLeaving: true, seal.BackendUnknown: true, seal.Draining: true, seal.PassUnreachable: true}
+var movable = map[seal.Cause]bool{seal.Overloaded: true, seal.BackendLeaving: true, seal.BackendUnknown: true, seal.Draining: true, seal.PassUnreachable: true, seal.BackendAiling: true}
 
 // moves keeps account of a request's tries. The first one is free, a further one is paid for out of the retry budget, and a move
 // is part of the try that was turned down: whatever that one cost stays spent, and nothing is added.
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -312,7 +312,8 @@
 		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
 		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
-		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Priority: trip.Path.Priority, Aim: trip.aim(place.Now()), Single: trip.Single, Patient: trip.last, Route: trip.Path.Name}
+		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Priority: trip.Path.Priority, Aim: trip.aim(place.Now()), Single: trip.Single, Patient: trip.last, Route: trip.Path.Name,
+		Domain: passage.env.Domain, Peers: passage.choices.beside(passage.env.Roll.Directory(), trip.Service.Name, candidate.Instance)}
 	if trip.Once {
 		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
 	}
@@ -325,16 +326,17 @@
 		return passage.lost(trip, ticket, candidate, ask, err)
 	}
 	passage.choices.heard(candidate.Instance, tell.Load)
+	own := passage.choices.stands(passage.env.Roll.Directory(), trip.Service.Name, candidate.Instance, tell.Load)
 	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once && !trip.Single
 	}
 	if tell.Refused {
-		return passage.turnedDown(trip, ticket, candidate, tell)
+		return passage.turnedDown(trip, ticket, candidate, tell, own)
 	}
 	passage.choices.sized(trip.Path.Name, len(ask.Body)+len(tell.Body))
 	outcome := wicket.Success
-	if tell.Status >= 500 {
+	if tell.Status >= 500 && !own {
 		outcome = wicket.Failure
 	}
 	ticket.Done(outcome)
@@ -376,16 +378,16 @@
 }
 
 // turnedDown handles a refusal by the server's side.
-func (passage *Passage) turnedDown(trip *Trip, ticket *wicket.Ticket, candidate roll.Candidate, tell *wire.PassTell) (*letter.Answer, *seal.Fault, bool) {
+func (passage *Passage) turnedDown(trip *Trip, ticket *wicket.Ticket, candidate roll.Candidate, tell *wire.PassTell, own bool) (*letter.Answer, *seal.Fault, bool) {
 	fault := &seal.Fault{Cause: seal.Cause(tell.Cause), Verdict: seal.Verdict(tell.Verdict), RetryAfter: postmark.Micros(tell.RetryAfter),
 		Detail: tell.Detail, Backend: tell.BackendFault, Measured: seal.Cause(tell.Cause) == seal.Overloaded && tell.Load.GetSlots() > 0}
 	outcome := wicket.Neutral
-	if fault.Backend {
+	if fault.Backend && !own {
 		outcome = wicket.Failure
 	}
 	ticket.Done(outcome)
 	passage.choices.judge(candidate.Instance, fault.Backend)
-	if fault.Cause == seal.BackendDial || fault.Cause == seal.BackendIdentity || fault.Cause == seal.BackendLeaving || fault.Cause == seal.BackendUnknown {
+	if fault.Cause == seal.BackendDial || fault.Cause == seal.BackendIdentity || fault.Cause == seal.BackendLeaving || fault.Cause == seal.BackendUnknown || fault.Cause == seal.BackendAiling {
 		passage.choices.shun(candidate.Instance)
 	}
 	retriable := fault.NotRun() || !trip.Once && !trip.Single
--- a/internal/seal/causes.go
+++ b/internal/seal/causes.go
@@ -27,6 +27,7 @@
 	BackendUnknown   Cause = 406
 	BackendDial      Cause = 407
 	BackendIdentity  Cause = 408
+	BackendAiling    Cause = 409
 	AnswerBroken     Cause = 501
 	AnswerTooLarge   Cause = 502
 	AnswerLate       Cause = 503
@@ -72,6 +73,7 @@
 	BackendUnknown:   {"backend_unknown", 503, soon, false},
 	BackendDial:      {"backend_dial_failed", 502, soon, true},
 	BackendIdentity:  {"backend_identity_mismatch", 502, soon, false},
+	BackendAiling:    {"backend_ailing", 503, soon, false},
 	AnswerBroken:     {"answer_broken", 502, soon, true},
 	AnswerTooLarge:   {"answer_too_large", 502, 0, true},
 	AnswerLate:       {"answer_late", 504, soon, true},
