Ejected backends are found well again sooner; a simulated service of which two backends fall ill

Cause: one that had been slow was told of at its slow pace, by a mean over 16 requests, so callers hardly chose it and it took up to 13 s until it had its share again. Now the pace falls within three requests, an ejected backend is told of at its usual work time, for its gate keeps requests away, and its gate's own means are learnt anew once it's quick.

--- a/internal/carrier/gate/slots/slots.go
+++ b/internal/carrier/gate/slots/slots.go
@@ -175,6 +175,14 @@
 	return slots.Work()
 }
 
+// Relearn takes what was measured for hardly known: the backend isn't any more as it was then.
+func (slots *Slots) Relearn() {
+	slots.work.measured = min(slots.work.measured, 1)
+	for _, known := range slots.kinds {
+		known.measured = min(known.measured, 1)
+	}
+}
+
 // Measured tells whether Work comes from requests that were worked on.
 func (slots *Slots) Measured() bool { return slots.work.measured > 0 }
 
--- a/internal/carrier/hutch/standing.go
+++ b/internal/carrier/hutch/standing.go
@@ -50,6 +50,9 @@
 // settle has whoever waits for an ejected backend go elsewhere, and reports. The lock is held, and let go.
 func (hutch *Hutch) settle(present *entry) {
 	changes := present.standing.Changes()
+	if present.standing.Quickened() {
+		present.slots.Relearn()
+	}
 	for _, change := range changes {
 		if change.Ejected && change.Domain == "" {
 			present.slots.Flush(hutch.place.Now())
@@ -72,6 +75,9 @@
 	if present := hutch.entries[instance]; present != nil && load != nil {
 		load.Faults, load.Pace = thousandths(present.standing.Faults(domain)), thousandths(present.standing.Pace())
 		load.Ejected = present.standing.Ejected(domain)
+		if usual := present.standing.Usual(); load.Ejected && usual > 0 {
+			load.WorkMicros = int64(usual) // its gate keeps requests away, but some must come to find out when it's well
+		}
 	}
 }
 
--- a/internal/carrier/outlier/outlier.go
+++ b/internal/carrier/outlier/outlier.go
@@ -26,9 +26,13 @@
 	unknownOverdue = postmark.Second
 	// slowFactor is how much slower than its peers a backend must have become for it to be left out by those it can't serve in time.
 	slowFactor = 2
+	// quickFactor is that below which one that was slow is as quick as its peers again.
+	quickFactor = 1.4
 	// kindMemory is the number of requests over which a kind's usual time is taken: much longer than a trouble should weigh in it.
 	kindMemory, kindEnough = 64, 8
 	mostKinds              = 256
+	// quicker is the number of requests over which the pace is taken where they were quicker than it: one that has been slow gets few.
+	quicker = 3
 	// firstGap is the pause between two probes of an ejected backend; it doubles with each that fails, and with each ejection
 	// within flapMemory.
 	firstGap, mostGap = 500 * postmark.Millisecond, 2 * postmark.Second
@@ -83,6 +87,9 @@
 	kinds   map[string]*usual
 	pace    float64 // time over the kind's usual one, smoothed
 	paced   int
+	usual   usual // over all kinds
+	slowed  bool  // it was slower than its peers, and isn't as quick as them again
+	quick   bool  // it has become so since Quickened was asked
 	peers   Peers
 	started []*Visit
 	probed  postmark.Micros // when a request that can't be served in time was last let in, to measure
@@ -162,7 +169,7 @@
 				return nil, wait
 			}
 		}
-		if detector.tooSlow(ask) {
+		if !detector.all.ejected && !own.ejected && detector.tooSlow(ask) { // else it's a probe, and paced
 			if wait := detector.probed + firstGap - now; wait > 0 && detector.probed > 0 {
 				return nil, wait
 			}
@@ -289,13 +296,36 @@
 	time := float64(took)
 	if known.seen >= kindEnough && known.time > 0 {
 		detector.paced = min(detector.paced+1, memory)
-		detector.pace += (time/known.time - detector.pace) / float64(max(2, detector.paced))
+		weight := float64(max(2, detector.paced))
+		if time < detector.pace*known.time {
+			weight = min(weight, quicker)
+		}
+		detector.pace += (time/known.time - detector.pace) / weight
 		time = min(time, 2*known.time)
 	}
-	known.seen = min(known.seen+1, kindMemory)
-	known.time += (time - known.time) / float64(known.seen)
+	known.take(time)
+	detector.usual.take(time)
+	if detector.pace >= slowFactor*detector.peers.Pace {
+		detector.slowed = true
+	} else if detector.slowed && detector.pace < quickFactor*detector.peers.Pace {
+		detector.slowed, detector.quick = false, true
+	}
+}
+
+func (usual *usual) take(time float64) {
+	usual.seen = min(usual.seen+1, kindMemory)
+	usual.time += (time - usual.time) / float64(usual.seen)
 }
 
+// Quickened tells, once, that the backend was slow and is as quick as its peers again: what was measured of it is no more true.
+func (detector *Detector) Quickened() (quick bool) {
+	quick, detector.quick = detector.quick, false
+	return quick
+}
+
+// Usual is the time that its requests usually take; zero if not known.
+func (detector *Detector) Usual() postmark.Micros { return postmark.Micros(detector.usual.time) }
+
 // judge settles what one request says.
 func (detector *Detector) judge(now postmark.Micros, visit *Visit, outcome Outcome) {
 	lanes := visit.lanes
