--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -204,26 +204,27 @@
 
 // Status is what operators are shown of a carrier.
 type Status struct {
-	Name        string          `json:"name"`
-	Domain      string          `json:"domain"`
-	Incarnation uint64          `json:"incarnation"`
-	Ready       bool            `json:"ready"`
-	Why         string          `json:"why,omitempty"`
-	Serial      uint64          `json:"desired_serial"`
-	Age         int64           `json:"desired_age_micros"` // since it was taken up
-	Taken       desk.Taken      `json:"desired_taken"`
-	Running     int64           `json:"requests_running"`
-	Passes      int64           `json:"passes_running"`
-	Backends    []*wire.Backend `json:"backends"`
-	Guards      []wicket.Shown  `json:"guards"`
-	Degraded    bool            `json:"guards_degraded"` // it goes by its own windows
-	Members     int             `json:"members_seen"`
+	Name        string           `json:"name"`
+	Domain      string           `json:"domain"`
+	Incarnation uint64           `json:"incarnation"`
+	Ready       bool             `json:"ready"`
+	Why         string           `json:"why,omitempty"`
+	Serial      uint64           `json:"desired_serial"`
+	Age         int64            `json:"desired_age_micros"` // since it was taken up
+	Taken       desk.Taken       `json:"desired_taken"`
+	Running     int64            `json:"requests_running"`
+	Passes      int64            `json:"passes_running"`
+	Backends    []*wire.Backend  `json:"backends"`
+	Standings   []hutch.Standing `json:"standings"` // how they do, as their gate sees it
+	Guards      []wicket.Shown   `json:"guards"`
+	Degraded    bool             `json:"guards_degraded"` // it goes by its own windows
+	Members     int              `json:"members_seen"`
 }
 
 // Status tells how this carrier stands.
 func (carrier *Carrier) Status() Status {
 	status := Status{Name: carrier.env.Name, Domain: carrier.env.Domain, Incarnation: carrier.incarnation, Running: carrier.Passage.Running(),
-		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Guards: carrier.Wicket.Show(), Degraded: carrier.Wicket.Degraded(), Members: carrier.Roll.Directory().Live}
+		Passes: carrier.Gate.Running(), Backends: carrier.Hutch.Told(), Standings: carrier.Hutch.Standings(), Guards: carrier.Wicket.Show(), Degraded: carrier.Wicket.Degraded(), Members: carrier.Roll.Directory().Live}
 	status.Ready, status.Why = carrier.Ready()
 	serial, age := carrier.Desk.Serial()
 	status.Serial, status.Age, status.Taken = serial, int64(age), carrier.Desk.Taken()
--- a/internal/carrier/hutch/standing.go
+++ b/internal/carrier/hutch/standing.go
@@ -82,3 +82,36 @@
 }
 
 func thousandths(share float64) uint32 { return uint32(min(share, 1000) * 1000) }
+
+// Standing is what operators are shown of how a backend does.
+type Standing struct {
+	Service  string  `json:"service"`
+	Instance string  `json:"instance"`
+	Faults   float64 `json:"faults"` // share of its last answers
+	Pace     float64 `json:"pace"`   // time of its requests over their usual one
+	Ejected  bool    `json:"ejected"`
+	// Callers are the domains whose callers alone are kept away.
+	Callers []string `json:"ejected_for,omitempty"`
+}
+
+// Standings tells how each backend here does.
+func (hutch *Hutch) Standings() (standings []Standing) {
+	hutch.lock.Lock()
+	defer hutch.lock.Unlock()
+	for _, instance := range hutch.instances() {
+		present := hutch.entries[instance]
+		standings = append(standings, Standing{Service: present.Service, Instance: instance, Faults: present.standing.Faults(""), Pace: present.standing.Pace(),
+			Ejected: present.standing.Ejected(""), Callers: present.standing.Apart()})
+	}
+	return standings
+}
+
+// Ejected counts the backends here that are, for all callers or for some.
+func (hutch *Hutch) Ejected() (count float64) {
+	for _, standing := range hutch.Standings() {
+		if standing.Ejected || len(standing.Callers) > 0 {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/carrier/outlier/outlier.go
+++ b/internal/carrier/outlier/outlier.go
@@ -3,6 +3,7 @@
 package outlier
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -403,6 +404,16 @@
 	return detector.all.ejected || own != nil && own.ejected
 }
 
+// Apart are the domains whose callers alone are kept from it.
+func (detector *Detector) Apart() (domains []string) {
+	for _, domain := range slices.Sorted(maps.Keys(detector.domains)) {
+		if detector.domains[domain].ejected {
+			domains = append(domains, domain)
+		}
+	}
+	return domains
+}
+
 // Faults is the share of faulty answers to callers of a domain, or to all if that is worse.
 func (detector *Detector) Faults(domain string) float64 {
 	own := detector.domains[domain]
--- a/internal/carrier/passage/ailing_test.go
+++ b/internal/carrier/passage/ailing_test.go
@@ -212,7 +212,7 @@
 				with.asked, with.bad, with.visits, with.after, with.afterIll = with.asked+one.asked, with.bad+one.bad, with.visits+one.visits, with.after+one.after, with.afterIll+one.afterIll
 				without.asked, without.bad, without.visits = without.asked+other.asked, without.bad+other.bad, without.visits+other.visits
 			}
-			t.Logf("two of twelve ill for 6 s: %.2f %% of %d late or lost, %d visits; without %.2f %%, %d visits; 5 s later they have %.3f of all", 100*with.share(), with.asked, with.visits, 100*without.share(), without.visits, float64(with.afterIll)/float64(with.after))
+			t.Logf(name+": two of twelve ill for 6 s: %.2f %% of %d late or lost, %d visits; without %.2f %%, %d visits; 5 s later they have %.3f of all", 100*with.share(), with.asked, with.visits, 100*without.share(), without.visits, float64(with.afterIll)/float64(with.after))
 			if with.share() > most.lost*without.share() || float64(with.visits) > most.visits*float64(without.visits) {
 				t.Errorf("%.4f of the requests are late or lost, %.4f where nobody is left out; %d visits, and %d", with.share(), without.share(), with.visits, without.visits)
 			}
