One ask at a time finds out whether the primary sorter answers, on behalf of all

The primaries take over from one another: the view of 2.2 MB that a new one installs isn't written within its 5 s, and ballots find no majority. Each waiting claim of each of 73 carriers asked the primary that answers nothing yet again each 50 ms, and with 565 forms a second that leaves it no processor for its copies.

Ruled out: the view's size alone (the postmasters' goes over in half a second in the same minute), and holder time after a view.

Now a carrier whose ask failed sends one at a time, each 100 ms, and lets the others go once it's answered or another one leads.

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -60,7 +60,8 @@
 	// Guards takes the guards' records from the primary, or nothing when it couldn't be reached.
 	Guards func(records []*wire.GuardRecord, reached bool)
 
-	soon office.Signal
+	soon  office.Signal
+	scout scout
 
 	lock      sync.Mutex
 	directory *Directory
@@ -284,19 +285,41 @@
 }
 
 // CallPrimary asks the primary sorter, again after a failover, until patience ends. Only asks that may be repeated
-// go this way.
+// go this way. While the primary doesn't answer, one ask at a time goes out on behalf of all.
 func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
 	cutoff := roll.place.Now() + patience
 	var last error = seal.Unreachable.New("no primary sorter is known")
+	var signal office.Signal
 	for {
-		remaining := cutoff - roll.place.Now()
+		now := roll.place.Now()
+		remaining := cutoff - now
 		if remaining <= 0 {
+			if signal != nil {
+				roll.scout.forget(signal)
+			}
 			return last
 		}
 		if name := roll.book.Leader(sorters); name != "" {
-			if last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond)); last == nil {
-				return nil
+			goes, alone, wait := roll.scout.turn(now, name, signal)
+			if goes {
+				last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond))
+				after := roll.place.Now()
+				roll.scout.back(after, name, last == nil, alone, after-now, seal.IsRefused(last))
+				if last == nil {
+					return nil
+				}
+				roll.book.Ask()
+				if !roll.scout.fails() {
+					roll.place.Sleep(min(firstPause, max(cutoff-roll.place.Now(), 0)))
+				}
+				continue
 			}
+			if signal == nil {
+				signal = roll.place.NewSignal()
+				continue // it's to be known who waits
+			}
+			signal.Wait(max(min(wait, remaining), postmark.Millisecond))
+			continue
 		}
 		roll.book.Ask()
 		roll.place.Sleep(min(50*postmark.Millisecond, max(cutoff-roll.place.Now(), 0)))
