--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -303,8 +303,7 @@
 			goes, alone, wait := roll.scout.turn(now, name, signal)
 			if goes {
 				last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond))
-				after := roll.place.Now()
-				roll.scout.back(after, name, last == nil, alone, after-now, seal.IsRefused(last))
+				roll.scout.back(roll.place.Now(), name, last, alone)
 				if last == nil {
 					return nil
 				}
--- a/internal/carrier/roll/scout.go
+++ b/internal/carrier/roll/scout.go
@@ -1,17 +1,17 @@
 package roll
 
 import (
+	"slices"
 	"sync"
 
 	"snowflow/internal/office"
 	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
 )
 
 const (
 	// firstPause and scoutPause are how long after a first, and a further, ask that failed the next one goes out.
 	firstPause, scoutPause = 50 * postmark.Millisecond, 100 * postmark.Millisecond
-	// fairPatience is how long an ask must have waited in vain to say something of the primary.
-	fairPatience = 300 * postmark.Millisecond
 )
 
 // scout lets one ask at a time find out whether the primary answers again, once it doesn't. Without it each waiting request of each
@@ -22,8 +22,7 @@
 	failing bool
 	asked   string
 	after   postmark.Micros // no further ask goes out before
-	pause   postmark.Micros
-	waiting map[office.Signal]bool
+	waiting []office.Signal
 }
 
 // turn tells whether an ask may go to a leader now; if not it's to wait for the signal, wait at the most. alone tells that it's the
@@ -31,7 +30,7 @@
 func (scout *scout) turn(now postmark.Micros, leader string, signal office.Signal) (goes, alone bool, wait postmark.Micros) {
 	scout.lock.Lock()
 	defer scout.lock.Unlock()
-	delete(scout.waiting, signal)
+	scout.drop(signal)
 	if !scout.failing {
 		return true, false, 0
 	}
@@ -44,32 +43,35 @@
 	default:
 		wait = scoutPause
 	}
-	if scout.waiting == nil {
-		scout.waiting = map[office.Signal]bool{}
-	}
 	if signal != nil {
-		scout.waiting[signal] = true
+		scout.waiting = append(scout.waiting, signal)
 	}
 	return false, false, min(wait, scoutPause)
 }
 
-// back notes how an ask ended that waited for patience at the most.
-func (scout *scout) back(now postmark.Micros, leader string, answered, alone bool, waited postmark.Micros, refused bool) {
+// back notes how an ask ended. Only a primary that turns asks down is left to one: one that takes them and is slow, as its disk
+// may be, does best with all of them in one batch.
+func (scout *scout) back(now postmark.Micros, leader string, err error, alone bool) {
 	scout.lock.Lock()
 	defer scout.lock.Unlock()
-	if answered {
-		scout.failing, scout.asked, scout.pause = false, "", 0
-		for signal := range scout.waiting {
+	switch {
+	case seal.IsRefused(err):
+		if !scout.failing {
+			scout.failing, scout.asked, scout.after = true, "", now+firstPause
+		}
+		if alone && scout.asked == leader {
+			scout.asked, scout.after = "", now+scoutPause
+		}
+	case err != nil && seal.IsUnreachable(err) && scout.failing:
+		if alone && scout.asked == leader {
+			scout.asked, scout.after = "", now+scoutPause
+		}
+	case err == nil || alone:
+		scout.failing, scout.asked = false, ""
+		for _, signal := range scout.waiting {
 			signal.Fire()
 		}
-		clear(scout.waiting)
-		return
-	}
-	if !scout.failing && (refused || waited >= fairPatience) {
-		scout.failing, scout.asked, scout.pause, scout.after = true, "", scoutPause, now+firstPause
-	}
-	if alone && scout.asked == leader {
-		scout.asked, scout.after = "", now+scout.pause
+		scout.waiting = nil
 	}
 }
 
@@ -84,5 +86,9 @@
 func (scout *scout) forget(signal office.Signal) {
 	scout.lock.Lock()
 	defer scout.lock.Unlock()
-	delete(scout.waiting, signal)
+	scout.drop(signal)
+}
+
+func (scout *scout) drop(signal office.Signal) {
+	scout.waiting = slices.DeleteFunc(scout.waiting, func(other office.Signal) bool { return other == signal })
 }
