--- a/internal/carrier/gate/standing.go
+++ b/internal/carrier/gate/standing.go
@@ -19,8 +19,8 @@
 
 // load tells how the asked backend stands.
 func (gate *Gate) load(ask *wire.PassAsk) *wire.Load {
-	load := gate.env.Hutch.Load(ask.Instance)
-	gate.env.Hutch.Stand(load, ask.Instance, ask.Domain)
+	load := gate.env.Hutch.Load(ask.Instance, ask.Route)
+	gate.env.Hutch.Stand(load, ask.Instance, ask.Domain, ask.Route)
 	return load
 }
 
--- a/internal/carrier/hutch/standing.go
+++ b/internal/carrier/hutch/standing.go
@@ -68,15 +68,15 @@
 	}
 }
 
-// Stand adds a backend's standing with the callers of a domain to its told load.
-func (hutch *Hutch) Stand(load *wire.Load, instance, domain string) {
+// Stand adds a backend's standing with the callers of a domain to its load as told to a route.
+func (hutch *Hutch) Stand(load *wire.Load, instance, domain, route string) {
 	hutch.lock.Lock()
 	defer hutch.lock.Unlock()
 	if present := hutch.entries[instance]; present != nil && load != nil {
 		load.Faults, load.Pace = thousandths(present.standing.Faults(domain)), thousandths(present.standing.Pace())
 		load.Ejected = present.standing.Ejected(domain)
 		if usual := present.standing.Usual(); load.Ejected && usual > 0 {
-			load.WorkMicros = int64(usual) // its gate keeps requests away, but some must come to find out when it's well
+			load.WorkMicros, load.RouteMicros = int64(usual), int64(present.standing.UsualOf(route)) // its gate keeps requests away, but some must come to find out when it's well
 		}
 	}
 }
--- a/internal/carrier/outlier/outlier.go
+++ b/internal/carrier/outlier/outlier.go
@@ -404,6 +404,15 @@
 	return detector.all.ejected || own != nil && own.ejected
 }
 
+// UsualOf is that of one kind; zero while too few of it were seen.
+func (detector *Detector) UsualOf(kind string) postmark.Micros {
+	known := detector.kinds[kind]
+	if known == nil || known.seen < kindEnough {
+		return 0
+	}
+	return postmark.Micros(known.time)
+}
+
 // Apart are the domains whose callers alone are kept from it.
 func (detector *Detector) Apart() (domains []string) {
 	for _, domain := range slices.Sorted(maps.Keys(detector.domains)) {
--- a/internal/carrier/passage/ailing_test.go
+++ b/internal/carrier/passage/ailing_test.go
@@ -132,10 +132,10 @@
 	left := began + ailingCutoff - place.Now()
 	peers := choices.beside(directory, "forms", candidate.Instance)
 	defer func() {
-		load := keeper.Load(candidate.Instance)
-		keeper.Stand(load, candidate.Instance, choices.domain)
+		load := keeper.Load(candidate.Instance, "forms")
+		keeper.Stand(load, candidate.Instance, choices.domain, "forms")
 		place.Sleep(ms / 2)
-		choices.heard(candidate.Instance, load)
+		choices.heard(candidate.Instance, "forms", load)
 		choices.stands(directory, "forms", candidate.Instance, load)
 	}()
 	visit, fault := keeper.Visit(candidate.Instance, outlier.Ask{Domain: choices.domain, Kind: "forms", Aim: began + 400*ms - place.Now(), Repeatable: true, Insists: last || ailing.without,
