Connections that a backend forgets early: the rest that proved too long bounds what is used, and says nothing of the backend

Cause: a backend that forgets idle connections resets what is next sent on one. That came to a broken answer, a further try out of the budget, or an unknown end for a keyed request, again and again, and it would count against its standing.

Now a connection's end without a byte after a rest of 100 ms or more has connections to that backend rest three quarters of that at the most, for 10 s, and isn't counted as its fault.

--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -40,6 +40,7 @@
 	dialect Dialect
 	lock    sync.Mutex
 	idle    map[string][]*line
+	rests   rests
 }
 
 // Dialect is how one kind of backend is spoken to. Own is this product's; another is put together by its adapter, and held to
@@ -76,15 +77,17 @@
 type line struct {
 	connection net.Conn
 	limited    *io.LimitedReader
+	rested     time.Duration // how long it had been idle before this request; zero for a fresh one
 	reader     *bufio.Reader
 	since      time.Time
 	life       time.Duration // how long it may be idle, as far as the backend told
 	buffer     bytes.Buffer
+	allowed    int64 // of limited, before anything of the answer was read
 }
 
 // New makes a courier.
 func New(clock postmark.Clock, dialect Dialect) *Courier {
-	return &Courier{clock: clock, dialect: dialect, idle: map[string][]*line{}}
+	return &Courier{clock: clock, dialect: dialect, idle: map[string][]*line{}, rests: rests{}}
 }
 
 // Deliver hands one request over and reads the whole answer.
@@ -112,10 +115,15 @@
 		if written == 0 {
 			verdict = seal.NotRun
 		}
-		return nil, seal.New(seal.AnswerBroken, verdict, "sending to %s: %v", order.Backend.Instance, err)
+		fault := seal.New(seal.AnswerBroken, verdict, "sending to %s: %v", order.Backend.Instance, err)
+		fault.Local = courier.forgot(order.Backend.Instance, connection.rested)
+		return nil, fault
 	}
 	answer, reusable, fault := connection.read(order, courier.dialect)
 	keep = reusable && fault == nil
+	if fault != nil && fault.Cause == seal.AnswerBroken && connection.limited.N == connection.allowed {
+		fault.Local = courier.forgot(order.Backend.Instance, connection.rested)
+	}
 	return answer, fault
 }
 
@@ -123,7 +131,8 @@
 func (courier *Courier) line(order gate.Order, cutoff time.Time) (*line, *seal.Fault) {
 	if reuse := courier.dialect.ReuseOnce; !order.Fresh || reuse > 0 {
 		for kept := courier.take(order.Backend.Instance); kept != nil; kept = courier.take(order.Backend.Instance) {
-			if kept.quiet() && (!order.Fresh || time.Since(kept.since) < reuse) {
+			kept.rested = time.Since(kept.since)
+			if kept.quiet() && (!order.Fresh || kept.rested < reuse) && courier.rested(order.Backend.Instance, kept.rested) {
 				return kept, nil
 			}
 			_ = kept.connection.Close()
@@ -153,6 +162,20 @@
 	return one
 }
 
+// rested tells whether a connection that was idle so long may still be used; a fresh one always may.
+func (courier *Courier) rested(instance string, rested time.Duration) bool {
+	courier.lock.Lock()
+	defer courier.lock.Unlock()
+	return courier.rests.fresh(time.Now(), instance, rested)
+}
+
+// forgot notes a connection that ended without a byte of an answer, and tells whether its backend had only forgotten it.
+func (courier *Courier) forgot(instance string, rested time.Duration) bool {
+	courier.lock.Lock()
+	defer courier.lock.Unlock()
+	return courier.rests.forgot(time.Now(), instance, rested)
+}
+
 func (courier *Courier) take(instance string) *line {
 	courier.lock.Lock()
 	defer courier.lock.Unlock()
@@ -265,7 +288,8 @@
 	broken := func(format string, arguments ...any) (*letter.Answer, bool, *seal.Fault) {
 		return nil, false, seal.New(seal.AnswerBroken, seal.MayHaveRun, "%s: %s", order.Backend.Instance, fmt.Sprintf(format, arguments...))
 	}
-	line.limited.N = int64(order.AnswerLimit) + headRoom
+	line.allowed = int64(order.AnswerLimit) + headRoom
+	line.limited.N = line.allowed
 	request := &http.Request{Method: order.Method}
 	var response *http.Response
 	for interim := 0; ; interim++ {
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -45,7 +45,7 @@
 	Backend bool
 	// Measured is true when RetryAfter is a wait that a gate measured, not the catalogue's.
 	Measured bool
-	// Local is true when the fault lies with this node's own network and says nothing of the backend.
+	// Local is true when the fault says nothing of how the backend does: it lies with the network, or a connection that it had forgotten.
 	Local bool
 }
 
