--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -371,7 +371,8 @@
 			goes, alone, wait := roll.scout.turn(now, name, signal)
 			if goes {
 				last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond))
-				roll.scout.back(roll.place.Now(), name, last, alone)
+				after := roll.place.Now()
+				roll.scout.back(after, name, last, alone, after-now)
 				if last == nil {
 					return nil
 				}
--- a/internal/carrier/roll/scout.go
+++ b/internal/carrier/roll/scout.go
@@ -12,6 +12,9 @@
 const (
 	// firstPause and scoutPause are how long after a first, and a further, ask that failed the next one goes out.
 	firstPause, scoutPause = 50 * postmark.Millisecond, 100 * postmark.Millisecond
+	// slowAnswer is how long the one ask must have waited in vain to say that the primary takes asks, and is slow. A shorter one's
+	// patience was its own.
+	slowAnswer = 500 * postmark.Millisecond
 )
 
 // scout lets one ask at a time find out whether the primary answers again, once it doesn't. Without it each waiting request of each
@@ -51,7 +54,7 @@
 
 // back notes how an ask ended. Only a primary that turns asks down is left to one: one that takes them and is slow, as its disk
 // may be, does best with all of them in one batch.
-func (scout *scout) back(now postmark.Micros, leader string, err error, alone bool) {
+func (scout *scout) back(now postmark.Micros, leader string, err error, alone bool, waited postmark.Micros) {
 	scout.lock.Lock()
 	defer scout.lock.Unlock()
 	switch {
@@ -62,7 +65,7 @@
 		if alone && scout.asked == leader {
 			scout.asked, scout.after = "", now+scoutPause
 		}
-	case err != nil && seal.IsUnreachable(err) && scout.failing:
+	case err != nil && scout.failing && (seal.IsUnreachable(err) || waited < slowAnswer):
 		if alone && scout.asked == leader {
 			scout.asked, scout.after = "", now+scoutPause
 		}
--- a/internal/carrier/roll/scout_test.go
+++ b/internal/carrier/roll/scout_test.go
@@ -9,6 +9,7 @@
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
 )
 
 // TestOneAsksForAll: while the primary turns asks down, as between its take-over and its copies being in step, few of a carrier's
@@ -70,3 +71,30 @@
 		})
 	}
 }
+
+// TestHastyScout: an ask with little patience says nothing of a primary that gives no answer in it, so it doesn't let all go; one that
+// waited for long does, as at a slow disk, where all asks are best in one batch.
+func TestHastyScout(t *testing.T) {
+	for _, row := range []struct {
+		waited postmark.Micros
+		goes   bool
+	}{{50 * postmark.Millisecond, false}, {600 * postmark.Millisecond, true}} {
+		known, now := &scout{}, postmark.Minute
+		known.back(now, "first", seal.Refused.New("not the primary"), false, postmark.Millisecond)
+		if goes, _, wait := known.turn(now, "first", nil); goes || wait != firstPause {
+			t.Fatalf("the next ask goes: %v, waits %d", goes, wait)
+		}
+		now += firstPause
+		if goes, alone, _ := known.turn(now, "first", nil); !goes || !alone {
+			t.Fatal("nobody finds out")
+		}
+		if goes, _, _ := known.turn(now, "first", nil); goes {
+			t.Fatal("a second one goes along")
+		}
+		now += row.waited
+		known.back(now, "first", seal.Lost.New("no answer"), true, row.waited)
+		if goes, _, _ := known.turn(now, "first", nil); goes != row.goes {
+			t.Errorf("after a wait of %d ms in vain all go: %v", row.waited/postmark.Millisecond, goes)
+		}
+	}
+}
