--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -19,6 +19,7 @@
 
 	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/letter"
+	"snowflow/internal/office/socket"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -129,10 +130,13 @@
 			_ = kept.connection.Close()
 		}
 	}
-	connection, err := net.DialTimeout("tcp", order.Backend.Address, min(dialPatience, time.Until(cutoff)))
+	// A connection that is used again is looked at first, and an answer has its cutoff: it needs no probes of the system's.
+	dialer := net.Dialer{Timeout: min(dialPatience, time.Until(cutoff)), KeepAlive: -1}
+	connection, err := dialer.Dial("tcp", order.Backend.Address)
 	if err != nil {
 		return nil, seal.New(seal.BackendDial, seal.NotRun, "%v", err)
 	}
+	connection = socket.Wrap(connection)
 	limited := &io.LimitedReader{R: connection, N: headRoom}
 	fresh := &line{connection: connection, limited: limited, reader: bufio.NewReaderSize(limited, 16<<10), life: idleLife}
 	if !courier.dialect.Greets {
@@ -184,18 +188,8 @@
 	if line.reader.Buffered() > 0 || time.Since(line.since) > line.life {
 		return false
 	}
-	raw, err := line.connection.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && silent
+	known, is := line.connection.(syscall.Conn)
+	return is && socket.Quiet(known)
 }
 
 type identity struct {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -23,6 +23,7 @@
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/office/machine"
+	"snowflow/internal/office/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -168,7 +169,7 @@
 		return err
 	}
 	house.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(socket.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return suture.ErrDoNotRestart
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -13,6 +13,7 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/office"
+	"snowflow/internal/office/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -112,6 +113,7 @@
 		close(link.dialled)
 		return
 	}
+	connection = socket.Wrap(connection)
 	link.connection = connection
 	link.heard.Store(int64(peers.machine.Now()))
 	close(link.dialled)
@@ -209,8 +211,7 @@
 	link.lock.Unlock()
 	encoded := frame.Append(make([]byte, 0, len(content)+32), frame.Frame{Kind: kind, Number: number, Content: content})
 	link.writing.Lock()
-	_ = link.connection.SetWriteDeadline(time.Now().Add(patience.Duration()))
-	_, err = link.connection.Write(encoded)
+	err = socket.WriteWithin(link.connection, encoded, patience.Duration())
 	link.writing.Unlock()
 	link.counts.sent.Add(uint64(len(encoded)))
 	peers.tallies.sent(kind, len(encoded))
@@ -264,7 +265,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		go peers.answer(connection, table)
+		go peers.answer(socket.Wrap(connection), table)
 	}
 }
 
@@ -301,9 +302,8 @@
 			encoded := frame.Append(make([]byte, 0, len(outgoing.Content)+32), outgoing)
 			writing.Lock()
 			defer writing.Unlock()
-			_ = connection.SetWriteDeadline(time.Now().Add(10 * time.Second))
 			peers.tallies.sent(outgoing.Kind, len(encoded))
-			if _, err := connection.Write(encoded); err != nil {
+			if err := socket.WriteWithin(connection, encoded, 10*time.Second); err != nil {
 				_ = connection.Close()
 			}
 		}()
