--- a/internal/carrier/lastpost/lastpost.go
+++ b/internal/carrier/lastpost/lastpost.go
@@ -69,7 +69,7 @@
 		errand.done.Store(true)
 		errand.wakeup.Fire()
 	})
-	for !errand.wakeup.Wait(postmark.Minute) {
+	for !errand.wakeup.Wait(postmark.Forever) {
 	}
 	post.lock.Lock()
 	delete(post.open, errand)
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -346,7 +346,7 @@
 	}
 	request := &proposal{command: command, done: member.env.Place.NewSignal()}
 	member.inbox.Put(request)
-	for !request.done.Wait(postmark.Minute) {
+	for !request.done.Wait(postmark.Forever) {
 	}
 	return request.result, request.err
 }
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -278,7 +278,7 @@
 			answered.Fire()
 		})
 		waits = append(waits, func() {
-			for !answered.Wait(postmark.Minute) {
+			for !answered.Wait(postmark.Forever) {
 			}
 		})
 	}
--- a/internal/mailround/world/world.go
+++ b/internal/mailround/world/world.go
@@ -424,12 +424,14 @@
 	signal.waiter = entry
 	signal.turn++
 	turn := signal.turn
-	world.push(world.now+patience, entry.node, entry.life, func() {
-		if signal.turn == turn && signal.waiter == entry {
-			signal.waiter = nil
-			world.switchTo(entry)
-		}
-	})
+	if patience < postmark.Forever {
+		world.push(world.now+patience, entry.node, entry.life, func() {
+			if signal.turn == turn && signal.waiter == entry {
+				signal.waiter = nil
+				world.switchTo(entry)
+			}
+		})
+	}
 	world.yield(entry)
 	fired := signal.fired
 	signal.fired = false
--- a/internal/office/machine/machine.go
+++ b/internal/office/machine/machine.go
@@ -19,6 +19,7 @@
 	disk     strongbox.Disk
 	bulletin *bulletin.Board
 	stop     func(why string)
+	crew     crew
 }
 
 // New makes an office. disk may be nil where a process keeps nothing.
@@ -32,7 +33,7 @@
 func (machine *Machine) Sleep(span postmark.Micros) { time.Sleep(span.Duration()) }
 
 // Go starts a task.
-func (machine *Machine) Go(task func()) { go task() }
+func (machine *Machine) Go(task func()) { machine.crew.start(task) }
 
 // Random gives 64 random bits.
 func (machine *Machine) Random() uint64 { return rand.Uint64() }
@@ -76,6 +77,10 @@
 	if patience <= 0 {
 		return false
 	}
+	if patience >= postmark.Forever {
+		<-signal.channel
+		return true
+	}
 	timer := time.NewTimer(patience.Duration())
 	defer timer.Stop()
 	select {
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -288,7 +288,7 @@
 		}
 		peers.tallies.received(incoming.Kind, len(incoming.Content)+frame.HeaderLength)
 		peers.busy.Inc()
-		go func() {
+		peers.machine.Go(func() {
 			defer peers.busy.Dec()
 			outgoing := frame.Frame{Kind: incoming.Kind, Flags: frame.Reply, Number: incoming.Number}
 			reply, err := table[incoming.Kind](incoming.Content)
@@ -306,6 +306,6 @@
 			if err := socket.WriteWithin(connection, encoded, 10*time.Second); err != nil {
 				_ = connection.Close()
 			}
-		}()
+		})
 	}
 }
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -109,7 +109,7 @@
 	owner := &Owner{place: place, inbox: NewInbox[func()](place)}
 	place.Go(func() {
 		for {
-			for _, command := range owner.inbox.Take(10 * postmark.Second) {
+			for _, command := range owner.inbox.Take(postmark.Forever) {
 				command()
 			}
 		}
@@ -121,7 +121,7 @@
 func (owner *Owner) Do(command func()) {
 	done := owner.place.NewSignal()
 	owner.inbox.Put(func() { command(); done.Fire() })
-	for !done.Wait(postmark.Minute) {
+	for !done.Wait(postmark.Forever) {
 	}
 }
 
--- a/internal/postmark/postmark.go
+++ b/internal/postmark/postmark.go
@@ -18,6 +18,8 @@
 	Millisecond Micros = 1000
 	Second      Micros = 1000 * Millisecond
 	Minute      Micros = 60 * Second
+	// Forever is a patience that never ends.
+	Forever Micros = 1 << 61
 )
 
 // Duration turns a span into the standard library's form.
