--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -310,7 +310,7 @@
 		}
 	}
 	return &letter.Answer{Status: uint32(response.StatusCode), Headers: Kept(response.Header), Body: body, NotRun: notRun},
-		!response.Close && !bodyless && surplus == 0 && line.quiet(), nil
+		!response.Close && !bodyless && surplus == 0, nil
 }
 
 // idleMargin is how much earlier than its backend says a connection is no longer used.
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -308,7 +309,7 @@
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.CutoffReached, seal.NotRun, "the cutoff was reached before the pass"), false
 	}
-	ask := &wire.PassAsk{Id: fmt.Sprintf("%s.%d", trip.Request.ID, trip.Tries), Serial: trip.View.Serial, Service: trip.Service.Name,
+	ask := &wire.PassAsk{Id: trip.Request.ID + "." + strconv.Itoa(trip.Tries), Serial: trip.View.Serial, Service: trip.Service.Name,
 		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
 		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -287,9 +287,12 @@
 // go this way.
 func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
 	cutoff := roll.place.Now() + patience
-	var last error = seal.Unreachable.New("no primary sorter is known")
+	var last error
 	for {
 		remaining := cutoff - roll.place.Now()
+		if remaining <= 0 && last == nil {
+			return seal.Unreachable.New("no primary sorter is known") // made here alone: an error carries its stack, which costs
+		}
 		if remaining <= 0 {
 			return last
 		}
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -203,7 +204,9 @@
 		return suture.ErrDoNotRestart
 	})
 	house.Add(func() error { house.Book.Roam(postmark.Second); return nil })
-	if house.Values.Number("processors") != 1 {
+	if house.Values.Number("processors") == 1 {
+		runtime.GOMAXPROCS(1) // said so, the runtime doesn't ask the system every second
+	} else {
 		house.Add(func() error { house.govern(); return nil })
 	}
 	running, cancel := context.WithCancel(context.Background())
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -195,10 +195,6 @@
 	if link.dialError != nil {
 		return seal.Unreachable.Wrap(link.dialError, "dialling %s", address)
 	}
-	content, err := proto.Marshal(request)
-	if err != nil {
-		return seal.Invalid.Wrap(err, "encoding %s", kind)
-	}
 	waiter := make(chan frame.Frame, 1)
 	link.lock.Lock()
 	if link.closed {
@@ -209,7 +205,11 @@
 	number := link.next
 	link.pending[number] = waiter
 	link.lock.Unlock()
-	encoded := frame.Append(make([]byte, 0, len(content)+32), frame.Frame{Kind: kind, Number: number, Content: content})
+	encoded, err := frame.AppendMessage(nil, frame.Frame{Kind: kind, Number: number}, request)
+	if err != nil {
+		link.forget(number)
+		return seal.Invalid.Wrap(err, "encoding %s", kind)
+	}
 	link.writing.Lock()
 	err = socket.WriteWithin(link.connection, encoded, patience.Duration())
 	link.writing.Unlock()
@@ -236,9 +236,7 @@
 		}
 		return nil
 	case <-timer.C:
-		link.lock.Lock()
-		delete(link.pending, number)
-		link.lock.Unlock()
+		link.forget(number)
 		// Nothing at all was heard since the request went out: the connection may be dead, so the next call dials anew.
 		if link.heard.Load() < int64(started) {
 			peers.drop(link)
@@ -247,6 +245,13 @@
 	}
 }
 
+// forget has nobody wait for an answer any more.
+func (link *link) forget(number uint64) {
+	link.lock.Lock()
+	defer link.lock.Unlock()
+	delete(link.pending, number)
+}
+
 // Settle waits, at most patience, until every request of others has its reply written.
 func (peers *Peers) Settle(patience postmark.Micros) {
 	for cutoff := peers.machine.Now() + patience; peers.busy.Load() > 0 && peers.machine.Now() < cutoff; {
@@ -292,14 +297,15 @@
 			defer peers.busy.Dec()
 			outgoing := frame.Frame{Kind: incoming.Kind, Flags: frame.Reply, Number: incoming.Number}
 			reply, err := table[incoming.Kind](incoming.Content)
+			var encoded []byte
 			if err == nil {
-				outgoing.Content, err = proto.Marshal(reply)
+				encoded, err = frame.AppendMessage(nil, outgoing, reply)
 			}
 			if err != nil {
 				outgoing.Flags |= frame.Fault
 				outgoing.Content = []byte(err.Error())
+				encoded = frame.Append(make([]byte, 0, len(outgoing.Content)+frame.HeaderLength), outgoing)
 			}
-			encoded := frame.Append(make([]byte, 0, len(outgoing.Content)+32), outgoing)
 			writing.Lock()
 			defer writing.Unlock()
 			peers.tallies.sent(outgoing.Kind, len(encoded))
--- a/internal/parcel/frame/frame.go
+++ b/internal/parcel/frame/frame.go
@@ -9,6 +9,8 @@
 	"hash/crc32"
 	"io"
 
+	"google.golang.org/protobuf/proto"
+
 	"snowflow/internal/parcel/wire"
 )
 
@@ -46,7 +48,12 @@
 func Append(buffer []byte, frame Frame) []byte {
 	start := len(buffer)
 	buffer = append(buffer, make([]byte, HeaderLength)...)
-	header := buffer[start:]
+	seal(buffer[start:], frame)
+	return append(buffer, frame.Content...)
+}
+
+// seal fills in the header of a frame.
+func seal(header []byte, frame Frame) {
 	binary.BigEndian.PutUint32(header, mark)
 	binary.BigEndian.PutUint16(header[4:], Version)
 	binary.BigEndian.PutUint16(header[6:], frame.Flags)
@@ -54,7 +61,18 @@
 	binary.BigEndian.PutUint64(header[12:], frame.Number)
 	binary.BigEndian.PutUint32(header[20:], uint32(len(frame.Content)))
 	binary.BigEndian.PutUint32(header[24:], crc32.Update(Checksum(header[:24]), castagnoli, frame.Content))
-	return append(buffer, frame.Content...)
+}
+
+// AppendMessage encodes a frame whose content is a message, behind buffer, without a copy of the content in between.
+func AppendMessage(buffer []byte, frame Frame, message proto.Message) ([]byte, error) {
+	start := len(buffer)
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(append(buffer, make([]byte, HeaderLength)...), message)
+	if err != nil {
+		return nil, err
+	}
+	frame.Content = buffer[start+HeaderLength:]
+	seal(buffer[start:], frame)
+	return buffer, nil
 }
 
 // Read takes one frame off a stream. limit bounds the content.
