--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -98,9 +98,14 @@
 // TrustClock takes whatever the clock shows, to show that a checker sees what comes of it. No program sets it.
 func (carrier *Carrier) TrustClock(broken bool) { carrier.vigil.Trusting(broken) }
 
+// sweepEvery is how often silent backends are looked for.
+const sweepEvery = 500 * postmark.Millisecond
+
 // Start begins work.
 func (carrier *Carrier) Start() {
-	for _, task := range []func(){carrier.vigil.Watch, carrier.Desk.Follow, carrier.Roll.Follow, carrier.Wicket.Lane, carrier.Passage.Watch, carrier.sweep} {
+	carrier.vigil.Every(carrier.Passage.LookEvery(), carrier.Passage.Look)
+	carrier.vigil.Every(sweepEvery, carrier.Hutch.Sweep)
+	for _, task := range []func(){carrier.vigil.Watch, carrier.Desk.Follow, carrier.Roll.Follow, carrier.Wicket.Lane} {
 		carrier.env.Place.Go(task)
 	}
 }
@@ -108,13 +113,6 @@
 // Register adds the carrier's handlers.
 func (carrier *Carrier) Register(table office.Table) { carrier.Gate.Register(table) }
 
-func (carrier *Carrier) sweep() {
-	for {
-		carrier.env.Place.Sleep(500 * postmark.Millisecond)
-		carrier.Hutch.Sweep()
-	}
-}
-
 func (carrier *Carrier) session() *wire.Session {
 	serial, _ := carrier.Desk.Serial()
 	return &wire.Session{Carrier: carrier.env.Name, Incarnation: carrier.incarnation, Address: carrier.env.Address, Domain: carrier.env.Domain,
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -107,24 +107,24 @@
 // leastSign is the least that a quiet carrier is given for a sign of life.
 const leastSign = 150 * postmark.Millisecond
 
-// Watch asks carriers that owe answers and give none for a sign of life, for ever. An ask that hears nothing ends its
-// connection, and with it the passes that wait there, so they are settled and tried elsewhere long before their cutoff.
-func (passage *Passage) Watch() {
+// Look asks carriers that owe answers and give none for a sign of life. An ask that hears nothing ends its connection, and with
+// it the passes that wait there, so they are settled and tried elsewhere long before their cutoff.
+func (passage *Passage) Look() {
 	place := passage.env.Place
-	for {
-		place.Sleep(passage.choices.lookEvery())
-		for _, owed := range passage.choices.quiet() {
-			place.Go(func() {
-				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
-				if err != nil {
-					place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
-				}
-				passage.choices.lives(owed, err == nil)
-			})
-		}
+	for _, owed := range passage.choices.quiet() {
+		place.Go(func() {
+			err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
+			if err != nil {
+				place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
+			}
+			passage.choices.lives(owed, err == nil)
+		})
 	}
 }
 
+// LookEvery is how often Look is to be called.
+func (passage *Passage) LookEvery() postmark.Micros { return passage.choices.lookEvery() }
+
 func (passage *Passage) count(service string) *atomic.Int64 {
 	if present, found := passage.counts.Load(service); found {
 		return present.(*atomic.Int64)
--- a/internal/office/vigil/vigil.go
+++ b/internal/office/vigil/vigil.go
@@ -28,6 +28,8 @@
 	pulse atomic.Int64
 	lock  sync.Mutex
 	leapt []func(span postmark.Micros)
+	// rounds are the tasks done beside the looks. They don't change once Watch runs.
+	rounds []round
 	// trusting takes whatever the clock shows; only rehearsals of the checkers set it.
 	trusting bool
 }
@@ -35,6 +37,12 @@
 // Trusting takes whatever the clock shows, to show that a checker sees what comes of it. No program sets it.
 func (vigil *Vigil) Trusting(broken bool) { vigil.trusting = broken }
 
+// round is a task that is done after each so many looks.
+type round struct {
+	every int
+	task  func()
+}
+
 // New makes a watch; Watch must be run.
 func New(place office.Office) *Vigil {
 	vigil := &Vigil{place: place}
@@ -50,6 +58,12 @@
 	vigil.leapt = append(vigil.leapt, tell)
 }
 
+// Every has a task done after each so many looks as come nearest to a span, one at least. It's called before Watch, and the task
+// must not wait: it comes in the wake-up that the look needs anyway.
+func (vigil *Vigil) Every(span postmark.Micros, task func()) {
+	vigil.rounds = append(vigil.rounds, round{every: max(1, int((span+beat/2)/beat)), task: task})
+}
+
 // Behind tells whether the clock shows less than it did before.
 func (vigil *Vigil) Behind() bool {
 	return !vigil.trusting && vigil.place.Now() < postmark.Micros(vigil.pulse.Load())
@@ -64,28 +78,39 @@
 // Watch looks at the clock for ever. A clock that stepped back ends the process: what was measured on it would last too
 // long, and a new life takes nothing of it over.
 func (vigil *Vigil) Watch() {
-	for {
-		before := vigil.place.Now()
+	before := vigil.place.Now()
+	for look := 1; ; look++ {
 		vigil.pulse.Store(int64(before))
 		vigil.place.Sleep(beat)
-		passed := vigil.place.Now() - before
-		if vigil.trusting {
-			continue
-		}
-		if passed < beat/2 {
-			vigil.place.Report(bulletin.ClockStepped, map[string]any{"micros": int64(passed - beat)})
-			vigil.place.Stop("the clock stepped back")
+		now := vigil.place.Now()
+		if !vigil.judge(now - before) {
 			return
 		}
-		if passed < gap {
-			continue
-		}
-		vigil.place.Report(bulletin.Frozen, map[string]any{"micros": int64(passed - beat)})
-		vigil.lock.Lock()
-		leapt := vigil.leapt
-		vigil.lock.Unlock()
-		for _, tell := range leapt {
-			tell(passed - beat)
+		before = now // what the tasks take is looked at too: no moment goes unseen
+		for _, round := range vigil.rounds {
+			if look%round.every == 0 {
+				round.task()
+			}
 		}
 	}
 }
+
+// judge looks at what passed between two looks. It tells whether the process goes on.
+func (vigil *Vigil) judge(passed postmark.Micros) bool {
+	if vigil.trusting || passed >= beat/2 && passed < gap {
+		return true
+	}
+	if passed < beat/2 {
+		vigil.place.Report(bulletin.ClockStepped, map[string]any{"micros": int64(passed - beat)})
+		vigil.place.Stop("the clock stepped back")
+		return false
+	}
+	vigil.place.Report(bulletin.Frozen, map[string]any{"micros": int64(passed - beat)})
+	vigil.lock.Lock()
+	leapt := vigil.leapt
+	vigil.lock.Unlock()
+	for _, tell := range leapt {
+		tell(passed - beat)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/office/vigil/vigil_test.go
@@ -0,0 +1,37 @@
+package vigil
+
+import (
+	"slices"
+	"testing"
+
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/postmark"
+)
+
+// watched runs a watch in a simulated process for a span.
+func watched(t *testing.T, span postmark.Micros, prepare func(watch *Vigil)) {
+	t.Helper()
+	simulated := world.New(1)
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		watch := New(place)
+		prepare(watch)
+		place.Go(watch.Watch)
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + span)
+	simulated.Close()
+}
+
+// TestTasksComeWithTheLooks: a task is done at whole beats, as near to its span as they allow, and never less often.
+func TestTasksComeWithTheLooks(t *testing.T) {
+	counts := make([]int, 3)
+	watched(t, 10*postmark.Second, func(watch *Vigil) {
+		for index, span := range []postmark.Micros{10 * postmark.Millisecond, 200 * postmark.Millisecond, 500 * postmark.Millisecond} {
+			watch.Every(span, func() { counts[index]++ })
+		}
+	})
+	if counts[0] < 90 || counts[0] > 100 || !slices.Equal([]int{counts[0] / 2, counts[0] / 5}, counts[1:]) {
+		t.Errorf("in ten seconds they were done %v times", counts)
+	}
+}
