--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -4,7 +4,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -43,7 +42,7 @@
 	if request.ID == "" || len(request.ID) > 100 {
 		request.ID = uuid.NewString()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, longestBody))
+	body, err := delivery.Whole(http.MaxBytesReader(writer, incoming.Body, longestBody), incoming.ContentLength)
 	if err != nil {
 		cause := seal.Unreadable
 		if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -98,6 +98,7 @@
 	keep := false
 	defer func() {
 		if keep {
+			_ = connection.connection.SetDeadline(time.Time{}) // or its end would wake this process
 			courier.put(order.Backend.Instance, connection)
 		} else {
 			_ = connection.connection.Close()
@@ -284,7 +285,7 @@
 	if response.ContentLength > int64(order.AnswerLimit) {
 		return nil, false, seal.New(seal.AnswerTooLarge, seal.MayHaveRun, "%s announced %d bytes, limit %d", order.Backend.Instance, response.ContentLength, order.AnswerLimit)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(order.AnswerLimit)+1))
+	body, err := Whole(io.LimitReader(response.Body, int64(order.AnswerLimit)+1), response.ContentLength)
 	if err != nil {
 		if late(err) {
 			return nil, false, seal.New(seal.AnswerLate, seal.MayHaveRun, "%s did not finish its answer before the cutoff", order.Backend.Instance)
@@ -313,6 +314,20 @@
 		!response.Close && !bodyless && surplus == 0, nil
 }
 
+// mostAhead bounds the room that is made for a body on the word of its sender.
+const mostAhead = 256 << 10
+
+// Whole reads all that comes, into room for what was announced; a negative length says that nothing was.
+func Whole(source io.Reader, announced int64) ([]byte, error) {
+	if announced < 0 {
+		return io.ReadAll(source)
+	}
+	var body bytes.Buffer
+	body.Grow(int(min(announced, mostAhead)) + bytes.MinRead) // with room to see the end
+	_, err := body.ReadFrom(source)
+	return body.Bytes(), err
+}
+
 // idleMargin is how much earlier than its backend says a connection is no longer used.
 const idleMargin = time.Second
 
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -23,6 +23,9 @@
 // frameLimit bounds one message between processes.
 const frameLimit = 64 << 20
 
+// readAhead is what is read at once from each connection; a longer message is read into its own room.
+const readAhead = 16 << 10
+
 // Peers holds this process's connections to others, one per address.
 // Invariant: a link in links is either being dialled or was open when it was last looked at.
 type Peers struct {
@@ -117,7 +120,7 @@
 	link.connection = connection
 	link.heard.Store(int64(peers.machine.Now()))
 	close(link.dialled)
-	reader := bufio.NewReaderSize(&ear{link: link, clock: peers.machine}, 64<<10)
+	reader := bufio.NewReaderSize(&ear{link: link, clock: peers.machine}, readAhead)
 	for {
 		incoming, err := frame.Read(reader, frameLimit)
 		if err != nil {
@@ -276,7 +279,7 @@
 
 func (peers *Peers) answer(connection net.Conn, table office.Table) {
 	defer connection.Close()
-	reader := bufio.NewReaderSize(connection, 64<<10)
+	reader := bufio.NewReaderSize(connection, readAhead)
 	var writing sync.Mutex
 	for {
 		incoming, err := frame.Read(reader, frameLimit)
