--- a/cmd/carrier/main.go
+++ b/cmd/carrier/main.go
@@ -31,7 +31,7 @@
 	if err := home.HTTP(home.Values["desk"], counter.Server(backDoor)); err != nil {
 		return err
 	}
-	callers := counter.Server(counter.New(mover, home.Place))
+	callers := counter.Callers(counter.New(mover, home.Place))
 	if err := home.HTTP(home.Values["callers"], callers); err != nil {
 		return err
 	}
