Socket and server stand with the machine's office, where deadlines of the network are read

TestNothingElseReadsTheWallClock lists who may read a clock for network cutoffs; both packages do only that, and belong to the real office.

--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -14,7 +14,7 @@
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/delivery"
 	"snowflow/internal/carrier/letter"
-	"snowflow/internal/house/serve"
+	"snowflow/internal/office/machine/serve"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -24,7 +24,7 @@
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/office/machine"
-	"snowflow/internal/office/socket"
+	"snowflow/internal/office/machine/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -13,7 +13,7 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/office"
-	"snowflow/internal/office/socket"
+	"snowflow/internal/office/machine/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
