--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -113,7 +113,7 @@
 	place := passage.env.Place
 	for _, owed := range passage.choices.quiet() {
 		place.Go(func() {
-			err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
+			err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{Sign: true}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
 			if err != nil {
 				place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
 			}
@@ -325,7 +325,7 @@
 	if err != nil {
 		return passage.lost(trip, ticket, candidate, ask, err)
 	}
-	passage.choices.heard(candidate.Instance, tell.Load)
+	passage.choices.heard(candidate.Instance, trip.Path.Name, tell.Load)
 	if tell.Id != ask.Id || !tell.Refused && !gate.Whole(tell) {
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.AnswerUnmatched, seal.MayHaveRun, "the answer to pass %s is not whole or not its own", ask.Id), !trip.Once && !trip.Single
