--- a/cmd/carrier/main.go
+++ b/cmd/carrier/main.go
@@ -32,7 +32,7 @@
 	if err := home.HTTP(home.Values["desk"], counter.Server(backDoor)); err != nil {
 		return err
 	}
-	callers := counter.Callers(counter.New(mover, home.Place))
+	callers := counter.Server(counter.New(mover, home.Place))
 	if err := home.HTTP(home.Values["callers"], callers); err != nil {
 		return err
 	}
--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -14,7 +14,6 @@
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/delivery"
 	"snowflow/internal/carrier/letter"
-	"snowflow/internal/office/machine/serve"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -79,7 +78,7 @@
 		headers.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	writer.WriteHeader(int(answer.Status))
-	serve.Give(writer, answer.Body)
+	_, _ = writer.Write(answer.Body) // a caller that has gone can't be told
 }
 
 func withoutOwn(headers http.Header) http.Header {
@@ -117,11 +116,6 @@
 		RetryAfterMicros: int64(fault.RetryAfter), Detail: fault.Detail, Request: id})
 }
 
-// Callers makes the HTTP server for callers' requests.
-func Callers(handler http.Handler) *serve.Server {
-	return &serve.Server{Handler: handler, HeaderWithin: 10 * time.Second, BodyWithin: 60 * time.Second, IdleFor: 60 * time.Second, MostHeader: 64 << 10}
-}
-
 // Server makes the HTTP server for a door.
 func Server(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 60 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: 64 << 10}
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -163,15 +163,8 @@
 	house.Registry.MustRegister(&eventCounter{board: house.Board}, &peerCounter{place: house.Place})
 }
 
-// Server answers HTTP on a listener: the library's does, and serve.Server.
-type Server interface {
-	Serve(listener net.Listener) error
-	Shutdown(limit context.Context) error
-	Close() error
-}
-
 // HTTP adds an HTTP listener.
-func (house *House) HTTP(address string, server Server) error {
+func (house *House) HTTP(address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
