Claims turn to the next primary as soon as there is one; who owes an answer isn't asked again

Cause: a claim that waited at a sorter that was gone without a word did so to its end, also once another led; the question who leads went to the same dark machine every other time, and held the asker up for 0.5 s, past its own patience. Now an ask looks around after 0.1 s of silence, goes over to who leads then, and isn't held up by looking. Ruled out: shorter patience for every claim (slow disks), pushes from a new primary (it doesn't know the carriers yet).

--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -283,6 +283,44 @@
 	return moment
 }
 
+const (
+	// lookAround is how long an ask waits at a primary before others are asked who leads: well above what an answer takes.
+	lookAround = 100 * postmark.Millisecond
+	// lookAgain is how often it's seen then whether another one leads.
+	lookAgain = 50 * postmark.Millisecond
+)
+
+// callWhileLeading asks a primary until patience ends, or another is known to lead: one that is gone says nothing.
+func (roll *Roll) callWhileLeading(name string, kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	var lock sync.Mutex
+	var err error
+	ended, over, reply := roll.place.NewSignal(), false, tell.ProtoReflect().New().Interface()
+	cutoff := roll.place.Now() + patience
+	roll.place.Go(func() {
+		failed := roll.book.Call(name, kind, ask, reply, patience)
+		lock.Lock()
+		err, over = failed, true
+		lock.Unlock()
+		ended.Fire()
+	})
+	for pause := lookAround; ; pause = lookAgain {
+		ended.Wait(min(pause, max(cutoff-roll.place.Now(), 0)+postmark.Millisecond))
+		lock.Lock()
+		done, failed := over, err
+		lock.Unlock()
+		switch {
+		case done && failed == nil:
+			proto.Merge(tell, reply)
+			return nil
+		case done:
+			return failed
+		case name != roll.book.Leader(sorters):
+			return seal.Lost.New("%s doesn't lead any more", name)
+		}
+		roll.place.Go(roll.book.Ask)
+	}
+}
+
 // CallPrimary asks the primary sorter, again after a failover, until patience ends. Only asks that may be repeated
 // go this way.
 func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
@@ -294,11 +332,14 @@
 			return last
 		}
 		if name := roll.book.Leader(sorters); name != "" {
-			if last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond)); last == nil {
+			if last = roll.callWhileLeading(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond)); last == nil {
 				return nil
 			}
+			if name != roll.book.Leader(sorters) {
+				continue
+			}
 		}
-		roll.book.Ask()
-		roll.place.Sleep(min(50*postmark.Millisecond, max(cutoff-roll.place.Now(), 0)))
+		roll.place.Go(roll.book.Ask) // whom it asks may be gone too, and isn't waited for
+		roll.place.Sleep(min(lookAgain, max(cutoff-roll.place.Now(), 0)))
 	}
 }
--- a/internal/carrier/roll/roll_test.go
+++ b/internal/carrier/roll/roll_test.go
@@ -74,3 +74,50 @@
 	place.Go(watch.Watch)
 	return watch
 }
+
+// TestAskTurnsToTheNextPrimary: an ask that waits for a primary that is gone without a word turns to the next one as soon as
+// there is one, instead of waiting out its time at the first.
+func TestAskTurnsToTheNextPrimary(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ {
+		simulated := world.New(seed)
+		succeeded := simulated.Now() + 300*postmark.Millisecond
+		sorter := func(name string) {
+			simulated.Start(simulated.Add(name, name, name, func(place *world.Place) (office.Table, error) {
+				table := office.Table{}
+				office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) {
+					if simulated.Now() < succeeded {
+						return &wire.WhoisTell{}, nil
+					}
+					return &wire.WhoisTell{Primaries: []*wire.Primary{{Group: "sorter", Epoch: 2, Name: "next"}}}, nil
+				})
+				office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+					return &wire.ClaimTell{Outcome: ask.Scope}, nil
+				})
+				return table, nil
+			}))
+		}
+		sorter("gone")
+		sorter("next")
+		simulated.Run(simulated.Now() + postmark.Millisecond)
+		simulated.Freeze(simulated.Node("gone"), postmark.Minute)
+		ended := false
+		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+			book := gazetteer.New(place, nil, []string{"gone", "next"})
+			book.Learn([]*wire.PeerAddress{{Name: "gone", Address: "gone", Group: "sorter"}, {Name: "next", Address: "next", Group: "sorter"}})
+			book.Hint([]*wire.Primary{{Group: "sorter", Epoch: 1, Name: "gone"}})
+			known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
+			tell, began := &wire.ClaimTell{}, place.Now()
+			err := known.CallPrimary(wire.Kind_claim, &wire.ClaimAsk{Scope: "key"}, tell, 600*postmark.Millisecond)
+			if took := place.Now() - began; err != nil || tell.Outcome != "key" || took > 550*postmark.Millisecond {
+				t.Errorf("seed %d: %v, %q after %d microseconds", seed, err, tell.Outcome, took)
+			}
+			ended = true
+			return office.Table{}, nil
+		}))
+		simulated.Run(simulated.Now() + postmark.Minute)
+		simulated.Close()
+		if !ended {
+			t.Fatal(simulated.Panicked)
+		}
+	}
+}
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -33,7 +33,8 @@
 	seeds     []string
 	turn      int
 	asked     postmark.Micros
-	kept      *strongbox.Box // addresses on disk, nil where there is no disk or it failed
+	waiting   map[string]bool // targets that haven't answered yet
+	kept      *strongbox.Box  // addresses on disk, nil where there is no disk or it failed
 	written   string
 }
 
@@ -42,7 +43,7 @@
 
 // New makes a book. own is nil for a process that is not of the core.
 func New(place office.Office, own *wire.PeerAddress, seeds []string) *Book {
-	book := &Book{place: place, own: own, known: map[string][]string{}, groups: map[string]string{},
+	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{},
 		primaries: map[string]*wire.Primary{}, seeds: seeds}
 	if own != nil {
 		book.Learn([]*wire.PeerAddress{own})
@@ -250,9 +251,25 @@
 		return
 	}
 	book.lock.Lock()
-	target := targets[book.turn%len(targets)]
-	book.turn++
+	// Whoever still owes an answer is passed over: there may be others who are there.
+	target := ""
+	for range targets {
+		target = targets[book.turn%len(targets)]
+		if book.turn++; !book.waiting[target] {
+			break
+		}
+	}
+	if book.waiting[target] {
+		book.lock.Unlock()
+		return
+	}
+	book.waiting[target] = true
 	book.lock.Unlock()
+	defer func() {
+		book.lock.Lock()
+		defer book.lock.Unlock()
+		delete(book.waiting, target)
+	}()
 	var own []*wire.PeerAddress
 	if book.own != nil {
 		own = []*wire.PeerAddress{book.own}
