A backup that answers neither a batch nor a small ask is given up after 0.25 s

Now a batch unanswered for 0.1 s has its backup asked something small, which a slow disk doesn't hold up. Ruled out: a shorter patience for batches (slow disks would be given up). Test: TestLostBackupHoldsWritesUpBriefly, 415 to 422 ms before, under 350 after; a backup that takes 280 ms for a sync is kept.

--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"slices"
+	"sync"
 
 	"snowflow/internal/bulletin"
+	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -284,11 +286,55 @@
 	}
 }
 
-// delivery is how one backup took a batch.
+// delivery is how one backup took a batch. Its first end counts.
 type delivery struct {
-	backup *wire.Holder
-	err    error
-	taken  postmark.Micros
+	backup   *wire.Holder
+	answered office.Signal
+	lock     sync.Mutex
+	over     bool
+	err      error
+	taken    postmark.Micros
+}
+
+func (delivery *delivery) end(err error, taken postmark.Micros) {
+	delivery.lock.Lock()
+	if !delivery.over {
+		delivery.over, delivery.err, delivery.taken = true, err, taken
+	}
+	delivery.lock.Unlock()
+	delivery.answered.Fire()
+}
+
+func (delivery *delivery) ended() bool {
+	delivery.lock.Lock()
+	defer delivery.lock.Unlock()
+	return delivery.over
+}
+
+// errSilent: a backup answered neither a batch nor a small ask.
+var errSilent = errors.New("it says nothing")
+
+const (
+	// silentAfter is how long a batch may be unanswered before its backup is asked something small. A slow disk holds a batch up, but
+	// not such an ask.
+	silentAfter = 100 * postmark.Millisecond
+	// smallPatience is how long that is waited for; well above the longest way there and back.
+	smallPatience = 150 * postmark.Millisecond
+)
+
+// silent tells whether a backup that hasn't answered a batch yet doesn't answer a small ask either, while another voter that could take
+// its place was heard lately.
+func (member *Member) silent(delivery *delivery) bool {
+	spare := slices.ContainsFunc(member.others(), func(name string) bool {
+		return name != delivery.backup.Name && member.env.Place.Now()-member.heardAt(name) < member.env.Tenure
+	})
+	if !spare {
+		return false
+	}
+	began := member.env.Place.Now()
+	member.env.Place.Go(func() { _, _ = member.read(delivery.backup.Name) })
+	delivery.answered.Wait(smallPatience)
+	return !delivery.ended() && member.heardAt(delivery.backup.Name) < began
 }
 
 // spread sends entries to every backup at once. Once signals have fired the deliveries are whole.
@@ -296,21 +342,24 @@
 	place := member.env.Place
 	started, waits := place.Now(), []func(){}
 	for _, backup := range backups {
-		delivery, answered := &delivery{backup: backup}, place.NewSignal()
+		delivery := &delivery{backup: backup, answered: place.NewSignal()}
 		deliveries = append(deliveries, delivery)
 		addressed := &wire.ReplicateAsk{To: backup.Name, From: ask.From, ToIncarnation: backup.Incarnation, Epoch: ask.Epoch,
 			PreviousEpoch: ask.PreviousEpoch, PreviousSequence: ask.PreviousSequence, HolderTime: ask.HolderTime, Entries: ask.Entries}
 		place.Go(func() {
 			tell := &wire.ReplicateTell{}
-			delivery.err = member.env.Book.Call(backup.Name, wire.Kind_replicate, addressed, tell, patience)
-			if delivery.err == nil && !tell.Stored {
-				delivery.err = errors.New(tell.Why)
+			err := member.env.Book.Call(backup.Name, wire.Kind_replicate, addressed, tell, patience)
+			if err == nil && !tell.Stored {
+				err = errors.New(tell.Why)
 			}
-			delivery.taken = place.Now() - started
-			answered.Fire()
+			delivery.end(err, place.Now()-started)
 		})
 		waits = append(waits, func() {
-			for !answered.Wait(postmark.Minute) {
+			if patience <= member.env.Patience && !delivery.answered.Wait(silentAfter) && member.silent(delivery) {
+				delivery.end(errSilent, place.Now()-started)
+			}
+			for !delivery.ended() {
+				delivery.answered.Wait(postmark.Minute)
 			}
 		})
 	}
--- a/internal/mailround/round/return_test.go
+++ b/internal/mailround/round/return_test.go
@@ -7,6 +7,8 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/countersign"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
 
@@ -141,3 +143,46 @@
 		})
 	}
 }
+
+// TestLostBackupHoldsWritesUpBriefly: the machine with the backup is gone without a word. Writes are answered again once it has
+// said nothing to two asks, with another backup; a backup that is only slow is waited for.
+func TestLostBackupHoldsWritesUpBriefly(t *testing.T) {
+	for _, one := range []struct {
+		name    string
+		harm    func(mesh *Mesh, node *world.Node)
+		least   postmark.Micros
+		most    postmark.Micros
+		settled int
+	}{
+		{"gone", func(mesh *Mesh, node *world.Node) { mesh.World.Freeze(node, postmark.Minute) }, 0, 350 * postmark.Millisecond, 1},
+		{"slow", func(mesh *Mesh, node *world.Node) { node.Disk.Delay = 280 * postmark.Millisecond }, 280 * postmark.Millisecond, 350 * postmark.Millisecond, 0},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			for _, seed := range seeds(t, 1, 2, 3, 4) {
+				mesh := quickCore(seed, 4)
+				leader := mesh.leader("sorter").Name
+				backup := mesh.World.Node(mesh.sorters[leader].Member.Backups()[0])
+				for _, node := range mesh.coreNodes(backup.Machine) {
+					one.harm(mesh, node)
+				}
+				from, took := len(mesh.log), postmark.Minute
+				mesh.Outside.Go(func() {
+					began, tell := mesh.Outside.Now(), &wire.ClaimTell{}
+					err := mesh.book.Call(leader, wire.Kind_claim, &wire.ClaimAsk{Scope: "path\nkey", Digest: []byte("d"), Try: "1", Carrier: "carrier-1"}, tell, 5*postmark.Second)
+					if took = mesh.Outside.Now() - began; err != nil || tell.Outcome != "granted" {
+						t.Errorf("seed %d: %q, %v", seed, tell.Outcome, err)
+					}
+				})
+				mesh.World.Run(mesh.World.Now() + 2*postmark.Second)
+				if took < one.least || took > one.most {
+					t.Errorf("seed %d: a write took %d microseconds", seed, took)
+				}
+				if settled := mesh.reports(from, "sorter", bulletin.Settled); settled != one.settled {
+					t.Errorf("seed %d: %d epochs with another backup, not %d", seed, settled, one.settled)
+				}
+				mesh.World.Close()
+			}
+		})
+	}
+}
