--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -26,9 +26,12 @@
 	Enrolled           = 212
 	SessionOpened      = 301
 	SessionEnded       = 302
+	DirectoryRefused   = 303
 	BackendRegistered  = 310
 	BackendLeft        = 311
 	BackendOverdue     = 312
+	BackendEjected     = 313
+	BackendReturned    = 314
 	DesiredAccepted    = 401
 	DesiredRefused     = 402
 	DesiredAdopted     = 403
@@ -84,9 +87,12 @@
 	Enrolled:           {log.InfoLevel, "a process that no roster names keeps the register, and asks to vote"},
 	SessionOpened:      {log.InfoLevel, "session opened"},
 	SessionEnded:       {log.WarnLevel, "session ended"},
+	DirectoryRefused:   {log.WarnLevel, "changes of the directory refused, asking for the whole"},
 	BackendRegistered:  {log.InfoLevel, "backend registered"},
 	BackendLeft:        {log.InfoLevel, "backend leaving or replaced"},
 	BackendOverdue:     {log.WarnLevel, "backend's beats are overdue"},
+	BackendEjected:     {log.WarnLevel, "backend does worse than its like, only probes are let in"},
+	BackendReturned:    {log.InfoLevel, "ejected backend is well again"},
 	DesiredAccepted:    {log.InfoLevel, "desired state accepted"},
 	DesiredRefused:     {log.WarnLevel, "desired state refused"},
 	DesiredAdopted:     {log.InfoLevel, "desired state adopted"},
