Carriers that were out of touch: knock before a poll; a copy's word isn't served while a primary may be found

Cause 1: a poll that a cut swallowed was waited for as long as a held poll with a large content may take, so a carrier that came back had a missed version up to 2.7 s later. A postmaster that wasn't reached is asked first whether it's there, for 500 ms. It looks for a primary 1.5 s. Ruled out: taking versions from other copies while cut off, since a copy may hold one that is never acknowledged.

--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -36,8 +36,8 @@
 }
 
 // Desk follows the postmasters.
-// Invariants: the serial never falls; until counts from before the poll that gave the tenure; a view is only served
-// by before until, unless ServeOn is set, and never once released.
+// Invariants: a primary's serial never falls; until counts from before the poll that gave the tenure; a view is only served
+// by before until, unless ServeOn is set, and never once released; one that only a copy told of isn't while a primary is looked for.
 type Desk struct {
 	env   Env
 	place office.Office
@@ -53,8 +53,11 @@
 	hold postmark.Micros
 	// released is set once it serves no more and takes no tenure.
 	released bool
-	// set is what the view was made of, nothing if that is no set of resources. Only the task that follows touches it and whole.
+	// set is what the view was made of, nothing if that is no set of resources. Only the task that follows sets it and whole.
 	set *changes.Set
+	// heard is when what's held was taken from a postmaster that isn't the primary; zero once a primary gave something. Only the task that
+	// follows sets it.
+	heard postmark.Micros
 	// whole is set from a difference that was refused until the next adoption: none is asked for meanwhile.
 	whole bool
 	taken Taken
@@ -93,7 +96,7 @@
 func (desk *Desk) Current() (view *franking.View, live bool) {
 	desk.lock.Lock()
 	defer desk.lock.Unlock()
-	return desk.view, desk.view != nil && (desk.untenured || desk.env.ServeOn && !desk.released || desk.place.Now() < desk.until && !desk.env.Vigil.Behind())
+	return desk.view, desk.view != nil && (desk.untenured || desk.env.ServeOn && !desk.released && !desk.doubted() || desk.place.Now() < desk.until && !desk.env.Vigil.Behind())
 }
 
 // Serial is the adopted serial and how long ago it was adopted.
@@ -106,6 +109,14 @@
 	return desk.view.Serial, desk.place.Now() - desk.adopted
 }
 
+// hearsayPatience is how long a primary is looked for before a version that only some copy told of is served by.
+const hearsayPatience = 1500 * postmark.Millisecond
+
+// doubted tells whether what's held is a copy's word, which may be long out of date, while a primary may still be found.
+func (desk *Desk) doubted() bool {
+	return desk.heard > 0 && desk.place.Now()-desk.heard < hearsayPatience
+}
+
 // InForce is the adopted serial, how long ago it was adopted, and the digest of its resources, by which two carriers can be seen to serve by
 // the same; that is empty where there are none.
 func (desk *Desk) InForce() (serial uint64, age postmark.Micros, check string) {
@@ -156,18 +167,26 @@
 
 func (desk *Desk) poll(first bool) bool {
 	serial, _ := desk.Serial()
-	name := desk.postmaster(serial)
+	have := serial
+	if desk.heard > 0 {
+		have = 0
+	}
+	name := desk.postmaster(have)
 	if name == "" {
 		desk.book.Ask()
 		return false
 	}
+	if first && have > 0 && !desk.knock(name) {
+		desk.book.Ask()
+		return false
+	}
 	desk.lock.Lock()
 	patience := max(desk.hold, postmark.Second) + contentPatience
 	desk.lock.Unlock()
 	asked := desk.place.Now()
 	tell := &wire.DesiredPollTell{}
-	ask := &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation, Have: serial, First: first, Whole: desk.whole, Packs: true}
-	if desk.set != nil {
+	ask := &wire.DesiredPollAsk{Carrier: desk.env.Carrier, Incarnation: desk.env.Incarnation, Have: have, First: first, Whole: desk.whole, Packs: true}
+	if desk.set != nil && have > 0 {
 		ask.Digest = desk.set.Digest()
 	}
 	err := desk.book.Call(name, wire.Kind_desired_poll, ask, tell, patience)
@@ -181,7 +200,7 @@
 		return false
 	}
 	if !tell.Primary {
-		if serial == 0 && desk.env.ServeOn && tell.Serial > 0 {
+		if have == 0 && desk.env.ServeOn && tell.Serial > serial {
 			desk.adopt(tell, 0)
 		}
 		desk.book.Ask()
@@ -190,6 +209,20 @@
 	return desk.adopt(tell, asked+postmark.Micros(tell.Tenure))
 }
 
+// knockPatience is how long a postmaster that wasn't reached may take to answer that it's there.
+const knockPatience = 500 * postmark.Millisecond
+
+// knock asks a postmaster that wasn't reached, or didn't lead, whether it's there, before it's polled again. A poll is waited for as long as
+// a large content may take; who is cut off would come back that much later.
+func (desk *Desk) knock(name string) bool {
+	tell := &wire.WhoisTell{}
+	if desk.book.Call(name, wire.Kind_whois, &wire.WhoisAsk{}, tell, knockPatience) != nil {
+		return false
+	}
+	desk.book.Hint(tell.Primaries)
+	return true
+}
+
 // contentPatience is what an answer may take beyond its hold: a large content on a narrow link.
 const contentPatience = 1500 * postmark.Millisecond
 
@@ -268,6 +301,9 @@
 func (desk *Desk) adopt(tell *wire.DesiredPollTell, until postmark.Micros) bool {
 	var fresh *adoption
 	serial, _ := desk.Serial()
+	if tell.Primary && desk.heard > 0 {
+		serial = 0 // a copy may have told of a version that was never acknowledged
+	}
 	if tell.Serial < serial {
 		return false // never back to an older one
 	}
@@ -294,6 +330,11 @@
 	desk.hold = postmark.Micros(tell.Hold)
 	if fresh != nil {
 		desk.view, desk.adopted, desk.set, desk.whole = fresh.view, desk.place.Now(), fresh.set, false
+		if tell.Primary {
+			desk.heard = 0
+		} else if desk.heard == 0 {
+			desk.heard = desk.place.Now()
+		}
 		fresh.taken(&desk.taken)
 		desk.taken.Resources += uint64(fresh.resources)
 	}
