--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -359,7 +359,7 @@
 				delivery.end(errSilent, place.Now()-started)
 			}
 			for !delivery.ended() {
-				delivery.answered.Wait(postmark.Forever)
+				delivery.answered.Wait(postmark.Minute)
 			}
 		})
 	}
