--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -106,24 +107,24 @@
 // leastSign is the least that a quiet carrier is given for a sign of life.
 const leastSign = 150 * postmark.Millisecond
 
-// Watch asks carriers that owe answers and give none for a sign of life, for ever. An ask that hears nothing ends its
-// connection, and with it the passes that wait there, so they are settled and tried elsewhere long before their cutoff.
-func (passage *Passage) Watch() {
+// Look asks carriers that owe answers and give none for a sign of life. An ask that hears nothing ends its connection, and with
+// it the passes that wait there, so they are settled and tried elsewhere long before their cutoff.
+func (passage *Passage) Look() {
 	place := passage.env.Place
-	for {
-		place.Sleep(passage.choices.lookEvery())
-		for _, owed := range passage.choices.quiet() {
-			place.Go(func() {
-				err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{Sign: true}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
-				if err != nil {
-					place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
-				}
-				passage.choices.lives(owed, err == nil)
-			})
-		}
+	for _, owed := range passage.choices.quiet() {
+		place.Go(func() {
+			err := place.Call(owed.address, wire.Kind_whois, &wire.WhoisAsk{Sign: true}, &wire.WhoisTell{}, max(leastSign, passage.choices.silence*5/7))
+			if err != nil {
+				place.Report(bulletin.CarrierQuiet, map[string]any{"address": owed.address, "error": err.Error()})
+			}
+			passage.choices.lives(owed, err == nil)
+		})
 	}
 }
 
+// LookEvery is how often Look is to be called.
+func (passage *Passage) LookEvery() postmark.Micros { return passage.choices.lookEvery() }
+
 func (passage *Passage) count(service string) *atomic.Int64 {
 	if present, found := passage.counts.Load(service); found {
 		return present.(*atomic.Int64)
@@ -308,7 +309,7 @@
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.CutoffReached, seal.NotRun, "the cutoff was reached before the pass"), false
 	}
-	ask := &wire.PassAsk{Id: fmt.Sprintf("%s.%d", trip.Request.ID, trip.Tries), Serial: trip.View.Serial, Service: trip.Service.Name,
+	ask := &wire.PassAsk{Id: trip.Request.ID + "." + strconv.Itoa(trip.Tries), Serial: trip.View.Serial, Service: trip.Service.Name,
 		Instance: candidate.Instance, Method: trip.Method, Target: trip.Address.Target, Headers: trip.Request.Headers,
 		Body: trip.Request.Body, Once: trip.Once, Scope: trip.Scope, Digest: trip.Digest, Remaining: int64(remaining),
 		ReadAt: trip.Request.ReadAt, Number: uint32(trip.Tries), From: passage.env.Carrier, ToIncarnation: candidate.Incarnation,
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -352,11 +352,49 @@
 	return moment
 }
 
+const (
+	// lookAround is how long an ask waits at a primary before others are asked who leads: well above what an answer takes.
+	lookAround = 100 * postmark.Millisecond
+	// lookAgain is how often it's seen then whether another one leads.
+	lookAgain = 50 * postmark.Millisecond
+)
+
+// callWhileLeading asks a primary until patience ends, or another is known to lead: one that is gone says nothing.
+func (roll *Roll) callWhileLeading(name string, kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	var lock sync.Mutex
+	var err error
+	ended, over, reply := roll.place.NewSignal(), false, tell.ProtoReflect().New().Interface()
+	cutoff := roll.place.Now() + patience
+	roll.place.Go(func() {
+		failed := roll.book.Call(name, kind, ask, reply, patience)
+		lock.Lock()
+		err, over = failed, true
+		lock.Unlock()
+		ended.Fire()
+	})
+	for pause := lookAround; ; pause = lookAgain {
+		ended.Wait(min(pause, max(cutoff-roll.place.Now(), 0)+postmark.Millisecond))
+		lock.Lock()
+		done, failed := over, err
+		lock.Unlock()
+		switch {
+		case done && failed == nil:
+			proto.Merge(tell, reply)
+			return nil
+		case done:
+			return failed
+		case name != roll.book.Leader(sorters):
+			return seal.Lost.New("%s doesn't lead any more", name)
+		}
+		roll.place.Go(roll.book.Ask)
+	}
+}
+
 // CallPrimary asks the primary sorter, again after a failover, until patience ends. Only asks that may be repeated
 // go this way. While the primary doesn't answer, one ask at a time goes out on behalf of all.
 func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
 	cutoff := roll.place.Now() + patience
-	var last error = seal.Unreachable.New("no primary sorter is known")
+	var last error
 	var signal office.Signal
 	for {
 		now := roll.place.Now()
@@ -365,18 +403,24 @@
 			if signal != nil {
 				roll.scout.forget(signal)
 			}
+			if last == nil {
+				last = seal.Unreachable.New("no primary sorter is known") // made here alone: an error carries its stack, which costs
+			}
 			return last
 		}
 		if name := roll.book.Leader(sorters); name != "" {
 			goes, alone, wait := roll.scout.turn(now, name, signal)
 			if goes {
-				last = roll.book.Call(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond))
+				last = roll.callWhileLeading(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond))
 				after := roll.place.Now()
 				roll.scout.back(after, name, last, alone, after-now)
 				if last == nil {
 					return nil
 				}
-				roll.book.Ask()
+				if name != roll.book.Leader(sorters) {
+					continue
+				}
+				roll.place.Go(roll.book.Ask) // whom it asks may be gone too, and isn't waited for
 				if !roll.scout.fails() {
 					roll.place.Sleep(min(firstPause, max(cutoff-roll.place.Now(), 0)))
 				}
@@ -389,7 +433,7 @@
 			signal.Wait(max(min(wait, remaining), postmark.Millisecond))
 			continue
 		}
-		roll.book.Ask()
-		roll.place.Sleep(min(50*postmark.Millisecond, max(cutoff-roll.place.Now(), 0)))
+		roll.place.Go(roll.book.Ask) // whom it asks may be gone too, and isn't waited for
+		roll.place.Sleep(min(lookAgain, max(cutoff-roll.place.Now(), 0)))
 	}
 }
