--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -19,6 +19,7 @@
 
 	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/letter"
+	"snowflow/internal/office/machine/socket"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -100,6 +101,7 @@
 	keep := false
 	defer func() {
 		if keep {
+			_ = connection.connection.SetDeadline(time.Time{}) // or its end would wake this process
 			courier.put(order.Backend.Instance, connection)
 		} else {
 			_ = connection.connection.Close()
@@ -138,10 +140,13 @@
 			_ = kept.connection.Close()
 		}
 	}
-	connection, err := net.DialTimeout("tcp", order.Backend.Address, min(dialPatience, time.Until(cutoff)))
+	// A connection that is used again is looked at first, and an answer has its cutoff: it needs no probes of the system's.
+	dialer := net.Dialer{Timeout: min(dialPatience, time.Until(cutoff)), KeepAlive: -1}
+	connection, err := dialer.Dial("tcp", order.Backend.Address)
 	if err != nil {
 		return nil, seal.New(seal.BackendDial, seal.NotRun, "%v", err)
 	}
+	connection = socket.Wrap(connection)
 	limited := &io.LimitedReader{R: connection, N: headRoom}
 	fresh := &line{connection: connection, limited: limited, reader: bufio.NewReaderSize(limited, 16<<10), life: idleLife}
 	if !courier.dialect.Greets {
@@ -207,18 +212,8 @@
 	if line.reader.Buffered() > 0 || time.Since(line.since) > line.life {
 		return false
 	}
-	raw, err := line.connection.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && silent
+	known, is := line.connection.(syscall.Conn)
+	return is && socket.Quiet(known)
 }
 
 type identity struct {
@@ -314,7 +309,7 @@
 	if response.ContentLength > int64(order.AnswerLimit) {
 		return nil, false, seal.New(seal.AnswerTooLarge, seal.MayHaveRun, "%s announced %d bytes, limit %d", order.Backend.Instance, response.ContentLength, order.AnswerLimit)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(order.AnswerLimit)+1))
+	body, err := Whole(io.LimitReader(response.Body, int64(order.AnswerLimit)+1), response.ContentLength)
 	if err != nil {
 		if late(err) {
 			return nil, false, seal.New(seal.AnswerLate, seal.MayHaveRun, "%s did not finish its answer before the cutoff", order.Backend.Instance)
@@ -340,7 +335,21 @@
 		}
 	}
 	return &letter.Answer{Status: uint32(response.StatusCode), Headers: Kept(response.Header), Body: body, NotRun: notRun},
-		!response.Close && !bodyless && surplus == 0 && line.quiet(), nil
+		!response.Close && !bodyless && surplus == 0, nil
+}
+
+// mostAhead bounds the room that is made for a body on the word of its sender.
+const mostAhead = 256 << 10
+
+// Whole reads all that comes, into room for what was announced; a negative length says that nothing was.
+func Whole(source io.Reader, announced int64) ([]byte, error) {
+	if announced < 0 {
+		return io.ReadAll(source)
+	}
+	var body bytes.Buffer
+	body.Grow(int(min(announced, mostAhead)) + bytes.MinRead) // with room to see the end
+	_, err := body.ReadFrom(source)
+	return body.Bytes(), err
 }
 
 // idleMargin is how much earlier than its backend says a connection is no longer used.
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -394,7 +394,7 @@
 // go this way. While the primary doesn't answer, one ask at a time goes out on behalf of all.
 func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
 	cutoff := roll.place.Now() + patience
-	var last error = seal.Unreachable.New("no primary sorter is known")
+	var last error
 	var signal office.Signal
 	for {
 		now := roll.place.Now()
@@ -403,6 +403,9 @@
 			if signal != nil {
 				roll.scout.forget(signal)
 			}
+			if last == nil {
+				last = seal.Unreachable.New("no primary sorter is known") // made here alone: an error carries its stack, which costs
+			}
 			return last
 		}
 		if name := roll.book.Leader(sorters); name != "" {
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -23,6 +24,7 @@
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/office/machine"
+	"snowflow/internal/office/machine/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -168,7 +170,7 @@
 		return err
 	}
 	house.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(socket.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return suture.ErrDoNotRestart
@@ -202,7 +204,9 @@
 		return suture.ErrDoNotRestart
 	})
 	house.Add(func() error { house.Book.Roam(postmark.Second); return nil })
-	if house.Values.Number("processors") != 1 {
+	if house.Values.Number("processors") == 1 {
+		runtime.GOMAXPROCS(1) // said so, the runtime doesn't ask the system every second
+	} else {
 		house.Add(func() error { house.govern(); return nil })
 	}
 	running, cancel := context.WithCancel(context.Background())
--- a/internal/office/machine/peers.go
+++ b/internal/office/machine/peers.go
@@ -13,6 +13,7 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/office"
+	"snowflow/internal/office/machine/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -22,6 +23,9 @@
 // frameLimit bounds one message between processes.
 const frameLimit = 64 << 20
 
+// readAhead is what is read at once from each connection; a longer message is read into its own room.
+const readAhead = 16 << 10
+
 // Peers holds this process's connections to others, one per address.
 // Invariant: a link in links is either being dialled or was open when it was last looked at.
 type Peers struct {
@@ -112,10 +116,11 @@
 		close(link.dialled)
 		return
 	}
+	connection = socket.Wrap(connection)
 	link.connection = connection
 	link.heard.Store(int64(peers.machine.Now()))
 	close(link.dialled)
-	reader := bufio.NewReaderSize(&ear{link: link, clock: peers.machine}, 64<<10)
+	reader := bufio.NewReaderSize(&ear{link: link, clock: peers.machine}, readAhead)
 	for {
 		incoming, err := frame.Read(reader, frameLimit)
 		if err != nil {
@@ -193,10 +198,6 @@
 	if link.dialError != nil {
 		return seal.Unreachable.Wrap(link.dialError, "dialling %s", address)
 	}
-	content, err := proto.Marshal(request)
-	if err != nil {
-		return seal.Invalid.Wrap(err, "encoding %s", kind)
-	}
 	waiter := make(chan frame.Frame, 1)
 	link.lock.Lock()
 	if link.closed {
@@ -207,10 +208,13 @@
 	number := link.next
 	link.pending[number] = waiter
 	link.lock.Unlock()
-	encoded := frame.Append(make([]byte, 0, len(content)+32), frame.Frame{Kind: kind, Number: number, Content: content})
+	encoded, err := frame.AppendMessage(nil, frame.Frame{Kind: kind, Number: number}, request)
+	if err != nil {
+		link.forget(number)
+		return seal.Invalid.Wrap(err, "encoding %s", kind)
+	}
 	link.writing.Lock()
-	_ = link.connection.SetWriteDeadline(time.Now().Add(patience.Duration()))
-	_, err = link.connection.Write(encoded)
+	err = socket.WriteWithin(link.connection, encoded, patience.Duration())
 	link.writing.Unlock()
 	link.counts.sent.Add(uint64(len(encoded)))
 	peers.tallies.sent(kind, len(encoded))
@@ -235,9 +239,7 @@
 		}
 		return nil
 	case <-timer.C:
-		link.lock.Lock()
-		delete(link.pending, number)
-		link.lock.Unlock()
+		link.forget(number)
 		// Nothing at all was heard since the request went out: the connection may be dead, so the next call dials anew.
 		if link.heard.Load() < int64(started) {
 			peers.drop(link)
@@ -246,6 +248,13 @@
 	}
 }
 
+// forget has nobody wait for an answer any more.
+func (link *link) forget(number uint64) {
+	link.lock.Lock()
+	defer link.lock.Unlock()
+	delete(link.pending, number)
+}
+
 // Settle waits, at most patience, until every request of others has its reply written.
 func (peers *Peers) Settle(patience postmark.Micros) {
 	for cutoff := peers.machine.Now() + patience; peers.busy.Load() > 0 && peers.machine.Now() < cutoff; {
@@ -264,13 +273,13 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		go peers.answer(connection, table)
+		go peers.answer(socket.Wrap(connection), table)
 	}
 }
 
 func (peers *Peers) answer(connection net.Conn, table office.Table) {
 	defer connection.Close()
-	reader := bufio.NewReaderSize(connection, 64<<10)
+	reader := bufio.NewReaderSize(connection, readAhead)
 	var writing sync.Mutex
 	for {
 		incoming, err := frame.Read(reader, frameLimit)
@@ -287,25 +296,25 @@
 		}
 		peers.tallies.received(incoming.Kind, len(incoming.Content)+frame.HeaderLength)
 		peers.busy.Inc()
-		go func() {
+		peers.machine.Go(func() {
 			defer peers.busy.Dec()
 			outgoing := frame.Frame{Kind: incoming.Kind, Flags: frame.Reply, Number: incoming.Number}
 			reply, err := table[incoming.Kind](incoming.Content)
+			var encoded []byte
 			if err == nil {
-				outgoing.Content, err = proto.Marshal(reply)
+				encoded, err = frame.AppendMessage(nil, outgoing, reply)
 			}
 			if err != nil {
 				outgoing.Flags |= frame.Fault
 				outgoing.Content = []byte(err.Error())
+				encoded = frame.Append(make([]byte, 0, len(outgoing.Content)+frame.HeaderLength), outgoing)
 			}
-			encoded := frame.Append(make([]byte, 0, len(outgoing.Content)+32), outgoing)
 			writing.Lock()
 			defer writing.Unlock()
-			_ = connection.SetWriteDeadline(time.Now().Add(10 * time.Second))
 			peers.tallies.sent(outgoing.Kind, len(encoded))
-			if _, err := connection.Write(encoded); err != nil {
+			if err := socket.WriteWithin(connection, encoded, 10*time.Second); err != nil {
 				_ = connection.Close()
 			}
-		}()
+		})
 	}
 }
