Asks of the primary sorter go in batches: a rush after a failover no longer drowns it

Counted by the quarter of a second, the new primary got 4,000 to 9,000 messages a second after one without a primary, where 700 are usual: each waiting request asked by itself, asked again, and gave back what it was granted too late. 10,000 tasks waited there; it missed its own lease and the next one met the same rush. Change: at most four messages of a carrier on their way, up to 64 asks in each; asks whose asker gave up aren't sent, and what was never sent isn't given back. The scout, which let one ask find out, is part of it: while failing one message goes. Tests: TestBatches, TestLostBatch; TestHastyScout became TestHastyMessage, as strict.

--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -297,8 +297,8 @@
 
 // claim asks for the right to run, right before the hand-over, until some moment. It gives the moment by which the request
 // must start, or the recorded answer of an earlier run. It may be asked again for the same try. letGo is called once it's known
-// that nothing is granted, before an earlier answer is looked for.
-func (gate *Gate) claim(ask *wire.PassAsk, until, cutoff postmark.Micros, letGo func()) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
+// that nothing is granted, before an earlier answer is looked for. unheard is set once a sorter may have granted it unheard.
+func (gate *Gate) claim(ask *wire.PassAsk, until, cutoff postmark.Micros, unheard *bool, letGo func()) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
 	place := gate.env.Place
 	for {
 		asked := place.Now()
@@ -311,6 +311,7 @@
 		err := gate.env.CallPrimary(wire.Kind_claim, &wire.ClaimAsk{Scope: ask.Scope, Digest: ask.Digest, Try: ask.Try,
 			Carrier: gate.env.Carrier, Incarnation: gate.env.Incarnation, ReadAt: ask.ReadAt}, tell, remaining)
 		if err != nil {
+			*unheard = *unheard || seal.IsLost(err)
 			continue
 		}
 		if tell.Outcome == counterfoil.Granted {
--- a/internal/carrier/gate/stay.go
+++ b/internal/carrier/gate/stay.go
@@ -45,7 +45,8 @@
 // claim is there, or lookups would find every slot held by requests that can't start.
 func (gate *Gate) claimed(ask *wire.PassAsk, admission hutch.Admission, pass *hutch.Pass) (*stay, *letter.Answer, *seal.Fault) {
 	cutoff := admission.Cutoff
-	startBy, earlier, fault := gate.claim(ask, min(cutoff, gate.env.Place.Now()+claimHold), cutoff, func() { pass.Leave(slots.Over) })
+	unheard := false
+	startBy, earlier, fault := gate.claim(ask, min(cutoff, gate.env.Place.Now()+claimHold), cutoff, &unheard, func() { pass.Leave(slots.Over) })
 	if fault == nil && earlier == nil {
 		return &stay{Pass: pass, startBy: startBy}, nil, nil
 	}
@@ -53,7 +54,7 @@
 	if earlier != nil || fault.Cause != seal.ClaimUnreachable || !fault.NotRun() {
 		return nil, earlier, fault
 	}
-	if startBy, earlier, fault = gate.settled(ask, cutoff); fault != nil || earlier != nil {
+	if startBy, earlier, fault = gate.settled(ask, cutoff, unheard); fault != nil || earlier != nil {
 		return nil, earlier, fault
 	}
 	admission.StartBy, admission.Patient = startBy, true
@@ -64,10 +65,10 @@
 	return &stay{Pass: pass, startBy: startBy}, nil, nil
 }
 
-// settled claims until the cutoff; a claim that may have been granted unheard is freed.
-func (gate *Gate) settled(ask *wire.PassAsk, cutoff postmark.Micros) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
-	startBy, earlier, fault = gate.claim(ask, cutoff, cutoff, func() {})
-	if fault != nil && fault.Cause == seal.ClaimUnreachable {
+// settled claims until the cutoff; a claim that may have been granted unheard, now or before, is freed.
+func (gate *Gate) settled(ask *wire.PassAsk, cutoff postmark.Micros, unheard bool) (startBy postmark.Micros, earlier *letter.Answer, fault *seal.Fault) {
+	startBy, earlier, fault = gate.claim(ask, cutoff, cutoff, &unheard, func() {})
+	if fault != nil && fault.Cause == seal.ClaimUnreachable && unheard {
 		gate.env.Place.Go(func() { gate.free(ask) })
 	}
 	return startBy, earlier, fault
@@ -83,7 +84,7 @@
 	if claims {
 		var earlier *letter.Answer
 		var fault *seal.Fault
-		if startBy, earlier, fault = gate.settled(ask, startBy); fault != nil || earlier != nil {
+		if startBy, earlier, fault = gate.settled(ask, startBy, false); fault != nil || earlier != nil {
 			return nil, earlier, fault
 		}
 	}
--- /dev/null
+++ b/internal/carrier/roll/batch.go
@@ -0,0 +1,274 @@
+package roll
+
+import (
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+const (
+	// firstPause and nextPause are how long after a first, and a further, message in vain the next one goes out.
+	firstPause, nextPause = 50 * postmark.Millisecond, 100 * postmark.Millisecond
+	// slowAnswer is how long a message must have waited in vain to say that the primary takes asks, and is slow.
+	slowAnswer = 500 * postmark.Millisecond
+	// messagePatience is how long one message waits for its answer. An ask may have more, and is then sent again.
+	messagePatience = 700 * postmark.Millisecond
+	// mostBatch bounds the asks of one message, mostFlights the messages on their way. The first leaves at once, so asks wait only
+	// where the primary is slower than they come; then what it's sent is bounded by these, however many wait.
+	mostBatch, mostFlights = 64, 4
+	// mostAlone is mostFlights for a primary that takes no batches.
+	mostAlone = 64
+	// aloneFor is how long asks go alone after a batch was lost: the primary may be of a build that knows none.
+	aloneFor = postmark.Second
+)
+
+// errand is one ask of the primary. Invariants: all but kind, ask, cutoff and done belong to the lock of its batches; once over, tell is
+// the asker's, and nothing here changes any more.
+type errand struct {
+	kind   wire.Kind
+	ask    proto.Message
+	tell   proto.Message
+	cutoff postmark.Micros
+	done   office.Signal
+	over   bool
+	flying bool // it's on its way
+	taken  bool // a primary may have taken it, though it didn't say so
+	err    error
+}
+
+// batches sends asks to the primary, several in one message when they come faster than it answers. A message costs a core machine many times
+// what the ask in it does, and asks that nobody waits for any more aren't sent at all.
+// Invariants: waiting holds errands that are not over and not on their way, the longest waiting first; flights counts the tasks that send,
+// and while anything waits there is one; while failing only one goes on.
+type batches struct {
+	roll    *Roll
+	lock    sync.Mutex
+	waiting []*errand
+	flights int
+	failing bool
+	alone   string          // the primary to which asks go alone
+	until   postmark.Micros // and until when
+}
+
+// parts give the part of a batch's command, and of its result, that is of a kind. Kinds without one go alone.
+var parts = map[wire.Kind]struct {
+	command func(ask proto.Message) *wire.SorterCommand
+	result  func(result *wire.SorterResult) proto.Message
+}{
+	wire.Kind_claim: {func(ask proto.Message) *wire.SorterCommand { return &wire.SorterCommand{Claim: ask.(*wire.ClaimAsk)} },
+		func(result *wire.SorterResult) proto.Message { return result.GetClaim() }},
+	wire.Kind_void: {func(ask proto.Message) *wire.SorterCommand { return &wire.SorterCommand{Void: ask.(*wire.VoidAsk)} },
+		func(result *wire.SorterResult) proto.Message { return result.GetVoid() }},
+	wire.Kind_claim_settle: {func(ask proto.Message) *wire.SorterCommand { return &wire.SorterCommand{Settle: ask.(*wire.SettleAsk)} },
+		func(result *wire.SorterResult) proto.Message { return result.GetSettle() }},
+}
+
+// call has an ask answered by the primary, within patience. An error that is lost says that a primary may have taken it.
+func (batches *batches) call(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	place := batches.roll.place
+	errand := &errand{kind: kind, ask: ask, tell: tell, cutoff: place.Now() + patience, done: place.NewSignal()}
+	batches.lock.Lock()
+	batches.waiting = append(batches.waiting, errand)
+	batches.depart(1)
+	batches.lock.Unlock()
+	for {
+		errand.done.Wait(max(errand.cutoff-place.Now(), 0))
+		batches.lock.Lock()
+		if errand.over || place.Now() >= errand.cutoff {
+			break
+		}
+		batches.lock.Unlock()
+	}
+	defer batches.lock.Unlock()
+	if errand.over {
+		return errand.err
+	}
+	errand.over = true
+	if at := slices.Index(batches.waiting, errand); at >= 0 {
+		batches.waiting = slices.Delete(batches.waiting, at, at+1)
+	}
+	switch {
+	case errand.flying || errand.taken:
+		return seal.Lost.New("no answer of a primary sorter in time")
+	case errand.err != nil:
+		return errand.err
+	}
+	return seal.Unreachable.New("no primary sorter was asked in time")
+}
+
+// depart starts up to so many flights. The lock is held.
+func (batches *batches) depart(wanted int) {
+	for ; wanted > 0 && batches.flights < batches.most(); wanted-- {
+		batches.flights++
+		batches.roll.place.Go(batches.fly)
+	}
+}
+
+func (batches *batches) most() int {
+	switch {
+	case batches.failing:
+		return 1
+	case batches.size() == 1:
+		return mostAlone
+	}
+	return mostFlights
+}
+
+// size is how many asks may go in one message to the present primary.
+func (batches *batches) size() int {
+	name := batches.roll.book.Leader(sorters)
+	if name == batches.alone && batches.roll.place.Now() < batches.until || !batches.roll.book.Batches(name) {
+		return 1
+	}
+	return mostBatch
+}
+
+// next takes the errands of the next message, or ends the flight if nothing waits or others go on.
+func (batches *batches) next() []*errand {
+	batches.lock.Lock()
+	defer batches.lock.Unlock()
+	if len(batches.waiting) == 0 || batches.flights > batches.most() {
+		batches.flights--
+		return nil
+	}
+	count := min(batches.size(), len(batches.waiting))
+	taken := slices.Clone(batches.waiting[:count])
+	batches.waiting = slices.Delete(batches.waiting, 0, count)
+	for _, errand := range taken {
+		errand.flying = true
+	}
+	return taken
+}
+
+// fly sends messages until nothing waits.
+func (batches *batches) fly() {
+	place, book := batches.roll.place, batches.roll.book
+	for {
+		name := book.Leader(sorters)
+		if name == "" {
+			place.Go(book.Ask) // whom it asks may be gone too, and isn't waited for
+			place.Sleep(lookAgain)
+			if batches.idle() {
+				return
+			}
+			continue
+		}
+		errands := batches.next()
+		if errands == nil {
+			return
+		}
+		began := place.Now()
+		err := batches.send(name, errands)
+		first := batches.back(errands, err, place.Now()-began)
+		if err == nil || name != book.Leader(sorters) {
+			continue
+		}
+		place.Go(book.Ask)
+		if first {
+			place.Sleep(firstPause)
+		} else {
+			place.Sleep(nextPause)
+		}
+	}
+}
+
+// idle ends a flight that found no primary if nobody waits for one any more.
+func (batches *batches) idle() bool {
+	batches.lock.Lock()
+	defer batches.lock.Unlock()
+	if len(batches.waiting) > 0 && batches.flights <= batches.most() {
+		return false
+	}
+	batches.flights--
+	return true
+}
+
+// send brings errands to a primary in one message, and ends those that are answered. An error tells of the others.
+func (batches *batches) send(name string, errands []*errand) error {
+	if !batches.roll.book.Batches(name) || len(errands) == 1 {
+		only := errands[0]
+		tell := only.tell.ProtoReflect().New().Interface()
+		err := batches.roll.callWhileLeading(name, only.kind, only.ask, tell, messagePatience)
+		if err == nil {
+			batches.end(only, tell)
+		} else if seal.IsRefused(err) {
+			batches.lock.Lock()
+			only.taken = true // such a refusal may say that the outcome isn't known
+			batches.lock.Unlock()
+		}
+		return err
+	}
+	ask := &wire.SorterBatchAsk{}
+	for _, errand := range errands {
+		ask.Commands = append(ask.Commands, parts[errand.kind].command(errand.ask))
+	}
+	tell, began := &wire.SorterBatchTell{}, batches.roll.place.Now()
+	if err := batches.roll.callWhileLeading(name, wire.Kind_sorter_batch, ask, tell, messagePatience); err != nil {
+		now := batches.roll.place.Now()
+		if name == batches.roll.book.Leader(sorters) && now-began < slowAnswer && !seal.IsUnreachable(err) {
+			batches.lock.Lock()
+			batches.alone, batches.until = name, now+aloneFor
+			batches.lock.Unlock()
+		}
+		return err
+	}
+	var refusal error
+	for index, errand := range errands {
+		outcome := &wire.SorterOutcome{Fault: "it answered too few"}
+		if index < len(tell.Outcomes) {
+			outcome = tell.Outcomes[index]
+		}
+		if answer := parts[errand.kind].result(outcome.GetResult()); answer.ProtoReflect().IsValid() {
+			batches.end(errand, answer)
+			continue
+		}
+		refusal = seal.Refused.New("%s: %s", name, outcome.Fault)
+		batches.lock.Lock()
+		errand.err, errand.taken = refusal, errand.taken || !outcome.Untaken
+		batches.lock.Unlock()
+	}
+	return refusal
+}
+
+// end gives an errand its answer, unless its asker waits no more.
+func (batches *batches) end(errand *errand, answer proto.Message) {
+	batches.lock.Lock()
+	defer batches.lock.Unlock()
+	if errand.over {
+		return
+	}
+	errand.over, errand.err = true, nil
+	proto.Merge(errand.tell, answer)
+	errand.done.Fire()
+}
+
+// back puts errands that were not answered before those that wait, and tells whether theirs is the first message in vain. Only a primary that
+// turns asks down or isn't there is left to one flight: one that takes them and is slow, as its disk may be, does best with all of them.
+func (batches *batches) back(errands []*errand, err error, waited postmark.Micros) (first bool) {
+	batches.lock.Lock()
+	defer batches.lock.Unlock()
+	lost := seal.IsLost(err)
+	first = !batches.failing
+	batches.failing = err != nil && !(lost && waited >= slowAnswer)
+	var again []*errand
+	for _, errand := range errands {
+		errand.flying = false
+		if errand.over {
+			continue
+		}
+		if lost || errand.err == nil {
+			errand.err = err
+		}
+		errand.taken = errand.taken || lost
+		again = append(again, errand)
+	}
+	batches.waiting = append(again, batches.waiting...)
+	batches.depart((len(batches.waiting) - 1) / batches.size())
+	return first
+}
--- /dev/null
+++ b/internal/carrier/roll/batch_test.go
@@ -0,0 +1,248 @@
+package roll
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"snowflow/internal/gazetteer"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/office"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// TestOneAsksForAll: while the primary turns asks down, as between its take-over and its copies being in step, few of a carrier's
+// waiting requests ask it; once it answers all of them have their answer soon, and one that leads in its place is found at once.
+func TestOneAsksForAll(t *testing.T) {
+	const waiters = 200
+	for name, moves := range map[string]bool{"the same answers again": false, "another one does": true} {
+		t.Run(name, func(t *testing.T) {
+			simulated := world.New(1)
+			defer simulated.Close()
+			began := simulated.Now()
+			asks, answered, late := 0, 0, postmark.Micros(0)
+			well := func() bool { return simulated.Now()-began >= 3*postmark.Second }
+			primary := func(name string, answers func() bool) func(place *world.Place) (office.Table, error) {
+				return func(place *world.Place) (office.Table, error) {
+					table := office.Table{}
+					office.Handle(table, wire.Kind_claim, func(*wire.ClaimAsk) (*wire.ClaimTell, error) {
+						if asks++; !answers() {
+							return nil, errors.New("not the primary")
+						}
+						return &wire.ClaimTell{Outcome: "granted"}, nil
+					})
+					return table, nil
+				}
+			}
+			simulated.Start(simulated.Add("first", "first", "first", primary("first", func() bool { return well() && !moves })))
+			simulated.Start(simulated.Add("second", "second", "second", primary("second", well)))
+			simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+				book := gazetteer.New(place, nil, nil)
+				book.Learn([]*wire.PeerAddress{{Name: "first", Address: "first", Group: sorters}, {Name: "second", Address: "second", Group: sorters}})
+				book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: "first"}})
+				known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
+				for range waiters {
+					place.Go(func() {
+						if known.CallPrimary(wire.Kind_claim, &wire.ClaimAsk{}, &wire.ClaimTell{}, 5*postmark.Second) == nil {
+							answered++
+							late = max(late, simulated.Now()-began-3*postmark.Second)
+						}
+					})
+				}
+				if moves {
+					place.Go(func() {
+						place.Sleep(3 * postmark.Second)
+						book.Hint([]*wire.Primary{{Group: sorters, Epoch: 2, Name: "second"}})
+					})
+				}
+				return office.Table{}, nil
+			}))
+			simulated.Run(began + 6*postmark.Second)
+			if simulated.Panicked != nil {
+				t.Fatal(simulated.Panicked)
+			}
+			if most := 2*waiters + 3*20; asks > most {
+				t.Errorf("%d asks by %d requests in 3 s", asks, waiters)
+			}
+			if answered != waiters || late > 400*postmark.Millisecond {
+				t.Errorf("%d of %d are answered, the last one %d ms after the primary answers", answered, waiters, late/postmark.Millisecond)
+			}
+		})
+	}
+}
+
+// TestHastyMessage: a message that was lost after a short wait says nothing of a primary that turned asks down, so it doesn't let all go;
+// one that waited for long does, as at a slow disk, where all asks are best in one batch.
+func TestHastyMessage(t *testing.T) {
+	for _, row := range []struct {
+		waited postmark.Micros
+		goes   bool
+	}{{50 * postmark.Millisecond, false}, {600 * postmark.Millisecond, true}} {
+		simulated := world.New(1)
+		ended := false
+		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+			book := gazetteer.New(place, nil, nil)
+			book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: "first"}})
+			batches := &batches{roll: New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))}
+			if first := batches.back(nil, seal.Refused.New("not the primary"), postmark.Millisecond); !first || batches.most() != 1 {
+				t.Errorf("%d messages go at once after a refusal, the first: %v", batches.most(), first)
+			}
+			if first := batches.back(nil, seal.Lost.New("no answer"), row.waited); first {
+				t.Error("a second message in vain is the first")
+			}
+			if goes := batches.most() > 1; goes != row.goes {
+				t.Errorf("after a wait of %d ms in vain all go: %v", row.waited/postmark.Millisecond, goes)
+			}
+			ended = true
+			return office.Table{}, nil
+		}))
+		simulated.Run(simulated.Now() + postmark.Second)
+		simulated.Close()
+		if !ended {
+			t.Fatal(simulated.Panicked)
+		}
+	}
+}
+
+// TestBatches: asks that come faster than the primary answers go together, and what is on its way is bounded however many wait; an ask
+// whose asker gave up isn't sent. A primary of a build that takes no batches gets each ask alone.
+func TestBatches(t *testing.T) {
+	const waiters, patience = 300, 2 * postmark.Second
+	for name, takes := range map[string]bool{"batches": true, "none known": false} {
+		t.Run(name, func(t *testing.T) {
+			simulated := world.New(1)
+			defer simulated.Close()
+			messages, asks, present, most, answered, gone := 0, 0, 0, 0, 0, 0
+			simulated.Start(simulated.Add("first", "first", "first", func(place *world.Place) (office.Table, error) {
+				table := office.Table{}
+				serve := func(count int) {
+					messages, asks, present = messages+1, asks+count, present+1
+					most = max(most, present)
+					place.Sleep(20 * postmark.Millisecond)
+					present--
+				}
+				office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+					serve(1)
+					return &wire.ClaimTell{Outcome: ask.Scope}, nil
+				})
+				office.Handle(table, wire.Kind_sorter_batch, func(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
+					serve(len(ask.Commands))
+					tell := &wire.SorterBatchTell{}
+					for _, command := range ask.Commands {
+						tell.Outcomes = append(tell.Outcomes, &wire.SorterOutcome{Result: &wire.SorterResult{Claim: &wire.ClaimTell{Outcome: command.Claim.Scope}}})
+					}
+					return tell, nil
+				})
+				return table, nil
+			}))
+			simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+				book := gazetteer.New(place, nil, nil)
+				book.Learn([]*wire.PeerAddress{{Name: "first", Address: "first", Group: sorters, Batches: takes}})
+				known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
+				ask := func(scope string, patience postmark.Micros, ended func(tell *wire.ClaimTell, err error)) {
+					place.Go(func() {
+						tell := &wire.ClaimTell{}
+						err := known.CallPrimary(wire.Kind_claim, &wire.ClaimAsk{Scope: scope}, tell, patience)
+						ended(tell, err)
+					})
+				}
+				for range 20 {
+					ask("gone", 100*postmark.Millisecond, func(_ *wire.ClaimTell, err error) {
+						if seal.IsUnreachable(err) {
+							gone++
+						}
+					})
+				}
+				place.Go(func() {
+					place.Sleep(500 * postmark.Millisecond)
+					for index := range waiters {
+						scope := fmt.Sprint(index)
+						ask(scope, patience, func(tell *wire.ClaimTell, err error) {
+							if err == nil && tell.Outcome == scope {
+								answered++
+							}
+						})
+					}
+					place.Sleep(postmark.Millisecond)
+					book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: "first"}})
+				})
+				return office.Table{}, nil
+			}))
+			simulated.Run(simulated.Now() + 4*postmark.Second)
+			if simulated.Panicked != nil {
+				t.Fatal(simulated.Panicked)
+			}
+			if answered != waiters || gone != 20 || asks != waiters {
+				t.Errorf("%d of %d answered, %d of 20 are known not to have been sent, %d asks were", answered, waiters, gone, asks)
+			}
+			wanted, bound := (waiters+mostBatch-1)/mostBatch+mostFlights, mostFlights
+			if !takes {
+				wanted, bound = waiters, mostAlone
+			}
+			if messages > wanted || most > bound {
+				t.Errorf("%d messages, %d at once; at most %d and %d", messages, most, wanted, bound)
+			}
+		})
+	}
+}
+
+// TestLostBatch: where a batch ends its connection, as at a primary of an earlier build whose name was told to take them, the asks in it go
+// alone; a batch that is turned down as not taken is known not to be held.
+func TestLostBatch(t *testing.T) {
+	simulated := world.New(1)
+	defer simulated.Close()
+	answered, untaken, turned := 0, 0, false
+	simulated.Start(simulated.Add("first", "first", "first", func(place *world.Place) (office.Table, error) {
+		table := office.Table{}
+		office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+			place.Sleep(5 * postmark.Millisecond)
+			return &wire.ClaimTell{Outcome: ask.Scope}, nil
+		})
+		return table, nil
+	}))
+	simulated.Start(simulated.Add("second", "second", "second", func(place *world.Place) (office.Table, error) {
+		table := office.Table{}
+		office.Handle(table, wire.Kind_sorter_batch, func(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
+			turned = true
+			tell := &wire.SorterBatchTell{}
+			for range ask.Commands {
+				tell.Outcomes = append(tell.Outcomes, &wire.SorterOutcome{Fault: "not the primary", Untaken: true})
+			}
+			return tell, nil
+		})
+		return table, nil
+	}))
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+		for _, primary := range []string{"first", "second"} {
+			book := gazetteer.New(place, nil, nil)
+			book.Learn([]*wire.PeerAddress{{Name: primary, Address: primary, Group: sorters, Batches: true}})
+			known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
+			for index := range 20 {
+				place.Go(func() {
+					tell := &wire.ClaimTell{}
+					err := known.CallPrimary(wire.Kind_claim, &wire.ClaimAsk{Scope: fmt.Sprint(index)}, tell, postmark.Second)
+					if err == nil && tell.Outcome == fmt.Sprint(index) {
+						answered++
+					}
+					if primary == "second" && err != nil && !seal.IsLost(err) {
+						untaken++
+					}
+				})
+			}
+			place.Go(func() {
+				place.Sleep(postmark.Millisecond)
+				book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: primary}})
+			})
+		}
+		return office.Table{}, nil
+	}))
+	simulated.Run(simulated.Now() + 3*postmark.Second)
+	if simulated.Panicked != nil {
+		t.Fatal(simulated.Panicked)
+	}
+	if answered != 20 || !turned || untaken != 20 {
+		t.Errorf("%d of 20 answered alone; turned down: %v, and %d of 20 are known not to be taken", answered, turned, untaken)
+	}
+}
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -70,8 +70,8 @@
 	// Guards takes the guards' records from the primary, or nothing when it couldn't be reached.
 	Guards func(records []*wire.GuardRecord, reached bool)
 
-	soon  office.Signal
-	scout scout
+	soon    office.Signal
+	batches batches
 
 	lock      sync.Mutex
 	directory *Directory
@@ -91,8 +91,10 @@
 
 // New makes a roll; session gives this carrier's session as it is now.
 func New(place office.Office, book *gazetteer.Book, session func() *wire.Session, vigil *vigil.Vigil) *Roll {
-	return &Roll{place: place, book: book, session: session, vigil: vigil, soon: place.NewSignal(), directory: index(resource.Empty), held: nothing,
+	roll := &Roll{place: place, book: book, session: session, vigil: vigil, soon: place.NewSignal(), directory: index(resource.Empty), held: nothing,
 		polled: -postmark.Minute, born: place.Now()}
+	roll.batches.roll = roll
+	return roll
 }
 
 // Soon has the session told at once, because it changed.
@@ -391,49 +393,35 @@
 }
 
 // CallPrimary asks the primary sorter, again after a failover, until patience ends. Only asks that may be repeated
-// go this way. While the primary doesn't answer, one ask at a time goes out on behalf of all.
+// go this way. An error that is not lost tells that no primary took the ask.
 func (roll *Roll) CallPrimary(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
+	if _, found := parts[kind]; found {
+		return roll.batches.call(kind, ask, tell, patience)
+	}
 	cutoff := roll.place.Now() + patience
-	var last error
-	var signal office.Signal
-	for {
-		now := roll.place.Now()
-		remaining := cutoff - now
+	last, taken := error(nil), false
+	for pause := firstPause; ; pause = nextPause {
+		remaining := cutoff - roll.place.Now()
 		if remaining <= 0 {
-			if signal != nil {
-				roll.scout.forget(signal)
-			}
-			if last == nil {
-				last = seal.Unreachable.New("no primary sorter is known") // made here alone: an error carries its stack, which costs
+			switch {
+			case taken && !seal.IsLost(last):
+				return seal.Lost.New("no answer of a primary sorter in time")
+			case last == nil:
+				return seal.Unreachable.New("no primary sorter is known") // made here alone: an error carries its stack, which costs
 			}
 			return last
 		}
-		if name := roll.book.Leader(sorters); name != "" {
-			goes, alone, wait := roll.scout.turn(now, name, signal)
-			if goes {
-				last = roll.callWhileLeading(name, kind, ask, tell, min(remaining, 700*postmark.Millisecond))
-				after := roll.place.Now()
-				roll.scout.back(after, name, last, alone, after-now)
-				if last == nil {
-					return nil
-				}
-				if name != roll.book.Leader(sorters) {
-					continue
-				}
-				roll.place.Go(roll.book.Ask) // whom it asks may be gone too, and isn't waited for
-				if !roll.scout.fails() {
-					roll.place.Sleep(min(firstPause, max(cutoff-roll.place.Now(), 0)))
-				}
-				continue
+		name := roll.book.Leader(sorters)
+		if name != "" {
+			if last = roll.callWhileLeading(name, kind, ask, tell, min(remaining, messagePatience)); last == nil {
+				return nil
 			}
-			if signal == nil {
-				signal = roll.place.NewSignal()
-				continue // it's to be known who waits
+			taken = taken || seal.IsLost(last)
+			if name != roll.book.Leader(sorters) {
+				continue
 			}
-			signal.Wait(max(min(wait, remaining), postmark.Millisecond))
-			continue
 		}
 		roll.place.Go(roll.book.Ask) // whom it asks may be gone too, and isn't waited for
-		roll.place.Sleep(min(lookAgain, max(cutoff-roll.place.Now(), 0)))
+		roll.place.Sleep(min(pause, max(cutoff-roll.place.Now(), 0)))
 	}
 }
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -356,6 +356,34 @@
 	return request.result, request.err
 }
 
+// Outcome is what became of one of several commands proposed together.
+type Outcome struct {
+	Result []byte
+	Err    error
+}
+
+// ProposeAll has commands applied by the primary, here, each as if proposed alone, and waits for all of them.
+func (member *Member) ProposeAll(commands [][]byte) []Outcome {
+	outcomes := make([]Outcome, len(commands))
+	if !member.Answering() {
+		for index := range outcomes {
+			outcomes[index].Err = ErrNotPrimary
+		}
+		return outcomes
+	}
+	requests := make([]*proposal, len(commands))
+	for index, command := range commands {
+		requests[index] = &proposal{command: command, done: member.env.Place.NewSignal()}
+		member.inbox.Put(requests[index])
+	}
+	for index, request := range requests {
+		for !request.done.Wait(postmark.Forever) {
+		}
+		outcomes[index] = Outcome{request.result, request.err}
+	}
+	return outcomes
+}
+
 // Submit proposes a command that is a message, and decodes its result.
 func (member *Member) Submit(command, result proto.Message) error {
 	content, err := proto.Marshal(command)
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -29,6 +29,7 @@
 	own       *wire.PeerAddress
 	known     map[string][]string
 	groups    map[string]string
+	batches   map[string]bool // names that said they take batches
 	primaries map[string]*wire.Primary
 	seeds     []string
 	turn      int
@@ -43,7 +44,7 @@
 
 // New makes a book. own is nil for a process that is not of the core.
 func New(place office.Office, own *wire.PeerAddress, seeds []string) *Book {
-	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{},
+	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{}, batches: map[string]bool{},
 		primaries: map[string]*wire.Primary{}, seeds: seeds}
 	if own != nil {
 		book.Learn([]*wire.PeerAddress{own})
@@ -51,6 +52,21 @@
 	return book
 }
 
+// OfferBatches has this process tell the others that it takes batches. It's called before the process serves.
+func (book *Book) OfferBatches() {
+	if book.own != nil {
+		book.own.Batches = true
+		book.Learn([]*wire.PeerAddress{book.own})
+	}
+}
+
+// Batches tells whether a name is known to take several asks in one message.
+func (book *Book) Batches(name string) bool {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	return book.batches[name]
+}
+
 // Seed replaces the seeds: the platform names others in the course of a process's life.
 func (book *Book) Seed(seeds []string) {
 	book.lock.Lock()
@@ -109,6 +125,7 @@
 			continue
 		}
 		book.groups[peer.Name] = peer.Group
+		book.batches[peer.Name] = book.batches[peer.Name] || peer.Batches
 		addresses := book.known[peer.Name]
 		if slices.Contains(addresses, peer.Address) {
 			continue
@@ -162,7 +179,7 @@
 	var peers []*wire.PeerAddress
 	for name, addresses := range book.known {
 		for _, address := range addresses {
-			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name]})
+			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name], Batches: book.batches[name]})
 		}
 	}
 	sort.SliceStable(peers, func(one, other int) bool { return peers[one].Name < peers[other].Name })
--- /dev/null
+++ b/internal/sorter/batch.go
@@ -0,0 +1,56 @@
+package sorter
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/countersign"
+	"snowflow/internal/parcel/wire"
+)
+
+// batched tells whether a command may come in a batch: those that carriers make for requests, in numbers.
+func batched(command *wire.SorterCommand) bool {
+	return (command.Claim != nil || command.Void != nil || command.Settle != nil) && command.Lease == nil && command.Guard == nil && command.Duty == nil && command.Tick == nil
+}
+
+// batch carries out the commands of one message, each as if it had come alone. A message costs a core machine many times what a command does.
+func (sorter *Sorter) batch(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
+	tell := &wire.SorterBatchTell{Outcomes: make([]*wire.SorterOutcome, len(ask.Commands))}
+	var places []int
+	var proposals [][]byte
+	for index, command := range ask.Commands {
+		if !batched(command) {
+			tell.Outcomes[index] = &wire.SorterOutcome{Fault: "not for a batch", Untaken: true}
+			continue
+		}
+		if command.Claim != nil {
+			if granted := sorter.granted(command.Claim); granted != nil {
+				tell.Outcomes[index] = &wire.SorterOutcome{Result: &wire.SorterResult{Claim: granted}}
+				continue
+			}
+		}
+		content, err := proto.Marshal(command)
+		if err != nil {
+			tell.Outcomes[index] = &wire.SorterOutcome{Fault: err.Error(), Untaken: true}
+			continue
+		}
+		places, proposals = append(places, index), append(proposals, content)
+	}
+	for place, outcome := range sorter.Member.ProposeAll(proposals) {
+		tell.Outcomes[places[place]] = told(outcome)
+	}
+	return tell, nil
+}
+
+func told(outcome countersign.Outcome) *wire.SorterOutcome {
+	result := &wire.SorterResult{}
+	err := outcome.Err
+	if err == nil {
+		err = proto.Unmarshal(outcome.Result, result)
+	}
+	if err != nil {
+		return &wire.SorterOutcome{Fault: err.Error(), Untaken: errors.Is(err, countersign.ErrNotPrimary)}
+	}
+	return &wire.SorterOutcome{Result: result}
+}
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -77,7 +77,9 @@
 // Register adds the sorter's handlers.
 func (sorter *Sorter) Register(table office.Table) {
 	sorter.Member.Register(table)
+	sorter.env.Book.OfferBatches()
 	office.Handle(table, wire.Kind_sorter_poll, sorter.poll)
+	office.Handle(table, wire.Kind_sorter_batch, sorter.batch)
 	office.Handle(table, wire.Kind_sessions_tell, sorter.told)
 	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
 		if tell := sorter.granted(ask); tell != nil {
