Batches: one more message leaves each 50 ms while those on their way are slow

With four messages of a carrier on their way, each as long as a sync, an ask waited for one to come back, outlasted its 0.7 s and began anew at the end of the queue. Change: four leave at once as before; beyond them one each 50 ms, sixteen at the most.

--- a/internal/carrier/roll/batch.go
+++ b/internal/carrier/roll/batch.go
@@ -19,9 +19,11 @@
 	slowAnswer = 500 * postmark.Millisecond
 	// messagePatience is how long one message waits for its answer. An ask may have more, and is then sent again.
 	messagePatience = 700 * postmark.Millisecond
-	// mostBatch bounds the asks of one message, mostFlights the messages on their way. The first leaves at once, so asks wait only
-	// where the primary is slower than they come; then what it's sent is bounded by these, however many wait.
-	mostBatch, mostFlights = 64, 4
+	// mostBatch bounds the asks of one message, usualFlights the messages that leave at once, so that asks wait only where the primary
+	// is slower than they come. Then one more leaves each flightPause, up to mostFlights: a primary that is slow because it has much to
+	// do is sent little, and one whose disk is slow has its asks in few syncs.
+	mostBatch, usualFlights, mostFlights = 64, 4, 16
+	flightPause                          = 50 * postmark.Millisecond
 	// mostAlone is mostFlights for a primary that takes no batches.
 	mostAlone = 64
 	// aloneFor is how long asks go alone after a batch was lost: the primary may be of a build that knows none.
@@ -45,12 +47,13 @@
 // batches sends asks to the primary, several in one message when they come faster than it answers. A message costs a core machine many times
 // what the ask in it does, and asks that nobody waits for any more aren't sent at all.
 // Invariants: waiting holds errands that are not over and not on their way, the longest waiting first; flights counts the tasks that send,
-// and while anything waits there is one; while failing only one goes on.
+// mostFlights at most, and while anything waits there is one; while failing only one goes on.
 type batches struct {
 	roll    *Roll
 	lock    sync.Mutex
 	waiting []*errand
 	flights int
+	left    postmark.Micros // when the last flight was started
 	failing bool
 	alone   string          // the primary to which asks go alone
 	until   postmark.Micros // and until when
@@ -78,11 +81,14 @@
 	batches.depart(1)
 	batches.lock.Unlock()
 	for {
-		errand.done.Wait(max(errand.cutoff-place.Now(), 0))
+		errand.done.Wait(min(max(errand.cutoff-place.Now(), 0), flightPause))
 		batches.lock.Lock()
 		if errand.over || place.Now() >= errand.cutoff {
 			break
 		}
+		if !errand.flying {
+			batches.depart(1)
+		}
 		batches.lock.Unlock()
 	}
 	defer batches.lock.Unlock()
@@ -104,8 +110,12 @@
 
 // depart starts up to so many flights. The lock is held.
 func (batches *batches) depart(wanted int) {
+	now := batches.roll.place.Now()
 	for ; wanted > 0 && batches.flights < batches.most(); wanted-- {
-		batches.flights++
+		if batches.flights >= usualFlights && batches.size() > 1 && now-batches.left < flightPause {
+			return
+		}
+		batches.flights, batches.left = batches.flights+1, now
 		batches.roll.place.Go(batches.fly)
 	}
 }
