--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -67,7 +67,7 @@
 	vigil   *vigil.Vigil
 	// Activity gives what this carrier called since the last poll.
 	Activity func() []*wire.Activity
-	// Guards takes the guards' records from the primary, or nothing when it couldn't be reached.
+	// Guards takes the guards' records from the primary, those that changed since it last took some, or nothing when it couldn't be reached.
 	Guards func(records []*wire.GuardRecord, reached bool)
 
 	soon    office.Signal
@@ -86,7 +86,9 @@
 	momentAt  postmark.Micros
 	polled    postmark.Micros
 	reached   bool // the last poll reached a sorter
-	young     bool // which had only just begun to be told
+	// of the guards' records that were last taken
+	guardsSource, guardsSerial uint64
+	young                      bool // which had only just begun to be told
 }
 
 // New makes a roll; session gives this carrier's session as it is now.
@@ -159,6 +161,9 @@
 		}
 		if tell.Primary {
 			roll.Guards(tell.Guards, true)
+			roll.lock.Lock()
+			roll.guardsSource, roll.guardsSerial = tell.GuardsSource, tell.GuardsSerial
+			roll.lock.Unlock()
 			return
 		}
 		break
@@ -174,7 +179,8 @@
 	roll.lock.Lock()
 	roll.beat++
 	session.Beat = roll.beat
-	ask := &wire.SorterPollAsk{Session: session, DirectorySource: roll.held.source, DirectorySerial: roll.held.serial, DirectoryCheck: roll.held.check(), DirectoryGrown: roll.grown}
+	ask := &wire.SorterPollAsk{Session: session, DirectorySource: roll.held.source, DirectorySerial: roll.held.serial, DirectoryCheck: roll.held.check(), DirectoryGrown: roll.grown,
+		GuardsSource: roll.guardsSource, GuardsSerial: roll.guardsSerial}
 	roll.lock.Unlock()
 	ask.Activity = roll.Activity()
 	asked := roll.place.Now()
--- a/internal/sorter/pigeonhole/pigeonhole.go
+++ b/internal/sorter/pigeonhole/pigeonhole.go
@@ -36,8 +36,11 @@
 //   - an id is in probes or in tallies, never in both; only ids that were leased are ever tallied;
 //   - the shares' granted less returned are probes + tallies; shares are only kept while half open;
 //   - reports are only kept while closed.
+//
+// And of the whole: touched rises with every call that may change a record.
 type Table struct {
 	records map[string]*wire.GuardRecord
+	touched uint64
 	// Broken names the one thing that is wrong with this table; only rehearsals of the checkers set it.
 	Broken string
 }
@@ -57,12 +60,16 @@
 
 // Restore replaces the table's content.
 func (table *Table) Restore(records []*wire.GuardRecord) {
+	table.touched++
 	table.records = map[string]*wire.GuardRecord{}
 	for _, record := range records {
 		table.records[record.Service] = record
 	}
 }
 
+// Touched rises with whatever may have changed a record.
+func (table *Table) Touched() uint64 { return table.touched }
+
 // Records lists copies of all records, by service.
 func (table *Table) Records() []*wire.GuardRecord {
 	var records []*wire.GuardRecord
@@ -144,6 +151,7 @@
 
 // Write carries out a fenced write. A serial that doesn't match changes nothing; either way the present record comes back.
 func (table *Table) Write(ask *wire.GuardWriteAsk, now postmark.Micros) *wire.GuardWriteTell {
+	table.touched++
 	record := table.record(ask.Service, ask.Terms, now)
 	tell := &wire.GuardWriteTell{}
 	if carryOut := verbs[ask.Verb]; carryOut != nil && ask.ExpectedSerial == record.Serial {
@@ -274,6 +282,7 @@
 
 // Lease takes one probe out of the budget. Asking again with the same id gives the same probe, not another.
 func (table *Table) Lease(ask *wire.ProbeLeaseAsk, now postmark.Micros) *wire.ProbeLeaseTell {
+	table.touched++
 	record := table.records[ask.Service]
 	tell := &wire.ProbeLeaseTell{}
 	if record == nil {
@@ -341,6 +350,7 @@
 // Sweep lets time do its part: waits end, probes whose tenure ran out or whose holder is gone go back, complete rounds
 // that nobody decided are decided, and untouched records expire.
 func (table *Table) Sweep(ended []*wire.Holder, now postmark.Micros) {
+	table.touched++
 	gone := map[string]uint64{}
 	for _, holder := range ended {
 		gone[holder.Name] = holder.Incarnation
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -14,6 +14,7 @@
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 	"snowflow/internal/sorter/directory"
+	"snowflow/internal/sorter/pigeonhole"
 	"snowflow/internal/sorter/rack"
 )
 
@@ -42,12 +43,14 @@
 	Member    *countersign.Member
 	rack      *rack.Rack
 	directory *directory.Directory
-	led       atomic.Int64 // when this process last began to answer as primary
+	shown     *pigeonhole.Shown // the guards' records, as carriers are told them
+	led       atomic.Int64      // when this process last began to answer as primary
 }
 
 // Open reads the disk.
 func Open(env Env) (*Sorter, error) {
-	sorter := &Sorter{env: env, rack: rack.New(), directory: directory.New(env.Place, env.Place.Random())}
+	source := env.Place.Random()
+	sorter := &Sorter{env: env, rack: rack.New(), directory: directory.New(env.Place, source), shown: pigeonhole.NewShown(source | 1)}
 	if env.ClaimLife > 0 {
 		sorter.rack.Claims.Life = env.ClaimLife
 	}
@@ -197,10 +200,11 @@
 	tell.DirectoryAge = int64(sorter.directory.Age())
 	tell.Primary = sorter.Member.Read(func(epoch uint64, now postmark.Micros) {
 		tell.Epoch, tell.HolderTime = epoch, int64(now)
-		tell.Guards = sorter.rack.Guards.Records()
+		sorter.shown.Look(sorter.rack.Guards)
 	})
-	if !tell.Primary {
-		tell.Guards = nil
+	if tell.Primary {
+		change := sorter.shown.Since(ask.GuardsSource, ask.GuardsSerial)
+		tell.Guards, tell.GuardsChanged, tell.GuardsSource, tell.GuardsSerial = change.Records, change.Changes, change.Source, change.Serial
 	}
 	return tell, nil
 }
