--- a/internal/carrier/passage/moves.go
+++ b/internal/carrier/passage/moves.go
@@ -6,8 +6,9 @@
 	"snowflow/internal/seal"
 )
 
-// mostMoves is how many further backends one request may be brought to, within one try, because a gate turned it down.
-const mostMoves = 4
+// mostMoves is how many further backends one request may be brought to, within one try, because a gate turned it down. Each move costs two
+// nodes processor time, most of all while everything is full and most moves are in vain.
+const mostMoves = 2
 
 // movable are the causes of refusals after which another backend is asked at once: nothing of the request came as far as a
 // backend, and another one may well take it.
