New parts say version, and a pending ask is no errand

Names only: the guards' records as shown have versions (serial is our older word for it), and what waits in a batch is a pending ask; lastpost has errands already.

--- a/internal/carrier/roll/batch.go
+++ b/internal/carrier/roll/batch.go
@@ -30,9 +30,9 @@
 	aloneFor = postmark.Second
 )
 
-// errand is one ask of the primary. Invariants: all but kind, ask, cutoff and done belong to the lock of its batches; once over, tell is
+// pending is one ask of the primary. Invariants: all but kind, ask, cutoff and done belong to the lock of its batches; once over, tell is
 // the asker's, and nothing here changes any more.
-type errand struct {
+type pending struct {
 	kind   wire.Kind
 	ask    proto.Message
 	tell   proto.Message
@@ -46,12 +46,12 @@
 
 // batches sends asks to the primary, several in one message when they come faster than it answers. A message costs a core machine many times
 // what the ask in it does, and asks that nobody waits for any more aren't sent at all.
-// Invariants: waiting holds errands that are not over and not on their way, the longest waiting first; flights counts the tasks that send,
+// Invariants: waiting holds calls that are not over and not on their way, the longest waiting first; flights counts the tasks that send,
 // mostFlights at most, and while anything waits there is one; while failing only one goes on.
 type batches struct {
 	roll    *Roll
 	lock    sync.Mutex
-	waiting []*errand
+	waiting []*pending
 	flights int
 	left    postmark.Micros // when the last flight was started
 	failing bool
@@ -75,35 +75,35 @@
 // call has an ask answered by the primary, within patience. An error that is lost says that a primary may have taken it.
 func (batches *batches) call(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error {
 	place := batches.roll.place
-	errand := &errand{kind: kind, ask: ask, tell: tell, cutoff: place.Now() + patience, done: place.NewSignal()}
+	pending := &pending{kind: kind, ask: ask, tell: tell, cutoff: place.Now() + patience, done: place.NewSignal()}
 	batches.lock.Lock()
-	batches.waiting = append(batches.waiting, errand)
+	batches.waiting = append(batches.waiting, pending)
 	batches.depart(1)
 	batches.lock.Unlock()
 	for {
-		errand.done.Wait(min(max(errand.cutoff-place.Now(), 0), flightPause))
+		pending.done.Wait(min(max(pending.cutoff-place.Now(), 0), flightPause))
 		batches.lock.Lock()
-		if errand.over || place.Now() >= errand.cutoff {
+		if pending.over || place.Now() >= pending.cutoff {
 			break
 		}
-		if !errand.flying {
+		if !pending.flying {
 			batches.depart(1)
 		}
 		batches.lock.Unlock()
 	}
 	defer batches.lock.Unlock()
-	if errand.over {
-		return errand.err
+	if pending.over {
+		return pending.err
 	}
-	errand.over = true
-	if at := slices.Index(batches.waiting, errand); at >= 0 {
+	pending.over = true
+	if at := slices.Index(batches.waiting, pending); at >= 0 {
 		batches.waiting = slices.Delete(batches.waiting, at, at+1)
 	}
 	switch {
-	case errand.flying || errand.taken:
+	case pending.flying || pending.taken:
 		return seal.Lost.New("no answer of a primary sorter in time")
-	case errand.err != nil:
-		return errand.err
+	case pending.err != nil:
+		return pending.err
 	}
 	return seal.Unreachable.New("no primary sorter was asked in time")
 }
@@ -139,8 +139,8 @@
 	return mostBatch
 }
 
-// next takes the errands of the next message, or ends the flight if nothing waits or others go on.
-func (batches *batches) next() []*errand {
+// next takes the calls of the next message, or ends the flight if nothing waits or others go on.
+func (batches *batches) next() []*pending {
 	batches.lock.Lock()
 	defer batches.lock.Unlock()
 	if len(batches.waiting) == 0 || batches.flights > batches.most() {
@@ -150,8 +150,8 @@
 	count := min(batches.size(), len(batches.waiting))
 	taken := slices.Clone(batches.waiting[:count])
 	batches.waiting = slices.Delete(batches.waiting, 0, count)
-	for _, errand := range taken {
-		errand.flying = true
+	for _, pending := range taken {
+		pending.flying = true
 	}
 	return taken
 }
@@ -169,13 +169,13 @@
 			}
 			continue
 		}
-		errands := batches.next()
-		if errands == nil {
+		calls := batches.next()
+		if calls == nil {
 			return
 		}
 		began := place.Now()
-		err := batches.send(name, errands)
-		first := batches.back(errands, err, place.Now()-began)
+		err := batches.send(name, calls)
+		first := batches.back(calls, err, place.Now()-began)
 		if err == nil || name != book.Leader(sorters) {
 			continue
 		}
@@ -199,10 +199,10 @@
 	return true
 }
 
-// send brings errands to a primary in one message, and ends those that are answered. An error tells of the others.
-func (batches *batches) send(name string, errands []*errand) error {
-	if !batches.roll.book.Batches(name) || len(errands) == 1 {
-		only := errands[0]
+// send brings calls to a primary in one message, and ends those that are answered. An error tells of the others.
+func (batches *batches) send(name string, calls []*pending) error {
+	if !batches.roll.book.Batches(name) || len(calls) == 1 {
+		only := calls[0]
 		tell := only.tell.ProtoReflect().New().Interface()
 		err := batches.roll.callWhileLeading(name, only.kind, only.ask, tell, messagePatience)
 		if err == nil {
@@ -215,8 +215,8 @@
 		return err
 	}
 	ask := &wire.SorterBatchAsk{}
-	for _, errand := range errands {
-		ask.Commands = append(ask.Commands, parts[errand.kind].command(errand.ask))
+	for _, pending := range calls {
+		ask.Commands = append(ask.Commands, parts[pending.kind].command(pending.ask))
 	}
 	tell, began := &wire.SorterBatchTell{}, batches.roll.place.Now()
 	if err := batches.roll.callWhileLeading(name, wire.Kind_sorter_batch, ask, tell, messagePatience); err != nil {
@@ -229,54 +229,54 @@
 		return err
 	}
 	var refusal error
-	for index, errand := range errands {
+	for index, pending := range calls {
 		outcome := &wire.SorterOutcome{Fault: "it answered too few"}
 		if index < len(tell.Outcomes) {
 			outcome = tell.Outcomes[index]
 		}
-		if answer := parts[errand.kind].result(outcome.GetResult()); answer.ProtoReflect().IsValid() {
-			batches.end(errand, answer)
+		if answer := parts[pending.kind].result(outcome.GetResult()); answer.ProtoReflect().IsValid() {
+			batches.end(pending, answer)
 			continue
 		}
 		refusal = seal.Refused.New("%s: %s", name, outcome.Fault)
 		batches.lock.Lock()
-		errand.err, errand.taken = refusal, errand.taken || !outcome.Untaken
+		pending.err, pending.taken = refusal, pending.taken || !outcome.Untaken
 		batches.lock.Unlock()
 	}
 	return refusal
 }
 
-// end gives an errand its answer, unless its asker waits no more.
-func (batches *batches) end(errand *errand, answer proto.Message) {
+// end gives a pending ask its answer, unless its asker waits no more.
+func (batches *batches) end(pending *pending, answer proto.Message) {
 	batches.lock.Lock()
 	defer batches.lock.Unlock()
-	if errand.over {
+	if pending.over {
 		return
 	}
-	errand.over, errand.err = true, nil
-	proto.Merge(errand.tell, answer)
-	errand.done.Fire()
+	pending.over, pending.err = true, nil
+	proto.Merge(pending.tell, answer)
+	pending.done.Fire()
 }
 
-// back puts errands that were not answered before those that wait, and tells whether theirs is the first message in vain. Only a primary that
+// back puts calls that were not answered before those that wait, and tells whether theirs is the first message in vain. Only a primary that
 // turns asks down or isn't there is left to one flight: one that takes them and is slow, as its disk may be, does best with all of them.
-func (batches *batches) back(errands []*errand, err error, waited postmark.Micros) (first bool) {
+func (batches *batches) back(calls []*pending, err error, waited postmark.Micros) (first bool) {
 	batches.lock.Lock()
 	defer batches.lock.Unlock()
 	lost := seal.IsLost(err)
 	first = !batches.failing
 	batches.failing = err != nil && !(lost && waited >= slowAnswer)
-	var again []*errand
-	for _, errand := range errands {
-		errand.flying = false
-		if errand.over {
+	var again []*pending
+	for _, pending := range calls {
+		pending.flying = false
+		if pending.over {
 			continue
 		}
-		if lost || errand.err == nil {
-			errand.err = err
+		if lost || pending.err == nil {
+			pending.err = err
 		}
-		errand.taken = errand.taken || lost
-		again = append(again, errand)
+		pending.taken = pending.taken || lost
+		again = append(again, pending)
 	}
 	batches.waiting = append(again, batches.waiting...)
 	batches.depart((len(batches.waiting) - 1) / batches.size())
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -87,8 +87,8 @@
 	polled    postmark.Micros
 	reached   bool // the last poll reached a sorter
 	// of the guards' records that were last taken
-	guardsSource, guardsSerial uint64
-	young                      bool // which had only just begun to be told
+	guardsSource, guardsVersion uint64
+	young                       bool // which had only just begun to be told
 }
 
 // New makes a roll; session gives this carrier's session as it is now.
@@ -162,7 +162,7 @@
 		if tell.Primary {
 			roll.Guards(tell.Guards, true)
 			roll.lock.Lock()
-			roll.guardsSource, roll.guardsSerial = tell.GuardsSource, tell.GuardsSerial
+			roll.guardsSource, roll.guardsVersion = tell.GuardsSource, tell.GuardsVersion
 			roll.lock.Unlock()
 			return
 		}
@@ -180,7 +180,7 @@
 	roll.beat++
 	session.Beat = roll.beat
 	ask := &wire.SorterPollAsk{Session: session, DirectorySource: roll.held.source, DirectorySerial: roll.held.serial, DirectoryCheck: roll.held.check(), DirectoryGrown: roll.grown,
-		GuardsSource: roll.guardsSource, GuardsSerial: roll.guardsSerial}
+		GuardsSource: roll.guardsSource, GuardsVersion: roll.guardsVersion}
 	roll.lock.Unlock()
 	ask.Activity = roll.Activity()
 	asked := roll.place.Now()
--- a/internal/sorter/pigeonhole/shown.go
+++ b/internal/sorter/pigeonhole/shown.go
@@ -11,12 +11,12 @@
 // Shown numbers the records as they are shown to carriers, so that each is told only what changed since it last asked. Nothing of it is
 // replicated: another process, or another life, has another source, and whoever names that is told all.
 //
-// Invariants: serial rises whenever any record differs from what it was; a record's number is the serial at which it became what it is;
-// whoever has a serial from whole on lacks no record that is gone.
+// Invariants: version rises whenever any record differs from what it was; a record's number is the version at which it became what it is;
+// whoever has a version from whole on lacks no record that is gone.
 type Shown struct {
 	lock    sync.Mutex
 	source  uint64
-	serial  uint64
+	version uint64
 	whole   uint64
 	fresh   bool // touched is what the table had when it was last looked at
 	touched uint64
@@ -25,8 +25,8 @@
 }
 
 type numbered struct {
-	record *wire.GuardRecord
-	serial uint64
+	record  *wire.GuardRecord
+	version uint64
 }
 
 // NewShown makes one; source is a number that no other life has, and not zero.
@@ -40,7 +40,7 @@
 		return
 	}
 	shown.fresh, shown.touched = true, table.Touched()
-	next, records, changed := shown.serial+1, table.Records(), shown.serial == 0
+	next, records, changed := shown.version+1, table.Records(), shown.version == 0
 	shown.order = shown.order[:0]
 	for _, record := range records {
 		shown.order = append(shown.order, record.Service)
@@ -56,25 +56,25 @@
 		shown.records, shown.whole, changed = present, next, true
 	}
 	if changed {
-		shown.serial = next
+		shown.version = next
 	}
 }
 
 // Change is what somebody lacks of the records. They aren't to be changed.
 type Change struct {
-	Records        []*wire.GuardRecord
-	Changes        bool // Records are those that changed, and no more
-	Source, Serial uint64
+	Records         []*wire.GuardRecord
+	Changes         bool // Records are those that changed, and no more
+	Source, Version uint64
 }
 
-// Since gives what whoever took a serial of a source lacks: the records that changed since, or all.
-func (shown *Shown) Since(source, serial uint64) Change {
+// Since gives what whoever took a version of a source lacks: the records that changed since, or all.
+func (shown *Shown) Since(source, version uint64) Change {
 	shown.lock.Lock()
 	defer shown.lock.Unlock()
-	change := Change{Source: shown.source, Serial: shown.serial}
-	change.Changes = source == shown.source && serial >= shown.whole && serial <= shown.serial && serial > 0
+	change := Change{Source: shown.source, Version: shown.version}
+	change.Changes = source == shown.source && version >= shown.whole && version <= shown.version && version > 0
 	for _, service := range shown.order {
-		if present := shown.records[service]; !change.Changes || present.serial > serial {
+		if present := shown.records[service]; !change.Changes || present.version > version {
 			change.Records = append(change.Records, present.record)
 		}
 	}
--- a/internal/sorter/pigeonhole/shown_test.go
+++ b/internal/sorter/pigeonhole/shown_test.go
@@ -15,8 +15,8 @@
 
 // asker is a carrier as far as guards' records go.
 type asker struct {
-	source, serial uint64
-	records        map[string]*wire.GuardRecord
+	source, version uint64
+	records         map[string]*wire.GuardRecord
 }
 
 func (asker *asker) take(change pigeonhole.Change) {
@@ -26,7 +26,7 @@
 	for _, record := range change.Records {
 		asker.records[record.Service] = record
 	}
-	asker.source, asker.serial = change.Source, change.Serial
+	asker.source, asker.version = change.Source, change.Version
 }
 
 func (asker *asker) same(table *pigeonhole.Table) bool {
@@ -80,7 +80,7 @@
 			default:
 				one := askers[random.IntN(len(askers))]
 				shown[leader].Look(table)
-				change := shown[leader].Since(one.source, one.serial)
+				change := shown[leader].Since(one.source, one.version)
 				if random.IntN(4) == 0 {
 					break // the answer is lost
 				}
@@ -90,7 +90,7 @@
 				}
 				if change.Changes {
 					saved++
-					if again := shown[leader].Since(one.source, one.serial); len(again.Records) > 0 || !again.Changes {
+					if again := shown[leader].Since(one.source, one.version); len(again.Records) > 0 || !again.Changes {
 						t.Fatalf("seed %d, step %d: what was just taken is told again", seed, step)
 					}
 					if len(change.Records) < len(table.Records()) {
@@ -120,13 +120,13 @@
 			trip("service-17", "second")
 		}
 		shown.Look(table)
-		change := shown.Since(one.source, one.serial)
+		change := shown.Since(one.source, one.version)
 		if len(change.Records) != wanted || change.Changes != (step > 0) {
 			t.Errorf("step %d: %d records, changes: %v", step, len(change.Records), change.Changes)
 		}
 		one.take(change)
 	}
-	if stranger := shown.Since(8, one.serial); stranger.Changes || len(stranger.Records) != 580 {
-		t.Errorf("of another life's serial %d records are told", len(stranger.Records))
+	if stranger := shown.Since(8, one.version); stranger.Changes || len(stranger.Records) != 580 {
+		t.Errorf("of another life's version %d records are told", len(stranger.Records))
 	}
 }
--- a/internal/sorter/sorter.go
+++ b/internal/sorter/sorter.go
@@ -203,8 +203,8 @@
 		sorter.shown.Look(sorter.rack.Guards)
 	})
 	if tell.Primary {
-		change := sorter.shown.Since(ask.GuardsSource, ask.GuardsSerial)
-		tell.Guards, tell.GuardsChanged, tell.GuardsSource, tell.GuardsSerial = change.Records, change.Changes, change.Source, change.Serial
+		change := sorter.shown.Since(ask.GuardsSource, ask.GuardsVersion)
+		tell.Guards, tell.GuardsChanged, tell.GuardsSource, tell.GuardsVersion = change.Records, change.Changes, change.Source, change.Version
 	}
 	return tell, nil
 }
