--- a/cmd/postmaster/main.go
+++ b/cmd/postmaster/main.go
@@ -4,6 +4,7 @@
 import (
 	"path/filepath"
 	"slices"
+	"snowflow/internal/countersign"
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/env"
@@ -36,6 +37,6 @@
 		return err
 	}
 	store.Start()
-	home.Drain = func() { store.Member.HandOver("planned stop") }
+	home.Drain = func() { store.Member.Leave("planned stop", countersign.LeaveLimit) }
 	return nil
 }
--- a/cmd/sorter/main.go
+++ b/cmd/sorter/main.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"slices"
+	"snowflow/internal/countersign"
 
 	"snowflow/internal/env"
 	"snowflow/internal/house"
@@ -31,6 +32,6 @@
 		return err
 	}
 	registry.Start()
-	home.Drain = func() { registry.Member.HandOver("planned stop") }
+	home.Drain = func() { registry.Member.Leave("planned stop", countersign.LeaveLimit) }
 	return nil
 }
--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -24,6 +24,8 @@
 	VotersDiffer       = 210
 	RosterChanged      = 211
 	Enrolled           = 212
+	MemberReleased     = 213
+	MemberNotReleased  = 214
 	SessionOpened      = 301
 	SessionEnded       = 302
 	DirectoryRefused   = 303
@@ -85,6 +87,8 @@
 	VotersDiffer:       {log.ErrorLevel, "voters differ between two processes, which don't hear one another"},
 	RosterChanged:      {log.InfoLevel, "roster of voters changed, or is changing"},
 	Enrolled:           {log.InfoLevel, "a process that no roster names keeps the register, and asks to vote"},
+	MemberReleased:     {log.InfoLevel, "a process that stops as planned holds no copy and no seat that is counted on"},
+	MemberNotReleased:  {log.WarnLevel, "a process that stops as planned ends though its copy or seat was not taken over in time"},
 	SessionOpened:      {log.InfoLevel, "session opened"},
 	SessionEnded:       {log.WarnLevel, "session ended"},
 	DirectoryRefused:   {log.WarnLevel, "changes of the directory refused, asking for the whole"},
--- a/internal/countersign/countersign.go
+++ b/internal/countersign/countersign.go
@@ -48,12 +48,13 @@
 	// Genesis tells that this process may take part in a first start. One that may not waits to be taken in.
 	Genesis bool
 	Machine Machine
-	// Size is how many voters are wanted, 0 for whoever is there; Gone how long a voter may be silent before a successor takes
-	// its place.
-	Size int
-	Gone postmark.Micros
 	// Copies is in how many places a write is synced before it's answered: one more than the losses to be borne.
 	Copies int
+	// Size is how many voters are wanted. Left out, it follows from the losses to be borne: a majority outlasts them. A first start with
+	// more keeps them.
+	Size int
+	// Gone is how long a voter may be silent before a successor that waits takes its place.
+	Gone postmark.Micros
 	// Zone tells where a voter is, so that copies are kept apart; it may be left out.
 	Zone func(name string) string
 	// Tenure is how long a majority lets a primary lead; Beat how often it's renewed; Patience how long one call waits.
@@ -86,6 +87,9 @@
 	fill(&env.SlowSync, 300*postmark.Millisecond)
 	fill(&env.Gone, 20*postmark.Second)
 	env.Copies = max(env.Copies, 2)
+	if env.Size == 0 {
+		env.Size = max(2*env.Copies-1, len(env.Voters))
+	}
 	if env.CompactFrom == 0 {
 		env.CompactFrom = 4 << 20
 	}
@@ -122,9 +126,11 @@
 	told          string                     // the last that was told of rosters that differ
 	heard         map[string]postmark.Micros // when each voter last answered this primary
 	applicants    map[string]applicant
-	proposed      map[string]bool // names that ballots of this life would have made voters
-	tending       bool            // a change of the roster is under way here
+	leavers       map[string]postmark.Micros // when each process that stops as planned last said so
+	proposed      map[string]bool            // names that ballots of this life would have made voters
+	tending       bool                       // a change of the roster is under way here
 	stopped       bool
+	stopping      bool // this process stops as planned, and takes no lead any more
 
 	// relieved is when something was last done about a slow disk, completed when further backups were last looked for; only the
 	// work task uses them.
@@ -180,7 +186,7 @@
 // Open reads what the disk holds. Start must follow.
 func Open(env Env) (*Member, error) {
 	env.Defaults()
-	member := &Member{env: env, Vigil: vigil.New(env.Place), heard: map[string]postmark.Micros{}, applicants: map[string]applicant{}, proposed: map[string]bool{},
+	member := &Member{env: env, Vigil: vigil.New(env.Place), heard: map[string]postmark.Micros{}, applicants: map[string]applicant{}, leavers: map[string]postmark.Micros{}, proposed: map[string]bool{},
 		seats: map[string]sighting{}, young: true, life: env.Place.Random() | 1}
 	member.Vigil.OnLeap(func(postmark.Micros) {
 		// What this seat granted may seem to be over and not be.
@@ -267,6 +273,9 @@
 		}
 		member.lock.Lock()
 		member.lastHeard, member.young = -postmark.Minute, false
+		if ask.Leaving != "" {
+			member.leavers[ask.Leaving] = member.env.Place.Now()
+		}
 		member.lock.Unlock()
 		member.nudge.Fire()
 		return &wire.HandoverTell{Taken: true}, nil
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -147,7 +147,10 @@
 // acknowledged write. Nothing is answered in that epoch until a backup is in step.
 func (member *Member) takeOver(known *wire.RegisterValue) {
 	self := member.self()
-	if known != nil && !sameHolder(known.Primary, self) && !holds(backupsOf(known), self) {
+	member.lock.Lock()
+	stopping := member.stopping
+	member.lock.Unlock()
+	if stopping || known != nil && !sameHolder(known.Primary, self) && !holds(backupsOf(known), self) {
 		return
 	}
 	member.grown()
@@ -240,10 +243,12 @@
 		}
 		if since := now - lastWrite; len(batch) == 0 && since >= 0 && since < member.pace() {
 			pause = member.pace() - since // the backups heard a write since
+			member.relieveLeavers()
 			continue
 		}
 		lastWrite = now
 		member.commit(state, batch)
+		member.relieveLeavers()
 		member.complete()
 	}
 }
@@ -261,16 +266,22 @@
 		return
 	}
 	member.completed = now
-	spare := slices.ContainsFunc(member.others(), func(name string) bool {
+	if member.spare(state.backups) {
+		member.dropBackups(nil, "")
+		member.settle(nil)
+	}
+}
+
+// spare tells whether some voter that holds no copy, and doesn't leave, could take one now.
+func (member *Member) spare(backups []*wire.Holder) bool {
+	now := member.env.Place.Now()
+	return slices.ContainsFunc(member.others(), func(name string) bool {
 		member.lock.Lock()
 		heard, known := member.heard[name]
+		leaves := member.leavingNow(now)[name]
 		member.lock.Unlock()
-		return known && now-heard < member.env.Tenure && !slices.Contains(names(state.backups), name) && member.reachable(name)
+		return known && !leaves && now-heard < member.env.Tenure && !slices.Contains(names(backups), name) && member.reachable(name)
 	})
-	if spare {
-		member.dropBackups(nil, "")
-		member.settle(nil)
-	}
 }
 
 func (member *Member) waiting() bool {
@@ -699,9 +710,14 @@
 	present, _ := member.configuration()
 	var heavy, first, rest, quiet, last []string
 	now := member.env.Place.Now()
+	member.lock.Lock()
+	leaving := member.leavingNow(now)
+	member.lock.Unlock()
 	for _, name := range member.others() {
 		switch {
 		case len(present.joint) > 0 && !slices.Contains(present.joint, name): // it's about to leave
+		case leaving[name]:
+			last = append(last, name)
 		case slices.Contains(names(failed), name):
 			last = append(last, name)
 		case now-member.heardAt(name) > member.env.Tenure:
@@ -732,7 +748,10 @@
 }
 
 // handOver gives the lead to the backup: the tenure is released first, so it need not be waited out.
-func (member *Member) handOver(why string) {
+func (member *Member) handOver(why string) { member.handOverTo(why, "") }
+
+// handOverTo hands over; leaving is this member's name where it stops as planned, so that the heir gives it nothing to hold.
+func (member *Member) handOverTo(why, leaving string) {
 	member.lock.Lock()
 	state := member.lead
 	member.lock.Unlock()
@@ -748,12 +767,12 @@
 	if len(state.backups) > 0 {
 		heir := state.backups[0].Name
 		member.env.Place.Report(bulletin.HandedOver, map[string]any{"group": member.env.Group, "to": heir, "why": why})
-		_ = member.call(heir, wire.Kind_handover, &wire.HandoverAsk{To: heir, Epoch: state.epoch, Content: along}, &wire.HandoverTell{})
+		_ = member.call(heir, wire.Kind_handover, &wire.HandoverAsk{To: heir, Epoch: state.epoch, Content: along, Leaving: leaving}, &wire.HandoverTell{})
 	}
 	member.lock.Lock()
 	member.lastHeard = member.env.Place.Now() + 4*member.env.Tenure
 	member.lock.Unlock()
 }
 
-// HandOver is for a planned stop.
+// HandOver gives the lead to a backup, if this member has it.
 func (member *Member) HandOver(why string) { member.handOver(why) }
--- /dev/null
+++ b/internal/countersign/leave.go
@@ -0,0 +1,106 @@
+package countersign
+
+import (
+	"slices"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+const (
+	// LeaveLimit is how long a planned stop waits at most for its copy and seat to be taken over.
+	LeaveLimit = 2500 * postmark.Millisecond
+	// leavePause is how often a member that stops as planned asks whether it may go.
+	leavePause = 50 * postmark.Millisecond
+	// leavePatience is how long after its last word a process counts as leaving: its next life is none that leaves.
+	leavePatience = postmark.Second
+)
+
+// Leave is for a planned stop. It hands the lead over and returns once this member holds no copy that is counted on, and its seat is taken by
+// a successor if one waits; or when the limit has passed, since the process is ended then in any case.
+func (member *Member) Leave(why string, limit postmark.Micros) {
+	place := member.env.Place
+	cutoff := place.Now() + limit
+	member.lock.Lock()
+	member.stopping = true
+	member.lock.Unlock()
+	member.handOverTo(why, member.env.Name)
+	for place.Now() < cutoff {
+		if member.askLeave(cutoff - place.Now()) {
+			place.Report(bulletin.MemberReleased, map[string]any{"group": member.env.Group})
+			return
+		}
+		place.Sleep(min(leavePause, max(0, cutoff-place.Now())))
+	}
+	place.Report(bulletin.MemberNotReleased, map[string]any{"group": member.env.Group})
+}
+
+// askLeave asks the primary whether this member may go.
+func (member *Member) askLeave(patience postmark.Micros) bool {
+	leader := member.env.Book.Leader(member.env.Group)
+	if leader == "" || leader == member.env.Name {
+		member.env.Book.Ask()
+		return false
+	}
+	tell := &wire.EnrollTell{}
+	ask := &wire.EnrollAsk{To: leader, Name: member.env.Name, Leaving: true}
+	err := member.env.Book.Call(leader, wire.Kind_enroll, ask, tell, min(patience, member.env.Patience))
+	return err == nil && tell.Released
+}
+
+// answerLeave notes that a process stops as planned, and tells whether it may go: it holds no copy that is counted on, and no seat that a
+// process that waits could take.
+func (member *Member) answerLeave(name string) *wire.EnrollTell {
+	if !member.Answering() {
+		return &wire.EnrollTell{}
+	}
+	now := member.env.Place.Now()
+	member.lock.Lock()
+	member.leavers[name] = now
+	delete(member.applicants, name)
+	state := member.lead
+	member.lock.Unlock()
+	if slices.Contains(names(state.backups), name) {
+		member.inbox.Put(nil) // the work task gives the copy to another
+		return &wire.EnrollTell{Released: !member.spare(state.backups)}
+	}
+	_, present, _, found := member.observe()
+	released := state.answering && len(present.joint) == 0 && (!slices.Contains(present.voters, name) || len(found.waiting) == 0 || found.next() == nil)
+	if !released {
+		member.nudge.Fire()
+	}
+	return &wire.EnrollTell{Released: released}
+}
+
+// leavingNow lists the processes that said lately that they stop as planned. The caller holds the lock.
+func (member *Member) leavingNow(now postmark.Micros) map[string]bool {
+	leaving := map[string]bool{}
+	for name, at := range member.leavers {
+		if now-at > leavePatience {
+			delete(member.leavers, name)
+			continue
+		}
+		leaving[name] = true
+	}
+	return leaving
+}
+
+// relieveLeavers gives the copies of backups that stop as planned to other voters, before those that leave are let go.
+func (member *Member) relieveLeavers() {
+	member.lock.Lock()
+	state, leaving := member.lead, member.leavingNow(member.env.Place.Now())
+	member.lock.Unlock()
+	leaves := func(backup *wire.Holder) bool { return leaving[backup.Name] }
+	if !state.answering || !slices.ContainsFunc(state.backups, leaves) || !member.spare(state.backups) {
+		return
+	}
+	var going []*wire.Holder
+	for _, backup := range state.backups {
+		if leaves(backup) {
+			going = append(going, backup)
+		}
+	}
+	member.dropBackups(going, "it stops as planned")
+	member.settle(nil)
+}
--- a/internal/countersign/roster.go
+++ b/internal/countersign/roster.go
@@ -10,17 +10,15 @@
 	"snowflow/internal/postmark"
 )
 
-// most is how many voters a roster grows to where no size is set.
-const most = 5
-
 // situation is what a primary knows when it looks whether the roster should be another.
 type situation struct {
 	voters  roster
-	size    int             // wanted number of voters, 0 for whoever is there
+	size    int             // wanted number of voters
 	held    []string        // the primary and its backups, which stay
 	silence map[string]bool // voters that haven't answered lately
 	gone    map[string]bool // voters that have been silent past the bound; also among the silent
-	waiting []string        // processes in contact that aren't voters and keep a register
+	leaving map[string]bool // voters that stop as planned
+	waiting []string        // processes in contact that aren't voters and keep a register, the preferred one first
 }
 
 // next gives the roster to change to, one voter added, replaced or left out, or nothing.
@@ -46,9 +44,15 @@
 	return Decides(situation.voters, live) && Decides(fresh, live)
 }
 
-// leaver is the first voter that is past the bound and holds nothing, or -1.
+// leaver is the first voter that is past the bound and holds nothing, or else the first that stops as planned and holds nothing, or -1.
 func (situation situation) leaver() int {
-	return slices.IndexFunc(situation.voters, func(name string) bool { return situation.gone[name] && !slices.Contains(situation.held, name) })
+	for _, due := range []map[string]bool{situation.gone, situation.leaving} {
+		position := slices.IndexFunc(situation.voters, func(name string) bool { return due[name] && !slices.Contains(situation.held, name) })
+		if position >= 0 {
+			return position
+		}
+	}
+	return -1
 }
 
 // replace puts a successor in the place of a voter that is gone.
@@ -64,20 +68,16 @@
 
 // grow takes one more in, while every voter answers: a silent one may have to be replaced instead.
 func (situation situation) grow() roster {
-	limit := situation.size
-	if limit == 0 {
-		limit = most
-	}
-	if len(situation.waiting) == 0 || len(situation.voters) >= limit || len(situation.silence) > 0 {
+	if len(situation.waiting) == 0 || len(situation.voters) >= situation.size || len(situation.silence) > 0 {
 		return nil
 	}
 	return append(slices.Clone(situation.voters), situation.waiting[0])
 }
 
-// shrink leaves a voter that is gone out where there are more than wanted.
+// shrink leaves a voter that is gone or leaves out where there are more than wanted.
 func (situation situation) shrink() roster {
 	position := situation.leaver()
-	if position < 0 || situation.size == 0 || len(situation.voters) <= situation.size {
+	if position < 0 || len(situation.voters) <= situation.size {
 		return nil
 	}
 	return slices.Delete(slices.Clone(situation.voters), position, position+1)
@@ -109,8 +109,8 @@
 	return -postmark.Minute
 }
 
-// look makes out the situation of an answering primary.
-func (member *Member) look() (epoch uint64, present configuration, leased bool, found situation) {
+// observe makes out the situation of an answering primary.
+func (member *Member) observe() (epoch uint64, present configuration, leased bool, found situation) {
 	now := member.env.Place.Now()
 	member.lock.Lock()
 	defer member.lock.Unlock()
@@ -120,7 +120,7 @@
 	}
 	present = member.configurationOf(state.chosen)
 	found = situation{voters: present.voters, size: member.env.Size, held: append(names(state.backups), member.env.Name),
-		silence: map[string]bool{}, gone: map[string]bool{}}
+		silence: map[string]bool{}, gone: map[string]bool{}, leaving: member.leavingNow(now)}
 	for _, name := range present.voters {
 		silent := now - max(member.heard[name], state.since)
 		if name == member.env.Name {
@@ -136,7 +136,7 @@
 	for name, one := range member.applicants {
 		if now-one.at > applicantPatience {
 			delete(member.applicants, name)
-		} else if one.joined && !present.has(name) {
+		} else if one.joined && !present.has(name) && !found.leaving[name] {
 			found.waiting = append(found.waiting, name)
 		}
 	}
@@ -147,7 +147,7 @@
 // tend changes the roster by one step, if a step is due: into a joint change, or out of one once the lease stands by both
 // quorums. Only one runs at a time.
 func (member *Member) tend() {
-	epoch, present, leased, found := member.look()
+	epoch, present, leased, found := member.observe()
 	if epoch == 0 {
 		return
 	}
@@ -192,7 +192,7 @@
 			return altered, nil
 		})
 		if err != nil {
-			return // the next look finds out what came of it, if only by a lease refused
+			return // the next observation finds out what came of it, if only by a lease refused
 		}
 		member.won(epoch, ballot, value)
 		if len(value.JointVoters) == 0 {
@@ -202,6 +202,7 @@
 		}
 		member.env.Place.Report(bulletin.RosterChanged, map[string]any{"group": member.env.Group, "voters": value.Voters, "joint": value.JointVoters})
 		member.renew()
+		member.nudge.Fire() // the next step may be due
 	})
 }
 
@@ -217,6 +218,9 @@
 
 // answerEnroll hears a process that wants to be a voter, and gives it the register to begin with.
 func (member *Member) answerEnroll(ask *wire.EnrollAsk) (*wire.EnrollTell, error) {
+	if ask.Leaving {
+		return member.answerLeave(ask.Name), nil
+	}
 	answering := member.Answering()
 	present, _ := member.configuration()
 	member.lock.Lock()
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -266,6 +266,14 @@
 	node.Disk.IgnoreSyncs = mesh.breakage.NoSync
 }
 
+// member is the part that a core process has in its group.
+func (mesh *Mesh) member(name string) *countersign.Member {
+	if one := mesh.sorters[name]; one != nil {
+		return one.Member
+	}
+	return mesh.masters[name].Member
+}
+
 // listen has afterWrite told of each write that a sorter acknowledges, at the moment of its answer.
 func (mesh *Mesh) listen(node *world.Node, table office.Table) {
 	for _, kind := range []wire.Kind{wire.Kind_claim, wire.Kind_void, wire.Kind_probe_lease, wire.Kind_guard_write, wire.Kind_duty} {
