--- a/internal/gazetteer/gazetteer.go
+++ b/internal/gazetteer/gazetteer.go
@@ -30,6 +30,7 @@
 	known     map[string][]string
 	groups    map[string]string
 	batches   map[string]bool // names that said they take batches
+	deltas    map[string]bool // names that said they take contents as differences
 	primaries map[string]*wire.Primary
 	seeds     []string
 	turn      int
@@ -44,7 +45,7 @@
 
 // New makes a book. own is nil for a process that is not of the core.
 func New(place office.Office, own *wire.PeerAddress, seeds []string) *Book {
-	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{}, batches: map[string]bool{},
+	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{}, batches: map[string]bool{}, deltas: map[string]bool{},
 		primaries: map[string]*wire.Primary{}, seeds: seeds}
 	if own != nil {
 		book.Learn([]*wire.PeerAddress{own})
@@ -67,6 +68,21 @@
 	return book.batches[name]
 }
 
+// OfferDeltas has this process tell the others that it takes contents as differences. It's called before the process serves.
+func (book *Book) OfferDeltas() {
+	if book.own != nil {
+		book.own.Deltas = true
+		book.Learn([]*wire.PeerAddress{book.own})
+	}
+}
+
+// TakeDeltas tells whether all of some names are known to take contents as differences.
+func (book *Book) TakeDeltas(names ...string) bool {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	return !slices.ContainsFunc(names, func(name string) bool { return !book.deltas[name] })
+}
+
 // Seed replaces the seeds: the platform names others in the course of a process's life.
 func (book *Book) Seed(seeds []string) {
 	book.lock.Lock()
@@ -126,6 +142,7 @@
 		}
 		book.groups[peer.Name] = peer.Group
 		book.batches[peer.Name] = book.batches[peer.Name] || peer.Batches
+		book.deltas[peer.Name] = book.deltas[peer.Name] || peer.Deltas
 		addresses := book.known[peer.Name]
 		if slices.Contains(addresses, peer.Address) {
 			continue
@@ -179,7 +196,7 @@
 	var peers []*wire.PeerAddress
 	for name, addresses := range book.known {
 		for _, address := range addresses {
-			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name], Batches: book.batches[name]})
+			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name], Batches: book.batches[name], Deltas: book.deltas[name]})
 		}
 	}
 	sort.SliceStable(peers, func(one, other int) bool { return peers[one].Name < peers[other].Name })
--- /dev/null
+++ b/internal/postmaster/delta/delta_test.go
@@ -0,0 +1,84 @@
+package delta_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"snowflow/internal/postmaster/delta"
+)
+
+const most = 4 << 20
+
+// routes makes a content of so many routes, of which one has another weight.
+func routes(count, changed int) []byte {
+	var text bytes.Buffer
+	for index := range count {
+		weight := 100
+		if index == changed {
+			weight = 37
+		}
+		fmt.Fprintf(&text, `{"entryType":"routeTable","metadata":{"name":"r-%x"},"specification":{"hostname":"h%d.example","pathPrefix":"/p%x/","timeoutS":0.5,"weight":%d}},`,
+			index*2654435761, index%97, index*40503, weight)
+	}
+	return text.Bytes()
+}
+
+// TestRoundTrip: whatever the base, the content comes back; one changed route of 900 takes less than a twentieth of the whole.
+func TestRoundTrip(t *testing.T) {
+	for _, one := range []struct {
+		name          string
+		base, content []byte
+		share         int // of the content that the difference may be, one part in so many
+	}{
+		{"from nothing", nil, routes(900, -1), 3},
+		{"nothing", nil, nil, 0},
+		{"to nothing", routes(10, 1), nil, 0},
+		{"the same", routes(900, 1), routes(900, 1), 100},
+		{"one of 10", routes(10, 2), routes(10, 7), 10},
+		{"one of 900", routes(900, 2), routes(900, 880), 20},
+		{"one of 10,000", routes(10000, 2), routes(10000, 9000), 20},
+		{"another altogether", []byte("abc"), routes(900, 2), 3},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			encoded, err := delta.Encode(one.base, one.content)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d bytes for %d", len(encoded), len(one.content))
+			decoded, err := delta.Decode(one.base, encoded, most)
+			if err != nil || !bytes.Equal(decoded, one.content) {
+				t.Fatalf("%d bytes came back, %v", len(decoded), err)
+			}
+			if one.share > 0 && len(encoded)*one.share > len(one.content) {
+				t.Errorf("%d bytes for %d", len(encoded), len(one.content))
+			}
+		})
+	}
+}
+
+// TestDamage: each changed byte and each cut is told, or leaves the content as it is.
+func TestDamage(t *testing.T) {
+	base, content := routes(20, 3), routes(20, 4)
+	encoded, err := delta.Encode(base, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for index := range encoded {
+		spoilt := bytes.Clone(encoded)
+		spoilt[index] ^= 0x55
+		if decoded, err := delta.Decode(base, spoilt, most); err == nil && !bytes.Equal(decoded, content) {
+			t.Errorf("byte %d: another content", index)
+		}
+		if decoded, err := delta.Decode(base, encoded[:index], most); err == nil && !bytes.Equal(decoded, content) && len(decoded) > 0 {
+			t.Errorf("cut at %d: another content", index)
+		}
+	}
+	if decoded, err := delta.Decode(content, encoded, most); err == nil && !bytes.Equal(decoded, content) {
+		t.Error("another base: another content")
+	}
+	if _, err := delta.Decode(base, encoded, len(content)-1); !errors.Is(err, delta.ErrDamaged) {
+		t.Errorf("too long a content: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/postmaster/deltas.go
@@ -0,0 +1,83 @@
+package postmaster
+
+import (
+	"slices"
+
+	"snowflow/internal/franking"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster/delta"
+	"snowflow/internal/postmaster/ledger"
+	"snowflow/internal/seal"
+)
+
+// allTakeDeltas tells whether every voter is known to take contents as differences: copies of an earlier build don't.
+func (master *Postmaster) allTakeDeltas() bool {
+	if master.Member == nil {
+		return false // the journal is being read
+	}
+	voters := slices.Clone(master.Member.Voters())
+	return master.env.Book.TakeDeltas(append(voters, master.env.Name)...)
+}
+
+// whole gives an apply with its content, if that came as a difference from one that is kept here.
+func (master *Postmaster) whole(ask *wire.DesiredApplyAsk) (whole *wire.DesiredApplyAsk, known bool, err error) {
+	if len(ask.Delta) == 0 {
+		return ask, true, nil
+	}
+	whole = &wire.DesiredApplyAsk{ExpectedSerial: ask.ExpectedSerial, Request: ask.Request, AnySerial: ask.AnySerial, Version: ask.Version}
+	var base []byte
+	done := master.Member.Read(func(uint64, postmark.Micros) {
+		if kept := master.ledger.WithDigest(ask.Base); kept != nil || ask.Base == "" {
+			base, known = kept.GetContent(), true
+		}
+	})
+	if !done {
+		return nil, false, seal.Refused.New("not the primary")
+	}
+	if known {
+		whole.Content, err = delta.Decode(base, ask.Delta, franking.Longest)
+		known = err == nil
+	}
+	return whole, known, nil
+}
+
+// submit has every copy take an apply, as its difference from the newest state where all of them can.
+func (master *Postmaster) submit(ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
+	tell := &wire.DesiredApplyTell{}
+	if short := master.short(ask); short != nil {
+		err := master.Member.Submit(&wire.DesiredCommand{Apply: short}, tell)
+		if err != nil || tell.Outcome != ledger.BaseUnknown {
+			return tell, err
+		}
+		tell = &wire.DesiredApplyTell{} // so many changes came between that the base was let go
+	}
+	return tell, master.Member.Submit(&wire.DesiredCommand{Apply: ask}, tell)
+}
+
+// short is an apply whose content is told by its difference from the newest state, or nothing.
+func (master *Postmaster) short(ask *wire.DesiredApplyAsk) *wire.DesiredApplyAsk {
+	if len(ask.Content) < packFrom || !master.allTakeDeltas() {
+		return nil
+	}
+	var newest *wire.DesiredKept
+	master.Member.Read(func(uint64, postmark.Micros) { newest = master.ledger.Newest() })
+	encoded, err := delta.Encode(newest.GetContent(), ask.Content)
+	if err != nil {
+		return nil
+	}
+	return &wire.DesiredApplyAsk{ExpectedSerial: ask.ExpectedSerial, Request: ask.Request, AnySerial: ask.AnySerial, Version: ask.Version,
+		Delta: encoded, Base: newest.GetDigest()}
+}
+
+// shortened tells a state by its difference from one that the asker has, or compressed where it has none that is known here.
+func shortened(kept, base *wire.DesiredKept) *wire.DesiredKept {
+	if len(kept.Content) < packFrom {
+		return kept
+	}
+	encoded, err := delta.Encode(base.GetContent(), kept.Content)
+	if err != nil {
+		return kept
+	}
+	return &wire.DesiredKept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request, Delta: encoded, Base: base.GetDigest()}
+}
--- a/internal/postmaster/door/store.go
+++ b/internal/postmaster/door/store.go
@@ -7,11 +7,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/franking"
 	"snowflow/internal/gazetteer"
 	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/postmaster"
+	"snowflow/internal/postmaster/ledger"
 	"snowflow/internal/seal"
 )
 
@@ -35,6 +37,9 @@
 type forwarding struct {
 	place office.Office
 	book  *gazetteer.Book
+	// recent is the state that last went to or came from a primary. It's no more than a base for differences: what is answered is always
+	// what a primary tells of now.
+	recent recent
 }
 
 // NewStore makes a store that passes everything on to the primary.
@@ -94,14 +99,21 @@
 	if !store.reaches(min(reachPatience, patience)) {
 		return nil, ErrNotTaken
 	}
-	sent := false
+	sent, whole := false, false
 	var err error = seal.Unreachable.New("no time was left")
 	for place.Now() < cutoff {
 		if leader := store.book.Leader(postmaster.Group); leader != "" {
-			tell := &wire.DesiredApplyTell{}
+			tell, short := &wire.DesiredApplyTell{}, store.short(leader, ask, whole)
 			// A primary that falls silent is left time for another to take over.
 			remaining := cutoff - place.Now()
-			if err = store.book.Call(leader, wire.Kind_desired_apply, ask, tell, max(remaining/2, min(remaining, postmark.Second))); err == nil {
+			if err = store.book.Call(leader, wire.Kind_desired_apply, short, tell, max(remaining/2, min(remaining, postmark.Second))); err == nil {
+				if tell.Outcome == ledger.BaseUnknown && !whole {
+					whole = true
+					continue
+				}
+				if tell.Outcome == ledger.Accepted {
+					store.recent.keep(franking.Digest(ask.Content), ask.Content)
+				}
 				return tell, nil
 			}
 			sent = sent || !seal.IsUnreachable(err)
@@ -115,12 +127,22 @@
 }
 
 func (store *forwarding) Newest(patience postmark.Micros) (*wire.DesiredKept, error) {
-	tell := &wire.DesiredReadTell{}
-	if err := store.primary(wire.Kind_desired_read, &wire.DesiredReadAsk{}, tell, patience); err != nil {
-		return nil, err
-	}
-	if !tell.Found {
-		return nil, nil
+	have, base := store.recent.get()
+	ask, cutoff := &wire.DesiredReadAsk{Have: have, Deltas: true}, store.place.Now()+patience
+	for {
+		tell := &wire.DesiredReadTell{}
+		if err := store.primary(wire.Kind_desired_read, ask, tell, cutoff-store.place.Now()); err != nil {
+			return nil, err
+		}
+		if !tell.Found {
+			return nil, nil
+		}
+		if kept := store.whole(tell.States[0], have, base); kept != nil {
+			return kept, nil
+		}
+		if !ask.Deltas {
+			return nil, errNotAsTold
+		}
+		ask = &wire.DesiredReadAsk{} // it isn't what its digest says: it's asked for whole
 	}
-	return tell.States[0], nil
 }
--- a/internal/postmaster/ledger/ledger.go
+++ b/internal/postmaster/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"snowflow/internal/franking"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/postmaster/delta"
 )
 
 // The outcomes of an apply.
@@ -18,21 +19,28 @@
 	Accepted = "accepted"
 	Conflict = "conflict"
 	Invalid  = "invalid"
+	// BaseUnknown: the content came as a difference from one that isn't kept here; nothing changed. It's to be sent whole.
+	BaseUnknown = "base_unknown"
 )
 
 // Ledger is the machine.
 // Invariants: serials rise along states, with gaps where versions were named; a state never changes; the newest stays, and
-// older ones are removed only oldest first, once there are more than history; requests hold the states' own.
+// older ones are removed only oldest first, once there are more than history; requests hold the states' own; a number stands for one
+// content for as long as it's remembered, whether that was ever in force or not.
 type Ledger struct {
+	// Deltas tells whether views may hold states as differences, true if left out. It has no part in what the state is.
+	Deltas func() bool
+
 	history  int
 	states   []*wire.DesiredKept
 	requests map[string]*wire.DesiredKept
+	taken    taken
 }
 
 // New makes an empty ledger that keeps at most so many states, all for zero. Which requests it remembers goes by that, so it
 // must be the same at every copy.
 func New(history int) *Ledger {
-	return &Ledger{history: history, requests: map[string]*wire.DesiredKept{}}
+	return &Ledger{history: history, requests: map[string]*wire.DesiredKept{}, taken: newTaken()}
 }
 
 // Apply carries out a command. A request that was accepted before gets its first answer again.
@@ -40,7 +48,7 @@
 	command := &wire.DesiredCommand{}
 	tell := &wire.DesiredApplyTell{Outcome: Invalid}
 	if err := proto.Unmarshal(content, command); err == nil && command.Apply != nil {
-		tell = ledger.accept(command.Apply)
+		tell = ledger.take(command.Apply)
 	}
 	encoded, err := proto.Marshal(tell)
 	if err != nil {
@@ -49,6 +57,42 @@
 	return encoded
 }
 
+// take carries out an apply, whose content may have come as a difference.
+func (ledger *Ledger) take(ask *wire.DesiredApplyAsk) *wire.DesiredApplyTell {
+	content, known := ledger.Content(ask)
+	if !known {
+		return &wire.DesiredApplyTell{Outcome: BaseUnknown, Serial: ledger.Serial()}
+	}
+	return ledger.accept(&wire.DesiredApplyAsk{Content: content, ExpectedSerial: ask.ExpectedSerial, Request: ask.Request, AnySerial: ask.AnySerial, Version: ask.Version})
+}
+
+// Content gives the content that an apply is about, if the base that it's told by is kept here.
+func (ledger *Ledger) Content(ask *wire.DesiredApplyAsk) (content []byte, known bool) {
+	if len(ask.Delta) == 0 {
+		return ask.Content, true
+	}
+	var base []byte
+	if ask.Base != "" {
+		kept := ledger.WithDigest(ask.Base)
+		if kept == nil {
+			return nil, false
+		}
+		base = kept.Content
+	}
+	content, err := delta.Decode(base, ask.Delta, franking.Longest)
+	return content, err == nil
+}
+
+// WithDigest gives the newest kept state with a digest, or nothing.
+func (ledger *Ledger) WithDigest(digest string) *wire.DesiredKept {
+	for _, kept := range slices.Backward(ledger.states) {
+		if kept.Digest == digest {
+			return kept
+		}
+	}
+	return nil
+}
+
 func (ledger *Ledger) accept(ask *wire.DesiredApplyAsk) *wire.DesiredApplyTell {
 	digest := franking.Digest(ask.Content)
 	if ask.Version > 0 {
@@ -71,9 +115,13 @@
 	return &wire.DesiredApplyTell{Outcome: Accepted, Serial: kept.Serial, Digest: digest}
 }
 
-// raise takes a content that names its version if that is above the newest serial. Any other is acknowledged and changes
-// nothing, so that contents may come again and in any order. The request id plays no part.
+// raise takes a content that names its version if that is above the newest serial. The same content under a number that was taken, and
+// any under a lower number that never was, is acknowledged and changes nothing, so that contents may come again and in any order.
+// Another content under a number that was taken is refused: two operators are never both told yes. The request id plays no part.
 func (ledger *Ledger) raise(ask *wire.DesiredApplyAsk, digest string) *wire.DesiredApplyTell {
+	if !ledger.taken.claim(ask.Version, digest) {
+		return &wire.DesiredApplyTell{Outcome: Conflict, Serial: ledger.Serial(), Faults: []string{"the version stands for another content"}}
+	}
 	if ask.Version > ledger.Serial() {
 		ledger.keep(&wire.DesiredKept{Serial: ask.Version, Content: ask.Content, Digest: digest, Request: ask.Request})
 	}
@@ -82,6 +130,7 @@
 }
 
 func (ledger *Ledger) keep(kept *wire.DesiredKept) {
+	ledger.taken.claim(kept.Serial, kept.Digest)
 	ledger.states = append(ledger.states, kept)
 	if kept.Request != "" {
 		ledger.requests[kept.Request] = kept
@@ -123,7 +172,11 @@
 
 // View gives the whole state.
 func (ledger *Ledger) View() []byte {
-	content, err := proto.Marshal(&wire.DesiredView{States: ledger.states})
+	view := &wire.DesiredView{States: ledger.states, Taken: ledger.taken.list()}
+	if ledger.Deltas == nil || ledger.Deltas() {
+		view.States = packed(ledger.states)
+	}
+	content, err := proto.Marshal(view)
 	if err != nil {
 		panic(err) // the state is made of messages that were decoded or built here
 	}
@@ -136,8 +189,15 @@
 	if err := proto.Unmarshal(content, view); err != nil {
 		return err
 	}
-	ledger.states, ledger.requests = nil, map[string]*wire.DesiredKept{}
-	for _, kept := range view.States {
+	states, err := unpacked(view.States)
+	if err != nil {
+		return err
+	}
+	ledger.states, ledger.requests, ledger.taken = nil, map[string]*wire.DesiredKept{}, newTaken()
+	for _, one := range view.Taken {
+		ledger.taken.restore(one)
+	}
+	for _, kept := range states {
 		ledger.keep(kept)
 	}
 	return nil
--- a/internal/postmaster/ledger/ledger_test.go
+++ b/internal/postmaster/ledger/ledger_test.go
@@ -91,3 +91,76 @@
 	}
 	return strings.TrimSpace(fmt.Sprintf("%s %d %s", tell.Outcome, tell.Serial, strings.Join(tell.Faults, "; ")))
 }
+
+// TestOneNumberOneContent searches every order of orders by two operators: three numbers, two contents, resends, and a copy that is given the whole
+// state anew in between. No number is ever confirmed with two contents, what was confirmed is confirmed again, and the newest never falls.
+func TestOneNumberOneContent(t *testing.T) {
+	const depth = 5
+	orders := []string{"version 1 a", "version 1 b", "version 2 a", "version 2 b", "version 3 a", "version 3 b"}
+	var search func(path []string)
+	search = func(path []string) {
+		one := ledger.New(1)
+		one.Deltas = func() bool { return false }
+		confirmed, newest := map[string]string{}, uint64(0)
+		for step, order := range path {
+			if step == len(path)/2 {
+				fresh := ledger.New(1)
+				if err := fresh.Restore(one.View()); err != nil {
+					t.Fatal(err)
+				}
+				one = fresh
+			}
+			words := strings.Fields(order)
+			accepted := strings.HasPrefix(carryOut(t, one, words), ledger.Accepted)
+			before, was := confirmed[words[1]]
+			switch {
+			case accepted && was && before != words[2]:
+				t.Fatalf("%v: %s is confirmed with %s and %s", path, words[1], before, words[2])
+			case !accepted && before == words[2]:
+				t.Fatalf("%v: %s is refused when it comes again", path, order)
+			case accepted:
+				confirmed[words[1]] = words[2]
+			}
+			if one.Serial() < newest || confirmed[fmt.Sprint(one.Serial())] != string(one.Newest().Content) {
+				t.Fatalf("%v: the newest is %d with %s", path, one.Serial(), one.Newest().Content)
+			}
+			newest = one.Serial()
+		}
+		if len(path) == depth {
+			return
+		}
+		for _, order := range orders {
+			search(append(path[:len(path):len(path)], order))
+		}
+	}
+	search(nil)
+}
+
+// TestViews: a view without differences, as earlier builds make and read it, gives the same state; a damaged one is refused.
+func TestViews(t *testing.T) {
+	one := ledger.New(3)
+	for _, order := range []string{"version 3 aaaa", "version 4 aaab", "any aaac", "version 9 aaad"} {
+		carryOut(t, one, strings.Fields(order))
+	}
+	one.Deltas = func() bool { return false }
+	whole, other := one.View(), ledger.New(3)
+	if err := other.Restore(whole); err != nil {
+		t.Fatal(err)
+	}
+	one.Deltas = nil
+	if string(other.View()) != string(one.View()) {
+		t.Error("the states differ")
+	}
+	view := &wire.DesiredView{}
+	if err := proto.Unmarshal(one.View(), view); err != nil {
+		t.Fatal(err)
+	}
+	view.States = view.States[1:]
+	content, err := proto.Marshal(view)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ledger.New(3).Restore(content) == nil {
+		t.Error("a view whose first state is missing was taken")
+	}
+}
--- /dev/null
+++ b/internal/postmaster/ledger/packed.go
@@ -0,0 +1,51 @@
+package ledger
+
+import (
+	"fmt"
+
+	"snowflow/internal/franking"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmaster/delta"
+)
+
+// packed has each state told by its difference from the one before, the first from nothing. A state whose difference can't be made
+// is told whole.
+func packed(states []*wire.DesiredKept) []*wire.DesiredKept {
+	all := make([]*wire.DesiredKept, 0, len(states))
+	var before *wire.DesiredKept
+	for _, kept := range states {
+		short := &wire.DesiredKept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request, Base: before.GetDigest()}
+		encoded, err := delta.Encode(before.GetContent(), kept.Content)
+		if err != nil {
+			short.Content, short.Base = kept.Content, ""
+		} else {
+			short.Delta = encoded
+		}
+		all, before = append(all, short), kept
+	}
+	return all
+}
+
+// unpacked gives the states whole again, and tells if one isn't what its digest says.
+func unpacked(states []*wire.DesiredKept) ([]*wire.DesiredKept, error) {
+	all := make([]*wire.DesiredKept, 0, len(states))
+	var before *wire.DesiredKept
+	for _, kept := range states {
+		whole := kept
+		if len(kept.Delta) > 0 {
+			if kept.Base != before.GetDigest() {
+				return nil, fmt.Errorf("ledger: state %d is told by another than the one before", kept.Serial)
+			}
+			content, err := delta.Decode(before.GetContent(), kept.Delta, franking.Longest)
+			if err != nil {
+				return nil, fmt.Errorf("ledger: state %d: %w", kept.Serial, err)
+			}
+			whole = &wire.DesiredKept{Serial: kept.Serial, Content: content, Digest: kept.Digest, Request: kept.Request}
+		}
+		if franking.Digest(whole.Content) != whole.Digest {
+			return nil, fmt.Errorf("ledger: state %d isn't what its digest says", kept.Serial)
+		}
+		all, before = append(all, whole), whole
+	}
+	return all, nil
+}
--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -112,6 +112,8 @@
 	if env.Adjust != nil {
 		env.Adjust(&core)
 	}
+	env.Book.OfferDeltas()
+	master.ledger.Deltas = master.allTakeDeltas
 	member, err := countersign.Open(core)
 	master.Member = member
 	if err == nil {
@@ -355,6 +357,13 @@
 
 // Apply checks a desired state, has it kept in two copies, and waits until it's in force everywhere.
 func (master *Postmaster) Apply(ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
+	ask, known, err := master.whole(ask)
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		return &wire.DesiredApplyTell{Outcome: ledger.BaseUnknown}, nil
+	}
 	state, faults := master.env.Read(ask.Content)
 	if len(faults) > 0 {
 		tell := &wire.DesiredApplyTell{Outcome: ledger.Invalid}
@@ -365,8 +374,7 @@
 		return tell, nil
 	}
 	master.versions.Know(ask.Content, state)
-	tell := &wire.DesiredApplyTell{}
-	err := master.Member.Submit(&wire.DesiredCommand{Apply: ask}, tell)
+	tell, err := master.submit(ask)
 	if errors.Is(err, countersign.ErrUnknown) {
 		return nil, ErrUnacknowledged
 	}
@@ -450,6 +458,7 @@
 // ReadBack gives one accepted state, the newest for serial zero, or the list of all without their contents.
 func (master *Postmaster) ReadBack(ask *wire.DesiredReadAsk) (*wire.DesiredReadTell, error) {
 	tell := &wire.DesiredReadTell{}
+	var base *wire.DesiredKept
 	done := master.Member.Read(func(uint64, postmark.Micros) {
 		if ask.List {
 			tell.Found = true
@@ -464,11 +473,15 @@
 		}
 		if kept := master.ledger.Find(serial); kept != nil {
 			tell.Found, tell.States = true, []*wire.DesiredKept{kept}
+			base = master.ledger.WithDigest(ask.Have)
 		}
 	})
 	if !done {
 		return nil, seal.Refused.New("not the primary")
 	}
+	if ask.Deltas && len(tell.States) == 1 && !ask.List {
+		tell.States[0] = shortened(tell.States[0], base)
+	}
 	return tell, nil
 }
 
