--- a/internal/postmaster/delta/delta_test.go
+++ b/internal/postmaster/delta/delta_test.go
@@ -19,7 +19,7 @@
 		if index == changed {
 			weight = 37
 		}
-		fmt.Fprintf(&text, `{"entryType":"routeTable","metadata":{"name":"r-%x"},"specification":{"hostname":"h%d.example","pathPrefix":"/p%x/","timeoutS":0.5,"weight":%d}},`,
+		fmt.Fprintf(&text, `{"metadata":{"name":"r-%x"},"terms":{"hostname":"h%d.example","prefix":"/p%x/","timeoutS":0.5,"weight":%d}},`,
 			index*2654435761, index%97, index*40503, weight)
 	}
 	return text.Bytes()
