--- a/internal/bulletin/catalogue.go
+++ b/internal/bulletin/catalogue.go
@@ -26,6 +26,7 @@
 	Enrolled           = 212
 	MemberReleased     = 213
 	MemberNotReleased  = 214
+	CopyCaughtUp       = 215
 	SessionOpened      = 301
 	SessionEnded       = 302
 	DirectoryRefused   = 303
@@ -88,6 +89,7 @@
 	RosterChanged:      {log.InfoLevel, "roster of voters changed, or is changing"},
 	Enrolled:           {log.InfoLevel, "a process that no roster names keeps the register, and asks to vote"},
 	MemberReleased:     {log.InfoLevel, "a process that stops as planned holds no copy and no seat that is counted on"},
+	CopyCaughtUp:       {log.InfoLevel, "a copy that was a little behind was given the entries that it missed"},
 	MemberNotReleased:  {log.WarnLevel, "a process that stops as planned ends though its copy or seat was not taken over in time"},
 	SessionOpened:      {log.InfoLevel, "session opened"},
 	SessionEnded:       {log.WarnLevel, "session ended"},
--- a/internal/countersign/copy.go
+++ b/internal/countersign/copy.go
@@ -34,6 +34,7 @@
 	pending     []*wire.Entry
 	lastSync    postmark.Micros
 	line        timeline
+	tail        tail
 	rewritten   int64 // the file's size after its last rewrite
 }
 
@@ -48,6 +49,9 @@
 		if record.View != nil {
 			return member.restore(record.View, record.Part)
 		}
+		if record.Mark != nil {
+			return member.remark(record.Mark)
+		}
 		if record.Entry == nil || record.Entry.Sequence != member.copy.sequence+1 {
 			return fmt.Errorf("entry out of turn")
 		}
@@ -85,15 +89,36 @@
 	member.copy.incarnation.Store(incarnation)
 	member.copy.epoch, member.copy.sequence, member.copy.holderTime = view.Epoch, view.Sequence, postmark.Micros(view.HolderTime)
 	member.copy.pending = nil
+	member.copy.tail.reset(position{view.Epoch, view.Sequence})
+	return nil
+}
+
+// remark takes the position that the primary of an epoch gave to this copy's state.
+func (member *Member) remark(mark *wire.Mark) error {
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	if mark.Sequence != member.copy.sequence || mark.Epoch < member.copy.epoch {
+		return fmt.Errorf("mark out of turn")
+	}
+	member.copy.epoch, member.copy.holderTime = mark.Epoch, max(member.copy.holderTime, postmark.Micros(mark.HolderTime))
+	member.copy.tail.mark(position{mark.Epoch, mark.Sequence})
 	return nil
 }
 
+// position is how far this copy is. Entries that were written here and not applied yet don't count.
+func (member *Member) position() position {
+	member.machineLock.Lock()
+	defer member.machineLock.Unlock()
+	return position{member.copy.epoch, member.copy.sequence}
+}
+
 // apply carries an entry out and notes how far the copy is.
 func (member *Member) apply(entry *wire.Entry) []byte {
 	member.machineLock.Lock()
 	defer member.machineLock.Unlock()
 	member.copy.epoch, member.copy.sequence = entry.Epoch, entry.Sequence
 	member.copy.holderTime = max(member.copy.holderTime, postmark.Micros(entry.HolderTime))
+	member.copy.tail.add(entry)
 	return member.env.Machine.Apply(entry.Epoch, postmark.Micros(entry.HolderTime), entry.Command)
 }
 
@@ -142,6 +167,11 @@
 	for index, entry := range entries {
 		payloads[index] = marshal(&wire.JournalRecord{Entry: entry})
 	}
+	return member.append(payloads)
+}
+
+// append writes records and syncs them. Where the disk is full, what is applied is rewritten first.
+func (member *Member) append(payloads [][]byte) error {
 	started := member.env.Place.Now()
 	err := member.copy.box.Append(payloads...)
 	if isFull(err) && len(member.copy.pending) == 0 && member.copy.box.Size() > 64<<10 {
@@ -236,6 +266,11 @@
 			tell.Why = "an older epoch"
 			return
 		}
+		if ask.View == nil {
+			tell.Why, failure = member.catchUpBy(ask)
+			tell.Stored = tell.Why == "" && failure == nil
+			return
+		}
 		view := &wire.View{Epoch: max(ask.View.GetEpoch(), ask.Epoch), Sequence: ask.View.GetSequence(), HolderTime: ask.View.GetHolderTime(), Content: ask.View.GetContent()}
 		previous := member.view()
 		if failure = member.restore(view, state.incarnation.Load()); failure != nil {
@@ -255,6 +290,39 @@
 	return tell, failure
 }
 
+// catchUpBy takes the entries that this copy misses, and the position that the primary gives it. The keeper's task calls it.
+func (member *Member) catchUpBy(ask *wire.InstallAsk) (why string, failure error) {
+	state := &member.copy
+	if (position{ask.SinceEpoch, ask.SinceSequence}) != member.position() || len(state.pending) > 0 {
+		return "not in step", nil
+	}
+	mark := &wire.Mark{Epoch: ask.Epoch, Sequence: ask.SinceSequence + uint64(len(ask.Entries)), HolderTime: ask.HolderTime}
+	if member.long() {
+		if failure = member.rewrite(); failure != nil {
+			return "", failure
+		}
+	}
+	payloads := make([][]byte, 0, len(ask.Entries)+1)
+	for _, entry := range ask.Entries {
+		payloads = append(payloads, marshal(&wire.JournalRecord{Entry: entry}))
+	}
+	if failure = member.append(append(payloads, marshal(&wire.JournalRecord{Mark: mark}))); failure != nil {
+		return "", failure
+	}
+	for _, entry := range ask.Entries {
+		member.apply(entry)
+	}
+	if failure = member.remark(mark); failure != nil {
+		return "", failure
+	}
+	state.line = timeline{at: member.env.Place.Now(), line: state.holderTime}
+	state.fenced = max(state.fenced, ask.Epoch)
+	member.yieldTo(ask.Epoch)
+	member.heardPrimary()
+	member.env.Place.Report(bulletin.CopyCaughtUp, map[string]any{"group": member.env.Group, "epoch": ask.Epoch, "entries": len(ask.Entries)})
+	return "", nil
+}
+
 // yieldTo ends a lead that another primary's epoch has overtaken.
 func (member *Member) yieldTo(epoch uint64) {
 	if own := member.Epoch(); own != 0 && own < epoch {
--- a/internal/countersign/lead.go
+++ b/internal/countersign/lead.go
@@ -635,7 +635,12 @@
 	}
 	member.learn(ballot, fresh)
 	// The copy's pair of epoch and sequence must match what the backups noted on installing.
-	member.keeper.Do(func() { member.copy.epoch = max(member.copy.epoch, epoch) })
+	member.keeper.Do(func() {
+		member.machineLock.Lock()
+		defer member.machineLock.Unlock()
+		member.copy.epoch = max(member.copy.epoch, epoch)
+		member.copy.tail.mark(position{member.copy.epoch, member.copy.sequence})
+	})
 	member.lock.Lock()
 	if member.lead.epoch != epoch {
 		member.lock.Unlock()
@@ -663,25 +668,52 @@
 // instructed installs the present view on as many candidates as there are backups wanted, and tells whether one of them had
 // just failed.
 func (member *Member) instructed(epoch uint64, candidates []string, failed []*wire.Holder) (backups []*wire.Holder, lastResort bool) {
-	view := member.viewNow()
 	for len(candidates) > 0 && len(backups) < member.env.Copies-1 {
 		name := member.apart(candidates, backups)
 		candidates = slices.DeleteFunc(candidates, func(other string) bool { return other == name })
 		// A voter that doesn't answer a small ask isn't waited for with a large one.
-		if !member.reachable(name) {
+		seen, err := member.read(name)
+		if err != nil {
 			continue
 		}
-		tell := &wire.InstallTell{}
-		err := member.env.Book.Call(name, wire.Kind_install, &wire.InstallAsk{To: name, From: member.self(), Epoch: epoch, View: view}, tell, installPatience)
-		if err != nil || !tell.Stored {
+		incarnation, stored := member.bringIntoStep(name, epoch, seen)
+		if !stored {
 			continue
 		}
-		backups = append(backups, &wire.Holder{Name: name, Incarnation: tell.Incarnation})
+		backups = append(backups, &wire.Holder{Name: name, Incarnation: incarnation})
 		lastResort = lastResort || slices.Contains(names(failed), name)
 	}
 	return backups, lastResort
 }
 
+// bringIntoStep gives a process's copy what it misses, or the whole view where that isn't known any more.
+func (member *Member) bringIntoStep(name string, epoch uint64, seen *wire.RegisterReadTell) (incarnation uint64, stored bool) {
+	install := func(ask *wire.InstallAsk) bool {
+		tell := &wire.InstallTell{}
+		ask.To, ask.From, ask.Epoch = name, member.self(), epoch
+		err := member.env.Book.Call(name, wire.Kind_install, ask, tell, installPatience)
+		incarnation = tell.Incarnation
+		return err == nil && tell.Stored
+	}
+	if ask := member.missedBy(seen); ask != nil && install(ask) {
+		return incarnation, true
+	}
+	return incarnation, install(&wire.InstallAsk{View: member.viewNow()})
+}
+
+// missedBy is what a copy at a told position misses, nothing where this copy doesn't remember that far.
+func (member *Member) missedBy(seen *wire.RegisterReadTell) (ask *wire.InstallAsk) {
+	if !seen.Copied || seen.CopySequence == 0 {
+		return nil
+	}
+	member.keeper.Do(func() {
+		if missed, known := member.copy.tail.since(position{seen.CopyEpoch, seen.CopySequence}); known {
+			ask = &wire.InstallAsk{SinceEpoch: seen.CopyEpoch, SinceSequence: seen.CopySequence, Entries: missed, HolderTime: int64(member.copy.holderTime)}
+		}
+	})
+	return ask
+}
+
 // apart picks the first candidate in a zone that has no copy yet, or else the first.
 func (member *Member) apart(candidates []string, backups []*wire.Holder) string {
 	if member.env.Zone == nil {
@@ -699,6 +731,7 @@
 	return candidates[0]
 }
 
+// viewNow is the whole state as it is applied here.
 func (member *Member) viewNow() (view *wire.View) {
 	member.keeper.Do(func() { view = member.view() })
 	return view
--- a/internal/countersign/voter.go
+++ b/internal/countersign/voter.go
@@ -138,6 +138,9 @@
 				return
 			}
 		}
+		if present := member.position(); member.copy.incarnation.Load() != 0 {
+			tell.Copied, tell.CopyEpoch, tell.CopySequence = true, present.epoch, present.sequence
+		}
 		tell.Genesis, tell.Life = member.env.Genesis, member.life
 		tell.Bound, tell.BoundTo = member.bound()
 		tell.Intact, tell.Blank = record.Joined, !record.Joined
--- /dev/null
+++ b/internal/mailround/round/catch_up_test.go
@@ -0,0 +1,65 @@
+package round
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/postmark"
+)
+
+// TestCatchUp: a backup that was away while others went on is given only what it missed, and one whose disk was lost everything; both hold all
+// that was acknowledged when they lead.
+func TestCatchUp(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2, 3, 4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			mesh := startedBy(t, seed, servingOn)
+			version := uint64(100)
+			change := func(times int) {
+				for range times {
+					version++
+					if tell, err, _ := mesh.raise(version, 10*postmark.Second); err != nil || tell.Serial != version {
+						t.Fatalf("version %d: %v %v", version, tell, err)
+					}
+				}
+			}
+			seen := func(number int, name string) int {
+				return strings.Count(strings.Join(mesh.log, "\n"), fmt.Sprintf(" %s %d {", name, number))
+			}
+			calm := func() { mesh.World.Run(mesh.World.Now() + 6*postmark.Second) }
+			change(10)
+			for turn := range 6 {
+				primary := mesh.leader("postmaster")
+				backup := mesh.World.Node(mesh.masters[primary.Name].Member.Backups()[0])
+				lost := turn == 3
+				if lost {
+					mesh.World.LoseDisk(backup)
+				} else {
+					mesh.World.Kill(backup)
+				}
+				change(5)
+				mesh.World.Start(backup)
+				calm()
+				// The one that came in its place goes too, so that it's needed again.
+				second := mesh.World.Node(mesh.masters[primary.Name].Member.Backups()[0])
+				entries, whole := seen(bulletin.CopyCaughtUp, backup.Name), seen(bulletin.CopyInstalled, backup.Name)
+				mesh.World.Kill(second)
+				calm()
+				change(3)
+				caughtUp, installed := seen(bulletin.CopyCaughtUp, backup.Name)-entries, seen(bulletin.CopyInstalled, backup.Name)-whole
+				if lost && installed != 1 || !lost && (caughtUp != 1 || installed != 0) {
+					t.Errorf("turn %d: %s caught up %d times and was given everything %d times", turn, backup.Name, caughtUp, installed)
+				}
+				mesh.World.Start(second)
+				calm()
+				mesh.World.Kill(primary)
+				calm()
+				change(1)
+				mesh.World.Start(primary)
+				calm()
+			}
+		})
+	}
+}
--- a/internal/mailround/round/serve_on_test.go
+++ b/internal/mailround/round/serve_on_test.go
@@ -19,10 +19,15 @@
 
 // started makes a small mesh that has adopted a first desired state, under version 10.
 func started(t *testing.T, bounds postmaster.Bounds) *Mesh {
+	t.Helper()
+	return startedBy(t, 3, bounds)
+}
+
+func startedBy(t *testing.T, seed uint64, bounds postmaster.Bounds) *Mesh {
 	t.Helper()
 	sizes := small
 	sizes.Bounds = bounds
-	mesh := Build(3, sizes, Breakage{})
+	mesh := Build(seed, sizes, Breakage{})
 	t.Cleanup(mesh.World.Close)
 	mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
 	if tell, err, _ := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != ledger.Accepted || tell.Serial != 10 {
