--- a/internal/postmaster/postmaster.go
+++ b/internal/postmaster/postmaster.go
@@ -136,7 +136,7 @@
 	if master.handed != nil && epoch == master.handedEpoch+2 {
 		master.holders = master.handed
 	} else if master.epoch == 0 || epoch != master.epoch+1 {
-		master.ackFrom = master.env.Place.Now() + master.env.Bounds.Lease - master.env.Bounds.Slack
+		master.ackFrom = master.env.Place.Now() + master.env.Bounds.unknown()
 	}
 	master.epoch, master.handed = epoch, nil
 	master.env.Place.Go(func() {
@@ -149,7 +149,7 @@
 func (master *Postmaster) doubt() {
 	master.lock.Lock()
 	defer master.lock.Unlock()
-	master.ackFrom = max(master.ackFrom, master.env.Place.Now()+master.env.Bounds.Lease-master.env.Bounds.Slack)
+	master.ackFrom = max(master.ackFrom, master.env.Place.Now()+master.env.Bounds.unknown())
 }
 
 // handing tells the next primary who holds tenures, and for how much longer.
@@ -304,6 +304,7 @@
 	key := holderKey(ask)
 	if master.holders[key] == nil {
 		master.holders[key] = &holder{name: ask.Carrier}
+		master.forgetEarlierLives(ask.Carrier, key)
 	}
 	present := master.holders[key]
 	if present.released {
@@ -316,6 +317,20 @@
 	present.until = now + master.env.Bounds.Lease
 }
 
+// forgetEarlierLives has nobody wait for a carrier's lives before the one that polls now, since a carrier has one life at a time. Should a late poll of an
+// earlier life come, the present one is noted again with its next poll. Where leases are needed they are waited for all the same.
+// The caller holds the lock.
+func (master *Postmaster) forgetEarlierLives(carrier, present string) {
+	if !master.env.Bounds.ServeOn {
+		return
+	}
+	for key, other := range master.holders {
+		if other.name == carrier && key != present {
+			delete(master.holders, key)
+		}
+	}
+}
+
 // release ends a tenure whose carrier serves no more: nobody needs to wait for its end.
 func (master *Postmaster) release(ask *wire.DesiredPollAsk) *wire.DesiredPollTell {
 	master.lock.Lock()
