--- a/internal/mailround/round/serve_on_test.go
+++ b/internal/mailround/round/serve_on_test.go
@@ -78,7 +78,7 @@
 	mesh.World.Run(mesh.World.Now() + 2*postmark.Second)
 	raise("it's back in another life", 35, 35, 0, wait/4, true)
 	mesh.World.Kill(mesh.World.Node(mesh.carriers[2]))
-	mesh.World.Run(mesh.World.Now() + postmaster.Tenure + postmaster.Defaults.PollHold)
+	mesh.World.Run(mesh.World.Now() + postmaster.Tenure + servingOn.PollHold) // a poll that it left behind is answered, and counts, when its hold ends
 	raise("one long dead", 40, 40, 0, wait/4, true)
 	mesh.World.Kill(mesh.leader("postmaster"))
 	raise("the primary just dead", 50, 50, 0, 8*postmark.Second, false)
