--- a/internal/carrier/counter/counter.go
+++ b/internal/carrier/counter/counter.go
@@ -2,6 +2,7 @@
 package counter
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -37,7 +38,7 @@
 }
 
 func (counter *Counter) take(writer http.ResponseWriter, incoming *http.Request) {
-	request := &letter.Request{ID: incoming.Header.Get(letter.RequestHeader), Method: incoming.Method, Host: incoming.Host,
+	request := &letter.Request{Left: func(happen func()) (stop func() bool) { return context.AfterFunc(incoming.Context(), happen) }, ID: incoming.Header.Get(letter.RequestHeader), Method: incoming.Method, Host: incoming.Host,
 		Target: incoming.URL.RequestURI(), Key: incoming.Header.Get(letter.KeyHeader)}
 	if request.ID == "" || len(request.ID) > 100 {
 		request.ID = uuid.NewString()
--- /dev/null
+++ b/internal/carrier/delivery/cancel_test.go
@@ -0,0 +1,62 @@
+package delivery_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"snowflow/internal/carrier/delivery"
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/office/machine"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// TestCancelled: a request whose caller leaves while its backend is at work ends with its connection, at once.
+func TestCancelled(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	working, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer connection.Close()
+		reader := bufio.NewReader(connection)
+		if _, err := http.ReadRequest(reader); err != nil {
+			ended <- err
+			return
+		}
+		close(working)
+		_, err = reader.ReadByte()
+		ended <- err
+	}()
+	dialect := delivery.Own()
+	dialect.Greets = false
+	clock := machine.New(nil, nil, nil)
+	order := gate.Order{ID: "a.1", Backend: hutch.Backend{Instance: "one", Service: "forms", Address: listener.Addr().String()}, Method: "GET", Target: "/a",
+		Cutoff: clock.Now() + postmark.Minute, AnswerLimit: 1 << 20, Still: func() *seal.Fault { return nil }}
+	stopped := false
+	order.Cancelled = func(happen func()) (stop func()) {
+		go func() {
+			<-working
+			happen()
+		}()
+		return func() { stopped = true }
+	}
+	answer, fault := delivery.New(clock, dialect).Deliver(order)
+	if answer != nil || fault == nil || fault.NotRun() || !stopped {
+		t.Errorf("%v %v, stopped: %v", answer, fault, stopped)
+	}
+	if err := <-ended; err != io.EOF {
+		t.Errorf("the backend saw %v", err)
+	}
+}
--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -111,6 +111,9 @@
 		keep = true
 		return nil, fault
 	}
+	if order.Cancelled != nil {
+		defer order.Cancelled(func() { _ = connection.connection.Close() })() // most backends drop a request whose connection has closed
+	}
 	_ = connection.connection.SetDeadline(cutoff)
 	if written, err := connection.connection.Write(courier.encode(connection, order)); err != nil {
 		verdict := seal.MayHaveRun
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -46,6 +46,9 @@
 	AnswerLimit uint64
 	// Still is asked right before the first byte of the request is written; a fault stops it.
 	Still func() *seal.Fault
+	// Cancelled has something happen once when the caller has left, at once if it has already; stop ends that. Nil where the request is to be
+	// ended by nobody.
+	Cancelled func(happen func()) (stop func())
 }
 
 // Delivery hands a request to a backend and reads its whole answer. Its faults say whether the request may have run.
@@ -80,6 +83,7 @@
 	idle    office.Signal
 	last    *lastpost.Post
 	work    *work
+	cancels *cancels
 	link    *uplink.Uplink
 	// unclaimed leaves the claim out; only rehearsals of the checkers set it.
 	unclaimed bool
@@ -89,13 +93,16 @@
 
 // New makes a gate.
 func New(env Env) *Gate {
-	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), work: newWork(env.Place), link: uplink.New(env.Link)}
+	return &Gate{env: env, idle: env.Place.NewSignal(), last: lastpost.New(env.Place), work: newWork(env.Place), cancels: newCancels(), link: uplink.New(env.Link)}
 }
 
 // Register adds the handlers.
 func (gate *Gate) Register(table office.Table) {
 	office.Handle(table, wire.Kind_pass, gate.Pass)
 	office.Handle(table, wire.Kind_pass_bulk, gate.Pass)
+	office.Handle(table, wire.Kind_pass_cancel, func(ask *wire.PassCancelAsk) (*wire.PassCancelTell, error) {
+		return &wire.PassCancelTell{Found: gate.Cancel(ask.From, ask.Id)}, nil
+	})
 	office.Handle(table, wire.Kind_recall, func(ask *wire.RecallAsk) (*wire.PassTell, error) {
 		answer, busy := gate.recorded(ask.Scope, ask.Digest, recallPatience*4/5)
 		if answer != nil {
@@ -230,6 +237,8 @@
 			gate.link.Done(gate.env.Place.Now(), ask.Route, size, len(tell.GetBody()))
 		}
 	}()
+	cancel := gate.cancels.begin(ask)
+	defer gate.cancels.end(ask)
 	stay, earlier, fault := gate.stay(ask, service, cutoff)
 	if fault != nil {
 		return gate.refused(ask, fault)
@@ -244,7 +253,13 @@
 	backend, startBy := stay.Backend, stay.startBy
 	order := Order{ID: ask.Id, Backend: backend, Method: ask.Method, Target: ask.Target, Headers: ask.Headers, Body: ask.Body,
 		Fresh: ask.Once || ask.Single, Cutoff: cutoff, AnswerLimit: ask.AnswerLimit}
+	if !ask.Once && !ask.Single {
+		order.Cancelled = cancel.then
+	}
 	order.Still = func() *seal.Fault {
+		if cancel.cancelled() {
+			return seal.New(seal.CallerLeft, seal.NotRun, "its caller left before it was handed over")
+		}
 		if gate.env.Place.Now() >= startBy {
 			return seal.New(seal.ClaimLate, seal.NotRun, "too late to start")
 		}
@@ -261,6 +276,10 @@
 	}
 	visit.Start()
 	answer, fault := gate.env.Delivery.Deliver(order)
+	if fault != nil && !fault.NotRun() && order.Cancelled != nil && cancel.cancelled() {
+		fault = seal.New(seal.CallerLeft, seal.MayHaveRun, "its caller left while the backend was at work")
+		fault.Local = true // that it was broken off says nothing of the backend
+	}
 	visit.Close(worth(answer, fault))
 	stay.Leave(ended(answer, fault))
 	if fault == nil && answer.NotRun {
--- a/internal/carrier/letter/letter.go
+++ b/internal/carrier/letter/letter.go
@@ -36,6 +36,9 @@
 	Alone bool
 	// ReadAt is the latest moment of holder time that this carrier knew had passed when it read the request.
 	ReadAt *wire.HolderMoment
+	// Left has something happen, on a task of its own, when the caller closes its connection before it was answered; stop ends that. Nil where that
+	// can't be known.
+	Left func(happen func()) (stop func() bool)
 }
 
 // Answer is a backend's own complete answer.
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -86,10 +86,11 @@
 	Digest []byte
 	Tries  int
 	// Doubt is set once some try may have run; from then on no refusal says not run.
-	Doubt  bool
-	errand *lastpost.Errand
-	moves  moves
-	last   bool // the backend of this try is the last one it may be brought to
+	Doubt   bool
+	errand  *lastpost.Errand
+	moves   moves
+	last    bool // the backend of this try is the last one it may be brought to
+	leaving leaving
 	// Final is set once the verdict was checked against the claims.
 	Final bool
 }
@@ -206,7 +207,9 @@
 		}
 		defer policy.Leave(trip)
 	}
+	stop := passage.watch(trip)
 	answer, fault = passage.attempts(trip)
+	stop()
 	if fault != nil {
 		return nil, passage.final(trip, fault)
 	}
@@ -322,7 +325,16 @@
 		ticket.Done(wicket.Neutral)
 		return nil, seal.New(seal.StoppedUnderWay, seal.NotRun, "given up before the pass"), false
 	}
+	if fault := trip.sending(candidate, ask.Id); fault != nil {
+		ticket.Done(wicket.Neutral)
+		return nil, fault, false
+	}
 	tell, err := passage.send(candidate, ask, remaining)
+	if trip.sent() {
+		// How it ended says nothing of the backend, and nobody wants to know.
+		ticket.Done(wicket.Neutral)
+		return nil, seal.New(seal.CallerLeft, seal.MayHaveRun, "its caller left"), false
+	}
 	if err != nil {
 		return passage.lost(trip, ticket, candidate, ask, err)
 	}
--- /dev/null
+++ b/internal/mailround/round/caller_left_test.go
@@ -0,0 +1,79 @@
+package round
+
+import (
+	"errors"
+	"testing"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// TestCallerLeaves: once a caller has left, a backend is at work no longer on what may run again, and no other one begins to; a run-once
+// request goes on, and its answer is kept for whoever asks with its key.
+func TestCallerLeaves(t *testing.T) {
+	for _, one := range []struct {
+		name    string
+		request letter.Request
+		goesOn  bool
+	}{
+		{"a read", letter.Request{ID: "r-1", Method: "GET", Target: "/forms/1"}, false},
+		{"a submission", letter.Request{ID: "s-1", Method: "POST", Target: "/households/1", Key: "k-1"}, true},
+	} {
+		for _, seed := range seeds(t, 1, 2, 3, 4) {
+			mesh := startedBy(t, seed, servingOn)
+			mesh.labour = 3 * postmark.Second
+			request, caller := one.request, mesh.carriers[0]
+			var leave func()
+			request.Left = func(happen func()) (stop func() bool) {
+				leave = happen
+				return func() bool { leave = nil; return true }
+			}
+			var fault error
+			mesh.Outside.Go(func() {
+				_, fault = mesh.Outside.Transact(mesh.World.Node(caller).Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
+					request.ReadAt = mesh.lives[caller].Moment()
+					if _, refused := mesh.lives[caller].Passage.Carry(&request); refused != nil {
+						return nil, refused
+					}
+					return nil, nil
+				})
+			})
+			running := func() (count int) {
+				for _, backend := range mesh.backends {
+					count += backend.running
+				}
+				return count
+			}
+			mesh.World.Run(mesh.World.Now() + 500*postmark.Millisecond)
+			if running() == 0 || leave == nil {
+				t.Fatalf("%s, seed %d: %d backends are at work", one.name, seed, running())
+			}
+			mesh.Outside.Go(func() {
+				_, _ = mesh.Outside.Transact(mesh.World.Node(caller).Address, postmark.Second, func(*world.Node) ([]byte, error) {
+					leave()
+					return nil, nil
+				})
+			})
+			mesh.World.Run(mesh.World.Now() + 100*postmark.Millisecond)
+			if working := running() > 0; working != one.goesOn {
+				t.Errorf("%s, seed %d: at work a tenth of a second later: %v", one.name, seed, working)
+			}
+			mesh.World.Run(mesh.World.Now() + 5*postmark.Second)
+			ran := 0
+			for _, run := range mesh.History.Runs {
+				if run.Attempt == request.ID {
+					ran++
+				}
+			}
+			if ran != 1 || running() != 0 {
+				t.Errorf("%s, seed %d: %d runs, %d at work", one.name, seed, ran, running())
+			}
+			refused := new(seal.Fault)
+			if !one.goesOn && (!errors.As(fault, &refused) || refused.Cause != seal.CallerLeft || refused.NotRun()) {
+				t.Errorf("%s, seed %d: %v", one.name, seed, fault)
+			}
+		}
+	}
+}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -439,6 +439,17 @@
 	place *world.Place
 }
 
+// leaves passes the time of a backend's work, and tells whether the caller left in it.
+func (courier *courier) leaves(order gate.Order, span postmark.Micros) bool {
+	if order.Cancelled == nil {
+		courier.place.Sleep(span)
+		return false
+	}
+	left := courier.place.NewSignal()
+	defer order.Cancelled(left.Fire)()
+	return left.Wait(span)
+}
+
 func (courier *courier) Deliver(order gate.Order) (*letter.Answer, *seal.Fault) {
 	mesh := courier.mesh
 	chance := mesh.World.Chance()
@@ -484,11 +495,12 @@
 	if found.service == "households" && chance.IntN(4) == 0 {
 		mesh.lookup(order, found)
 	}
-	if mesh.labour > 0 {
-		courier.place.Sleep(min(mesh.labour, order.Cutoff-courier.place.Now()))
-	}
+	labour := mesh.labour
 	if manner == "slow" {
-		courier.place.Sleep(min(6*postmark.Second, order.Cutoff-courier.place.Now())) // as a connection's own limit would end it
+		labour += 6 * postmark.Second
+	}
+	if labour > 0 && courier.leaves(order, min(labour, order.Cutoff-courier.place.Now())) { // as a connection's own limit would end it
+		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "its connection was closed")
 	}
 	pause()
 	if courier.place.Now() >= order.Cutoff {
--- a/internal/seal/causes.go
+++ b/internal/seal/causes.go
@@ -38,6 +38,7 @@
 	KeyFenced        Cause = 603
 	ClaimLate        Cause = 604
 	AnswerGone       Cause = 605
+	CallerLeft       Cause = 701
 )
 
 type causeEntry struct {
@@ -83,6 +84,7 @@
 	ClaimUnreachable: {"claims_unreachable", 503, 2 * soon, false},
 	KeyFenced:        {"key_fenced", 503, soon, false},
 	ClaimLate:        {"claim_late", 503, soon, false},
+	CallerLeft:       {"caller_left", 503, soon, false},
 	AnswerGone:       {"answer_gone", 409, 2 * soon, false},
 }
 
