--- a/cmd/postmaster/main.go
+++ b/cmd/postmaster/main.go
@@ -4,19 +4,19 @@
 import (
 	"path/filepath"
 	"slices"
-	"snowflow/internal/countersign"
+	"snowflow/internal/replication"
 
 	"snowflow/internal/bulletin"
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/api"
+	"snowflow/internal/configstore/archive"
 	"snowflow/internal/env"
 	"snowflow/internal/franking"
 	"snowflow/internal/house"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/archive"
-	"snowflow/internal/postmaster/door"
 )
 
 func main() {
-	house.Main(house.Command("postmaster", "the store of desired states and the operators' door", env.Core(), postmaster.Group, build))
+	house.Main(house.Command("postmaster", "the store of desired states and the operators' door", env.Core(), configstore.Group, build))
 }
 
 func build(home *house.House) error {
@@ -24,7 +24,7 @@
 	objects := archive.Open(filepath.Join(home.Values["data"], "desired.git"), func(err error) {
 		home.Place.Report(bulletin.ObjectStoreTrouble, map[string]any{"error": err.Error()})
 	})
-	store, err := postmaster.Open(postmaster.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"),
+	store, err := configstore.Open(configstore.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"),
 		Genesis: slices.Contains(home.Values.List("voters"), home.Values["name"]),
 		Kept:    objects.Keep, Adopted: home.TakeUp()})
 	if err != nil {
@@ -32,11 +32,11 @@
 	}
 	store.Register(home.Table)
 	home.CoreGauges(store.Member)
-	pages := door.New(home.Place, home.Book, home.Metrics(), func() any { return store.Status() }, franking.Parse)
-	if err := home.HTTP(home.Values["desk"], door.Server(pages)); err != nil {
+	pages := api.New(home.Place, home.Book, home.Metrics(), func() any { return store.Status() }, franking.Parse)
+	if err := home.HTTP(home.Values["desk"], api.Server(pages)); err != nil {
 		return err
 	}
 	store.Start()
-	home.Drain = func() { store.Member.Leave("planned stop", countersign.LeaveLimit) }
+	home.Drain = func() { store.Member.Leave("planned stop", replication.LeaveLimit) }
 	return nil
 }
--- a/cmd/sorter/main.go
+++ b/cmd/sorter/main.go
@@ -4,20 +4,20 @@
 import (
 	"net/http"
 	"slices"
-	"snowflow/internal/countersign"
+	"snowflow/internal/replication"
 
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/env"
 	"snowflow/internal/house"
-	"snowflow/internal/postmaster/door"
-	"snowflow/internal/sorter"
+	"snowflow/internal/registry"
 )
 
 func main() {
-	house.Main(house.Command("sorter", "the registry of carriers, backends and guards", env.Core(), sorter.Group, build))
+	house.Main(house.Command("sorter", "the registry of carriers, backends and guards", env.Core(), registry.Group, build))
 }
 
 func build(home *house.House) error {
-	registry, err := sorter.Open(sorter.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"),
+	registry, err := registry.Open(registry.Env{Place: home.Place, Book: home.Book, Name: home.Values["name"], Voters: home.Values.List("voters"),
 		Genesis: slices.Contains(home.Values.List("voters"), home.Values["name"])})
 	if err != nil {
 		return err
@@ -28,10 +28,10 @@
 	pages.Handle("/metrics", home.Metrics())
 	pages.Handle("/local", house.Page(func() any { return registry.Status() }))
 	pages.Handle("/live", house.Page(func() any { return map[string]bool{"live": true} }))
-	if err := home.HTTP(home.Values["desk"], door.Server(pages)); err != nil {
+	if err := home.HTTP(home.Values["desk"], api.Server(pages)); err != nil {
 		return err
 	}
 	registry.Start()
-	home.Drain = func() { registry.Member.Leave("planned stop", countersign.LeaveLimit) }
+	home.Drain = func() { registry.Member.Leave("planned stop", replication.LeaveLimit) }
 	return nil
 }
--- a/internal/carrier/backdoor/backdoor.go
+++ b/internal/carrier/backdoor/backdoor.go
@@ -11,7 +11,7 @@
 
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/hutch"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -66,7 +66,7 @@
 }
 
 // New makes the door's handler. stop begins a planned stop.
-func New(place office.Office, carrier *carrier.Carrier, metrics http.Handler, stop func()) http.Handler {
+func New(place host.Host, carrier *carrier.Carrier, metrics http.Handler, stop func()) http.Handler {
 	router := chi.NewRouter()
 	router.Post("/backends", func(writer http.ResponseWriter, incoming *http.Request) {
 		told := registration{Condition: hutch.Alive}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -15,10 +15,10 @@
 	"snowflow/internal/carrier/roll"
 	"snowflow/internal/carrier/rota"
 	"snowflow/internal/carrier/wicket"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
-	"snowflow/internal/office/vigil"
+	"snowflow/internal/host"
+	"snowflow/internal/host/vigil"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/release"
@@ -29,8 +29,8 @@
 
 // Env is what a carrier is made of.
 type Env struct {
-	Place   office.Office
-	Book    *gazetteer.Book
+	Place   host.Host
+	Book    *discovery.Book
 	Name    string
 	Domain  string
 	Address string
@@ -112,7 +112,7 @@
 }
 
 // Register adds the carrier's handlers.
-func (carrier *Carrier) Register(table office.Table) { carrier.Gate.Register(table) }
+func (carrier *Carrier) Register(table host.Table) { carrier.Gate.Register(table) }
 
 func (carrier *Carrier) session() *wire.Session {
 	serial, _ := carrier.Desk.Serial()
--- a/internal/carrier/delivery/cancel_test.go
+++ b/internal/carrier/delivery/cancel_test.go
@@ -10,7 +10,7 @@
 	"snowflow/internal/carrier/delivery"
 	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/hutch"
-	"snowflow/internal/office/machine"
+	"snowflow/internal/host/machine"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
--- a/internal/carrier/delivery/delivery.go
+++ b/internal/carrier/delivery/delivery.go
@@ -19,7 +19,7 @@
 
 	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/letter"
-	"snowflow/internal/office/machine/socket"
+	"snowflow/internal/host/machine/socket"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
--- a/internal/carrier/desk/desk.go
+++ b/internal/carrier/desk/desk.go
@@ -11,11 +11,11 @@
 	"sync"
 
 	"snowflow/internal/bulletin"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
-	"snowflow/internal/office/vigil"
+	"snowflow/internal/host"
+	"snowflow/internal/host/vigil"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -24,8 +24,8 @@
 
 // Env is what a desk is made of.
 type Env struct {
-	Place       office.Office
-	Book        *gazetteer.Book
+	Place       host.Host
+	Book        *discovery.Book
 	Carrier     string
 	Incarnation uint64
 	Vigil       *vigil.Vigil
@@ -40,15 +40,15 @@
 // by before until, unless ServeOn is set, and never once released; one that only a copy told of isn't while a primary is looked for.
 type Desk struct {
 	env   Env
-	place office.Office
-	book  *gazetteer.Book
+	place host.Host
+	book  *discovery.Book
 
 	lock    sync.Mutex
 	view    *franking.View
 	until   postmark.Micros
 	adopted postmark.Micros
 	lapsed  bool
-	waiters []office.Signal
+	waiters []host.Signal
 	// hold is how long the postmasters hold a poll open, as they last told.
 	hold postmark.Micros
 	// released is set once it serves no more and takes no tenure.
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -15,12 +15,12 @@
 	"snowflow/internal/carrier/outlier"
 	"snowflow/internal/carrier/restante"
 	"snowflow/internal/franking"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/registry/claims"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter/counterfoil"
 )
 
 const (
@@ -58,7 +58,7 @@
 
 // Env is what a gate is made of.
 type Env struct {
-	Place       office.Office
+	Place       host.Host
 	Carrier     string
 	Incarnation uint64
 	Desk        *desk.Desk
@@ -80,7 +80,7 @@
 	env     Env
 	running atomic.Int64
 	closed  atomic.Bool
-	idle    office.Signal
+	idle    host.Signal
 	last    *lastpost.Post
 	work    *work
 	cancels *cancels
@@ -97,13 +97,13 @@
 }
 
 // Register adds the handlers.
-func (gate *Gate) Register(table office.Table) {
-	office.Handle(table, wire.Kind_pass, gate.Pass)
-	office.Handle(table, wire.Kind_pass_bulk, gate.Pass)
-	office.Handle(table, wire.Kind_pass_cancel, func(ask *wire.PassCancelAsk) (*wire.PassCancelTell, error) {
+func (gate *Gate) Register(table host.Table) {
+	host.Handle(table, wire.Kind_pass, gate.Pass)
+	host.Handle(table, wire.Kind_pass_bulk, gate.Pass)
+	host.Handle(table, wire.Kind_pass_cancel, func(ask *wire.PassCancelAsk) (*wire.PassCancelTell, error) {
 		return &wire.PassCancelTell{Found: gate.Cancel(ask.From, ask.Id)}, nil
 	})
-	office.Handle(table, wire.Kind_recall, func(ask *wire.RecallAsk) (*wire.PassTell, error) {
+	host.Handle(table, wire.Kind_recall, func(ask *wire.RecallAsk) (*wire.PassTell, error) {
 		answer, busy := gate.recorded(ask.Scope, ask.Digest, recallPatience*4/5)
 		if answer != nil {
 			return answered("", answer), nil
@@ -303,13 +303,13 @@
 
 // claimFaults are what the outcomes of a claim other than granted and held come to.
 var claimFaults = map[string]func(ask *wire.PassAsk) *seal.Fault{
-	counterfoil.OtherBody: func(ask *wire.PassAsk) *seal.Fault {
+	claims.OtherBody: func(ask *wire.PassAsk) *seal.Fault {
 		return seal.New(seal.OtherBody, seal.MayHaveRun, "the key was used with another body")
 	},
-	counterfoil.Voided: func(ask *wire.PassAsk) *seal.Fault {
+	claims.Voided: func(ask *wire.PassAsk) *seal.Fault {
 		return seal.New(seal.KeyFenced, seal.NotRun, "try %s is void", ask.Try)
 	},
-	counterfoil.Fenced: func(ask *wire.PassAsk) *seal.Fault {
+	claims.Fenced: func(ask *wire.PassAsk) *seal.Fault {
 		return seal.New(seal.KeyFenced, seal.NotRun, "the key was refused since this request was read")
 	},
 }
@@ -333,11 +333,11 @@
 			*unheard = *unheard || seal.IsLost(err)
 			continue
 		}
-		if tell.Outcome == counterfoil.Granted {
+		if tell.Outcome == claims.Granted {
 			return min(asked+claimLife, cutoff), nil, nil
 		}
 		letGo()
-		if tell.Outcome == counterfoil.Held {
+		if tell.Outcome == claims.Held {
 			answer, cause := gate.recall(ask, tell, cutoff)
 			if answer != nil {
 				return 0, answer, nil
--- a/internal/carrier/gate/work.go
+++ b/internal/carrier/gate/work.go
@@ -4,26 +4,26 @@
 	"sync"
 
 	"snowflow/internal/carrier/letter"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
 )
 
 // work knows which keys are being run here now, so that a repeat is told so, or waits for the answer.
 // Invariant: open holds a scope exactly while a claimed request of it is between its claim and its recorded answer.
 type work struct {
-	place office.Office
+	place host.Host
 	lock  sync.Mutex
-	open  map[string][]office.Signal
+	open  map[string][]host.Signal
 }
 
-func newWork(place office.Office) *work {
-	return &work{place: place, open: map[string][]office.Signal{}}
+func newWork(place host.Host) *work {
+	return &work{place: place, open: map[string][]host.Signal{}}
 }
 
 func (work *work) begin(scope string) {
 	work.lock.Lock()
 	defer work.lock.Unlock()
-	work.open[scope] = []office.Signal{}
+	work.open[scope] = []host.Signal{}
 }
 
 func (work *work) end(scope string) {
--- a/internal/carrier/hutch/admission.go
+++ b/internal/carrier/hutch/admission.go
@@ -2,7 +2,7 @@
 
 import (
 	"snowflow/internal/carrier/gate/slots"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -76,7 +76,7 @@
 }
 
 // queue brings a request to its backend's slots. There is a signal for it if it has to wait.
-func (hutch *Hutch) queue(ask Admission) (*entry, *slots.Ticket, office.Signal, *seal.Fault) {
+func (hutch *Hutch) queue(ask Admission) (*entry, *slots.Ticket, host.Signal, *seal.Fault) {
 	hutch.lock.Lock()
 	defer hutch.lock.Unlock()
 	present := hutch.entries[ask.Instance]
--- a/internal/carrier/hutch/hutch.go
+++ b/internal/carrier/hutch/hutch.go
@@ -10,7 +10,7 @@
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/carrier/outlier"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -59,7 +59,7 @@
 type Hutch struct {
 	// Terms bound the waiting for slots. They're set before the first backend comes.
 	Terms   slots.Terms
-	place   office.Office
+	place   host.Host
 	lock    sync.Mutex
 	entries map[string]*entry
 	ended   map[string]tombstone
@@ -68,7 +68,7 @@
 }
 
 // New makes a hutch; changed is called, without the lock, when others should hear of it.
-func New(place office.Office, changed func()) *Hutch {
+func New(place host.Host, changed func()) *Hutch {
 	return &Hutch{Terms: slots.Default(), place: place, entries: map[string]*entry{}, ended: map[string]tombstone{}, changed: changed}
 }
 
@@ -257,6 +257,6 @@
 }
 
 // NewInstance names an instance for a backend that brings no name.
-func NewInstance(place office.Office) string {
+func NewInstance(place host.Host) string {
 	return fmt.Sprintf("%016x%016x", place.Random(), place.Random())
 }
--- a/internal/carrier/hutch/hutch_test.go
+++ b/internal/carrier/hutch/hutch_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -16,7 +16,7 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		backends := hutch.New(place, func() {})
 		backend := hutch.Backend{Service: "forms", Instance: "first", Address: "127.0.0.1:8000"}
 		register := func() {
@@ -50,7 +50,7 @@
 			t.Errorf("all had left, and it was refused: %v", fault)
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Minute)
 	if !ended {
--- a/internal/carrier/hutch/report_test.go
+++ b/internal/carrier/hutch/report_test.go
@@ -5,8 +5,8 @@
 
 	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -17,10 +17,10 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		test(place, hutch.New(place, func() {}))
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + 10*postmark.Minute)
 	if !ended {
--- a/internal/carrier/lastpost/lastpost.go
+++ b/internal/carrier/lastpost/lastpost.go
@@ -7,21 +7,21 @@
 
 	"go.uber.org/atomic"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
 )
 
 // Post keeps the errands under way.
 // Invariant: an errand is in open from its begin until it's done or given up; once over is set, none is begun.
 type Post struct {
-	place office.Office
+	place host.Host
 	lock  sync.Mutex
 	open  map[*Errand]struct{}
 	over  bool
 }
 
 // New makes a post.
-func New(place office.Office) *Post { return &Post{place: place, open: map[*Errand]struct{}{}} }
+func New(place host.Host) *Post { return &Post{place: place, open: map[*Errand]struct{}{}} }
 
 // The states of an errand. From fresh it becomes either started or given up, never both: what was given up fresh has not been
 // done and won't be.
@@ -35,7 +35,7 @@
 type Errand struct {
 	state  atomic.Uint32
 	done   atomic.Bool
-	wakeup office.Signal
+	wakeup host.Signal
 }
 
 // Start is asked right before what can't be taken back. False means that the errand was given up, and must not be done.
--- a/internal/carrier/passage/ailing_test.go
+++ b/internal/carrier/passage/ailing_test.go
@@ -8,8 +8,8 @@
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/outlier"
 	"snowflow/internal/carrier/roll"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -39,7 +39,7 @@
 func (ailing ailing) run(t *testing.T, seed uint64) (result toll) {
 	simulated := world.New(seed)
 	defer simulated.Close()
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		began := place.Now()
 		keeper := hutch.New(place, func() {})
 		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{}, Carriers: map[string]int{}, Live: ailing.callers}
@@ -77,7 +77,7 @@
 				}
 			})
 		}
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + 30*postmark.Second)
 	if simulated.Panicked != nil {
--- a/internal/carrier/passage/chooser.go
+++ b/internal/carrier/passage/chooser.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"snowflow/internal/carrier/roll"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -26,7 +26,7 @@
 // Invariants: inFlight counts this carrier's own passes under way, by instance; owing holds a carrier exactly while
 // passes to it are under way, and since when it has given no answer; faults counts a backend's faults in a row.
 type chooser struct {
-	place     office.Office
+	place     host.Host
 	domain    string
 	blind     bool
 	lock      sync.Mutex
@@ -52,7 +52,7 @@
 	asked   bool // a sign of life was asked for and has not come
 }
 
-func newChooser(place office.Office, domain string, blind bool, far postmark.Micros) *chooser {
+func newChooser(place host.Host, domain string, blind bool, far postmark.Micros) *chooser {
 	return &chooser{place: place, silence: usualSilence, domain: domain, blind: blind, far: far, sizes: map[string]float64{}, readings: map[string]*reading{}, standings: map[string]*standing{}, peers: map[string]*peers{}, inFlight: map[string]int{}, avoided: map[string]postmark.Micros{}, owing: map[string]*debt{}, faults: map[string]int{}}
 }
 
--- a/internal/carrier/passage/later.go
+++ b/internal/carrier/passage/later.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
@@ -20,7 +20,7 @@
 // A measured wait is told as it is: it comes from a queue, which lets callers in one by one.
 // Invariant: a series is one cause's refusals with no pause of quietFor between them.
 type later struct {
-	place  office.Office
+	place  host.Host
 	lock   sync.Mutex
 	series map[seal.Cause]*series
 	// together leaves the spreading out; only measurements set it.
@@ -29,7 +29,7 @@
 
 type series struct{ since, last postmark.Micros }
 
-func newLater(place office.Office) *later {
+func newLater(place host.Host) *later {
 	return &later{place: place, series: map[seal.Cause]*series{}}
 }
 
--- a/internal/carrier/passage/moves_test.go
+++ b/internal/carrier/passage/moves_test.go
@@ -9,8 +9,8 @@
 	"snowflow/internal/carrier/purse"
 	"snowflow/internal/carrier/roll"
 	"snowflow/internal/franking"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -85,7 +85,7 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		spread := newLater(place)
 		for range 20 {
 			spread.put(overloaded(70 * ms))
@@ -98,7 +98,7 @@
 			place.Sleep(postmark.Second)
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Minute)
 	if !ended {
@@ -111,7 +111,7 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		choices := newChooser(place, "a", false, 0)
 		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{}}
 		for index := range 4 {
@@ -131,7 +131,7 @@
 			leave()
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Second)
 	if !ended {
@@ -145,7 +145,7 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		choices := newChooser(place, "a", false, 20*ms)
 		near, far := roll.Candidate{Instance: "near", Domain: "a", Slots: 6}, roll.Candidate{Instance: "far", Domain: "b", Slots: 6}
 		pick := func() string {
@@ -186,7 +186,7 @@
 			t.Error("not heard of for long, it's never asked again")
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + 2*postmark.Minute)
 	if !ended {
@@ -200,7 +200,7 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		choices := newChooser(place, "a", false, 20*ms)
 		near, far := roll.Candidate{Instance: "near", Domain: "a", Slots: 6}, roll.Candidate{Instance: "far", Domain: "b", Slots: 6}
 		pick := func(route string) string {
@@ -227,7 +227,7 @@
 			t.Error("what was heard of submissions counts for lookups")
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Second)
 	if !ended {
@@ -241,7 +241,7 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		choices := newChooser(place, "a", false, 20*ms)
 		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{"packs": {{Carrier: "home", Instance: "home", Domain: "a", Slots: 2}, {Carrier: "away", Instance: "away", Domain: "b", Slots: 2}}}}
 		choices.inFlight["home"] = 1
@@ -265,7 +265,7 @@
 			t.Errorf("with nobody fit at home a large one goes %s", chosen)
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Second)
 	if !ended {
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -20,12 +20,12 @@
 	"snowflow/internal/carrier/roll"
 	"snowflow/internal/carrier/wicket"
 	"snowflow/internal/franking"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postcode"
 	"snowflow/internal/postmark"
+	"snowflow/internal/registry/claims"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter/counterfoil"
 )
 
 // voidPatience is how long a lost pass may take to be voided, beyond which the outcome stays open.
@@ -33,7 +33,7 @@
 
 // Env is what a passage is made of.
 type Env struct {
-	Place       office.Office
+	Place       host.Host
 	Carrier     string
 	Incarnation uint64
 	Address     string
@@ -58,7 +58,7 @@
 	policies []Policy
 	draining atomic.Bool
 	running  atomic.Int64
-	idle     office.Signal
+	idle     host.Signal
 	last     *lastpost.Post
 	later    *later
 	counts   sync.Map // service name to *atomic.Int64
@@ -384,7 +384,7 @@
 		}
 		return nil, fault, !trip.Single
 	}
-	if passage.void(trip, ask.Try, false) == counterfoil.Voided {
+	if passage.void(trip, ask.Try, false) == claims.Voided {
 		return nil, seal.New(seal.PassLost, seal.NotRun, "%s: %v; the try is void", candidate.Carrier, cause), true
 	}
 	return nil, seal.New(seal.PassLost, seal.MayHaveRun, "%s: %v", candidate.Carrier, cause), false
@@ -465,7 +465,7 @@
 		return fault
 	}
 	trip.Final = true
-	if passage.void(trip, "", true) != counterfoil.Voided {
+	if passage.void(trip, "", true) != claims.Voided {
 		return doubtful(fault)
 	}
 	return fault
--- a/internal/carrier/passage/spread_test.go
+++ b/internal/carrier/passage/spread_test.go
@@ -7,8 +7,8 @@
 	"snowflow/internal/carrier/gate/slots"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/roll"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/postmark"
 )
 
@@ -47,7 +47,7 @@
 	simulated := world.New(seed)
 	defer simulated.Close()
 	result.by = map[string]int{}
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		keeper := hutch.New(place, func() {})
 		directory := &roll.Directory{Candidates: map[string][]roll.Candidate{}, Carriers: map[string]int{}, Live: queueing.callers}
 		speeds := map[string]float64{}
@@ -96,7 +96,7 @@
 				}
 			})
 		}
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + queueing.length)
 	if simulated.Panicked != nil {
--- a/internal/carrier/roll/batch.go
+++ b/internal/carrier/roll/batch.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -37,7 +37,7 @@
 	ask    proto.Message
 	tell   proto.Message
 	cutoff postmark.Micros
-	done   office.Signal
+	done   host.Signal
 	over   bool
 	flying bool // it's on its way
 	taken  bool // a primary may have taken it, though it didn't say so
--- a/internal/carrier/roll/batch_test.go
+++ b/internal/carrier/roll/batch_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"testing"
 
-	"snowflow/internal/gazetteer"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -24,10 +24,10 @@
 			began := simulated.Now()
 			asks, answered, late := 0, 0, postmark.Micros(0)
 			well := func() bool { return simulated.Now()-began >= 3*postmark.Second }
-			primary := func(name string, answers func() bool) func(place *world.Place) (office.Table, error) {
-				return func(place *world.Place) (office.Table, error) {
-					table := office.Table{}
-					office.Handle(table, wire.Kind_claim, func(*wire.ClaimAsk) (*wire.ClaimTell, error) {
+			primary := func(name string, answers func() bool) func(place *world.Place) (host.Table, error) {
+				return func(place *world.Place) (host.Table, error) {
+					table := host.Table{}
+					host.Handle(table, wire.Kind_claim, func(*wire.ClaimAsk) (*wire.ClaimTell, error) {
 						if asks++; !answers() {
 							return nil, errors.New("not the primary")
 						}
@@ -38,8 +38,8 @@
 			}
 			simulated.Start(simulated.Add("first", "first", "first", primary("first", func() bool { return well() && !moves })))
 			simulated.Start(simulated.Add("second", "second", "second", primary("second", well)))
-			simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-				book := gazetteer.New(place, nil, nil)
+			simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+				book := discovery.New(place, nil, nil)
 				book.Learn([]*wire.PeerAddress{{Name: "first", Address: "first", Group: sorters}, {Name: "second", Address: "second", Group: sorters}})
 				book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: "first"}})
 				known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
@@ -57,7 +57,7 @@
 						book.Hint([]*wire.Primary{{Group: sorters, Epoch: 2, Name: "second"}})
 					})
 				}
-				return office.Table{}, nil
+				return host.Table{}, nil
 			}))
 			simulated.Run(began + 6*postmark.Second)
 			if simulated.Panicked != nil {
@@ -82,8 +82,8 @@
 	}{{50 * postmark.Millisecond, false}, {600 * postmark.Millisecond, true}} {
 		simulated := world.New(1)
 		ended := false
-		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-			book := gazetteer.New(place, nil, nil)
+		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+			book := discovery.New(place, nil, nil)
 			book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: "first"}})
 			batches := &batches{roll: New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))}
 			if first := batches.back(nil, seal.Refused.New("not the primary"), postmark.Millisecond); !first || batches.most() != 1 {
@@ -96,7 +96,7 @@
 				t.Errorf("after a wait of %d ms in vain all go: %v", row.waited/postmark.Millisecond, goes)
 			}
 			ended = true
-			return office.Table{}, nil
+			return host.Table{}, nil
 		}))
 		simulated.Run(simulated.Now() + postmark.Second)
 		simulated.Close()
@@ -115,19 +115,19 @@
 			simulated := world.New(1)
 			defer simulated.Close()
 			messages, asks, present, most, answered, gone := 0, 0, 0, 0, 0, 0
-			simulated.Start(simulated.Add("first", "first", "first", func(place *world.Place) (office.Table, error) {
-				table := office.Table{}
+			simulated.Start(simulated.Add("first", "first", "first", func(place *world.Place) (host.Table, error) {
+				table := host.Table{}
 				serve := func(count int) {
 					messages, asks, present = messages+1, asks+count, present+1
 					most = max(most, present)
 					place.Sleep(20 * postmark.Millisecond)
 					present--
 				}
-				office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+				host.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
 					serve(1)
 					return &wire.ClaimTell{Outcome: ask.Scope}, nil
 				})
-				office.Handle(table, wire.Kind_sorter_batch, func(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
+				host.Handle(table, wire.Kind_sorter_batch, func(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
 					serve(len(ask.Commands))
 					tell := &wire.SorterBatchTell{}
 					for _, command := range ask.Commands {
@@ -137,8 +137,8 @@
 				})
 				return table, nil
 			}))
-			simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-				book := gazetteer.New(place, nil, nil)
+			simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+				book := discovery.New(place, nil, nil)
 				book.Learn([]*wire.PeerAddress{{Name: "first", Address: "first", Group: sorters, Batches: takes}})
 				known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
 				ask := func(scope string, patience postmark.Micros, ended func(tell *wire.ClaimTell, err error)) {
@@ -168,7 +168,7 @@
 					place.Sleep(postmark.Millisecond)
 					book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: "first"}})
 				})
-				return office.Table{}, nil
+				return host.Table{}, nil
 			}))
 			simulated.Run(simulated.Now() + 4*postmark.Second)
 			if simulated.Panicked != nil {
@@ -194,17 +194,17 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	answered, untaken, turned := 0, 0, false
-	simulated.Start(simulated.Add("first", "first", "first", func(place *world.Place) (office.Table, error) {
-		table := office.Table{}
-		office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+	simulated.Start(simulated.Add("first", "first", "first", func(place *world.Place) (host.Table, error) {
+		table := host.Table{}
+		host.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
 			place.Sleep(5 * postmark.Millisecond)
 			return &wire.ClaimTell{Outcome: ask.Scope}, nil
 		})
 		return table, nil
 	}))
-	simulated.Start(simulated.Add("second", "second", "second", func(place *world.Place) (office.Table, error) {
-		table := office.Table{}
-		office.Handle(table, wire.Kind_sorter_batch, func(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
+	simulated.Start(simulated.Add("second", "second", "second", func(place *world.Place) (host.Table, error) {
+		table := host.Table{}
+		host.Handle(table, wire.Kind_sorter_batch, func(ask *wire.SorterBatchAsk) (*wire.SorterBatchTell, error) {
 			turned = true
 			tell := &wire.SorterBatchTell{}
 			for range ask.Commands {
@@ -214,9 +214,9 @@
 		})
 		return table, nil
 	}))
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		for _, primary := range []string{"first", "second"} {
-			book := gazetteer.New(place, nil, nil)
+			book := discovery.New(place, nil, nil)
 			book.Learn([]*wire.PeerAddress{{Name: primary, Address: primary, Group: sorters, Batches: true}})
 			known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
 			for index := range 20 {
@@ -236,7 +236,7 @@
 				book.Hint([]*wire.Primary{{Group: sorters, Epoch: 1, Name: primary}})
 			})
 		}
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + 3*postmark.Second)
 	if simulated.Panicked != nil {
--- a/internal/carrier/roll/held_test.go
+++ b/internal/carrier/roll/held_test.go
@@ -8,12 +8,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"snowflow/internal/gazetteer"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter/directory"
+	"snowflow/internal/registry/directory"
 )
 
 // within runs a test's body at a place of a simulated world.
@@ -22,12 +22,12 @@
 	simulated := world.New(seed)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		place.Go(func() {
 			body(place)
 			ended = true
 		})
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + 10*postmark.Minute)
 	if !ended {
@@ -134,7 +134,7 @@
 		start := func() *twins {
 			pair := &twins{}
 			for _, into := range []**Roll{&pair.changes, &pair.wholes} {
-				*into = New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, nil)
+				*into = New(place, discovery.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, nil)
 				(*into).Unchecked(unchecked)
 			}
 			return pair
@@ -254,7 +254,7 @@
 				for number := range 10 {
 					sorter.Tell(&wire.Session{Carrier: fmt.Sprint("carrier-", number), Incarnation: 1, Beat: 1, Address: "here"}, true)
 				}
-				known := New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, nil)
+				known := New(place, discovery.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, nil)
 				ask := func(damage func(tell *wire.SorterPollTell)) error {
 					tell := sorter.answer(asking(known, false))
 					if damage != nil {
@@ -293,7 +293,7 @@
 // TestOlderSorter: a sorter of a build that knows of no changes gives no digest. Its wholes are taken, and asked for again.
 func TestOlderSorter(t *testing.T) {
 	within(t, 1, func(place *world.Place) {
-		known := New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, nil)
+		known := New(place, discovery.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, nil)
 		tell := &wire.SorterPollTell{DirectorySource: 4, DirectorySerial: 9, Sessions: []*wire.Session{{Carrier: "one", Address: "here"}}}
 		if err := known.take(tell, 0); err != nil || known.Directory().Live != 1 {
 			t.Error(err, known.Directory())
--- a/internal/carrier/roll/roll.go
+++ b/internal/carrier/roll/roll.go
@@ -8,14 +8,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
-	"snowflow/internal/office/vigil"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
+	"snowflow/internal/host/vigil"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/registry/directory"
 	"snowflow/internal/resource"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter/directory"
 )
 
 const sorters = "sorter"
@@ -61,8 +61,8 @@
 
 // Roll follows the sorters.
 type Roll struct {
-	place   office.Office
-	book    *gazetteer.Book
+	place   host.Host
+	book    *discovery.Book
 	session func() *wire.Session
 	vigil   *vigil.Vigil
 	// Activity gives what this carrier called since the last poll.
@@ -70,7 +70,7 @@
 	// Guards takes the guards' records from the primary, those that changed since it last took some, or nothing when it couldn't be reached.
 	Guards func(records []*wire.GuardRecord, reached bool)
 
-	soon    office.Signal
+	soon    host.Signal
 	batches batches
 
 	lock      sync.Mutex
@@ -92,7 +92,7 @@
 }
 
 // New makes a roll; session gives this carrier's session as it is now.
-func New(place office.Office, book *gazetteer.Book, session func() *wire.Session, vigil *vigil.Vigil) *Roll {
+func New(place host.Host, book *discovery.Book, session func() *wire.Session, vigil *vigil.Vigil) *Roll {
 	roll := &Roll{place: place, book: book, session: session, vigil: vigil, soon: place.NewSignal(), directory: index(resource.Empty), held: nothing,
 		polled: -postmark.Minute, born: place.Now()}
 	roll.batches.roll = roll
--- a/internal/carrier/roll/roll_test.go
+++ b/internal/carrier/roll/roll_test.go
@@ -3,10 +3,10 @@
 import (
 	"testing"
 
-	"snowflow/internal/gazetteer"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
+	"snowflow/internal/host/vigil"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
-	"snowflow/internal/office/vigil"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -18,8 +18,8 @@
 	for seed := uint64(1); seed <= 8; seed++ {
 		simulated := world.New(seed)
 		ended := false
-		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-			known := New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, steady(place))
+		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+			known := New(place, discovery.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, steady(place))
 			began, own := simulated.Now(), place.Now()
 			known.take(&wire.SorterPollTell{Primary: true, Epoch: 1, HolderTime: int64(began)}, own)
 			place.Sleep(postmark.Minute)
@@ -28,7 +28,7 @@
 				t.Errorf("seed %d: the moment is %d microseconds ahead of the holder", seed, moment.Time-int64(simulated.Now()))
 			}
 			ended = true
-			return office.Table{}, nil
+			return host.Table{}, nil
 		}))
 		simulated.Run(simulated.Now() + 2*postmark.Minute)
 		simulated.Close()
@@ -47,8 +47,8 @@
 	simulated := world.New(1)
 	defer simulated.Close()
 	ended := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-		known := New(place, gazetteer.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, steady(place))
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+		known := New(place, discovery.New(place, nil, nil), func() *wire.Session { return &wire.Session{} }, steady(place))
 		known.take(&wire.SorterPollTell{Primary: true, Epoch: 1, HolderTime: 1000}, place.Now())
 		place.Sleep(postmark.Second)
 		fence := &wire.HolderMoment{Epoch: 1, Time: int64(1000 + 2*postmark.Second)}
@@ -61,7 +61,7 @@
 			t.Errorf("an older moment was taken: %d", moment.Time)
 		}
 		ended = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Minute)
 	if !ended {
@@ -82,15 +82,15 @@
 		simulated := world.New(seed)
 		succeeded := simulated.Now() + 300*postmark.Millisecond
 		sorter := func(name string) {
-			simulated.Start(simulated.Add(name, name, name, func(place *world.Place) (office.Table, error) {
-				table := office.Table{}
-				office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) {
+			simulated.Start(simulated.Add(name, name, name, func(place *world.Place) (host.Table, error) {
+				table := host.Table{}
+				host.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) {
 					if simulated.Now() < succeeded {
 						return &wire.WhoisTell{}, nil
 					}
 					return &wire.WhoisTell{Primaries: []*wire.Primary{{Group: "sorter", Epoch: 2, Name: "next"}}}, nil
 				})
-				office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+				host.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
 					return &wire.ClaimTell{Outcome: ask.Scope}, nil
 				})
 				return table, nil
@@ -101,8 +101,8 @@
 		simulated.Run(simulated.Now() + postmark.Millisecond)
 		simulated.Freeze(simulated.Node("gone"), postmark.Minute)
 		ended := false
-		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-			book := gazetteer.New(place, nil, []string{"gone", "next"})
+		simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+			book := discovery.New(place, nil, []string{"gone", "next"})
 			book.Learn([]*wire.PeerAddress{{Name: "gone", Address: "gone", Group: "sorter"}, {Name: "next", Address: "next", Group: "sorter"}})
 			book.Hint([]*wire.Primary{{Group: "sorter", Epoch: 1, Name: "gone"}})
 			known := New(place, book, func() *wire.Session { return &wire.Session{} }, steady(place))
@@ -112,7 +112,7 @@
 				t.Errorf("seed %d: %v, %q after %d microseconds", seed, err, tell.Outcome, took)
 			}
 			ended = true
-			return office.Table{}, nil
+			return host.Table{}, nil
 		}))
 		simulated.Run(simulated.Now() + postmark.Minute)
 		simulated.Close()
--- a/internal/carrier/rota/rota.go
+++ b/internal/carrier/rota/rota.go
@@ -5,7 +5,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/env"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -20,7 +20,7 @@
 
 // Env is what a rota is made of.
 type Env struct {
-	Place   office.Office
+	Place   host.Host
 	Carrier string
 	// Present tells whether an instance is registered here, alive and not leaving.
 	Present func(instance string) bool
--- a/internal/carrier/wicket/wicket.go
+++ b/internal/carrier/wicket/wicket.go
@@ -13,16 +13,16 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/franking"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/registry/breakerstore"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter/pigeonhole"
 )
 
 // Env is what a guard is made of.
 type Env struct {
-	Place       office.Office
+	Place       host.Host
 	Carrier     string
 	Incarnation uint64
 	// Call asks the primary sorter once.
@@ -46,7 +46,7 @@
 // Wicket holds the breakers of all services this carrier calls.
 type Wicket struct {
 	env  Env
-	lane *office.Inbox[*wire.GuardWriteAsk]
+	lane *host.Inbox[*wire.GuardWriteAsk]
 
 	lock     sync.Mutex
 	breakers map[string]*breaker
@@ -55,7 +55,7 @@
 	retryAt  postmark.Micros
 	queued   int
 	closed   bool
-	idle     office.Signal
+	idle     host.Signal
 	// unleased lets tries through while half open without a probe; only rehearsals of the checkers set it.
 	unleased bool
 }
@@ -104,7 +104,7 @@
 	if env.RetryMultiplier < 1 {
 		env.RetryMultiplier = 1
 	}
-	return &Wicket{env: env, lane: office.NewInbox[*wire.GuardWriteAsk](env.Place), breakers: map[string]*breaker{}, idle: env.Place.NewSignal()}
+	return &Wicket{env: env, lane: host.NewInbox[*wire.GuardWriteAsk](env.Place), breakers: map[string]*breaker{}, idle: env.Place.NewSignal()}
 }
 
 func (wicket *Wicket) breaker(service string) *breaker {
@@ -112,7 +112,7 @@
 	defer wicket.lock.Unlock()
 	present := wicket.breakers[service]
 	if present == nil {
-		present = &breaker{service: service, window: newWindow(100), local: local{state: pigeonhole.Closed}}
+		present = &breaker{service: service, window: newWindow(100), local: local{state: breakerstore.Closed}}
 		wicket.breakers[service] = present
 	}
 	return present
@@ -138,9 +138,9 @@
 
 // admissions decide by the shared verdict.
 var admissions = map[string]func(wicket *Wicket, breaker *breaker, ticket *Ticket) *seal.Fault{
-	pigeonhole.Closed:   (*Wicket).admitLocal,
-	pigeonhole.Open:     (*Wicket).admitOpen,
-	pigeonhole.HalfOpen: (*Wicket).admitProbe,
+	breakerstore.Closed:   (*Wicket).admitLocal,
+	breakerstore.Open:     (*Wicket).admitOpen,
+	breakerstore.HalfOpen: (*Wicket).admitProbe,
 }
 
 // Admit grants one try entry, or refuses it.
@@ -151,7 +151,7 @@
 	breaker.terms = service.Terms()
 	breaker.asked++
 	control := breaker.control
-	state := pigeonhole.Closed
+	state := breakerstore.Closed
 	if breaker.shared != nil {
 		state = breaker.shared.State
 		ticket.serial = breaker.shared.Serial
@@ -165,7 +165,7 @@
 		return ticket, nil
 	}
 	if wicket.Degraded() {
-		state = pigeonhole.Closed
+		state = breakerstore.Closed
 	}
 	if fault := admissions[state](wicket, breaker, ticket); fault != nil {
 		return nil, fault
@@ -198,7 +198,7 @@
 		ticket.serial = tell.Record.Serial
 		return nil
 	}
-	if tell.Record != nil && tell.Record.State == pigeonhole.Closed {
+	if tell.Record != nil && tell.Record.State == breakerstore.Closed {
 		ticket.probe, ticket.serial = "", tell.Record.Serial
 		return wicket.admitLocal(breaker, ticket)
 	}
@@ -210,14 +210,14 @@
 	breaker.lock.Lock()
 	defer breaker.lock.Unlock()
 	own := &breaker.local
-	if own.state == pigeonhole.Closed {
+	if own.state == breakerstore.Closed {
 		return nil
 	}
 	now := wicket.env.Place.Now()
-	if own.state == pigeonhole.Open && now-own.entered >= postmark.Micros(ticket.service.Guard.GetWaitOpenMicros()) {
-		*own = local{state: pigeonhole.HalfOpen, entered: now, left: int(ticket.service.Guard.GetPermittedHalfOpen())}
+	if own.state == breakerstore.Open && now-own.entered >= postmark.Micros(ticket.service.Guard.GetWaitOpenMicros()) {
+		*own = local{state: breakerstore.HalfOpen, entered: now, left: int(ticket.service.Guard.GetPermittedHalfOpen())}
 	}
-	if own.state == pigeonhole.HalfOpen && own.left > 0 {
+	if own.state == breakerstore.HalfOpen && own.left > 0 {
 		own.left--
 		own.out++
 		ticket.local = true
@@ -268,7 +268,7 @@
 		breaker.failed++
 	}
 	breaker.window.add(mark{failed: outcome == Failure, slow: slow}, int(guard.GetWindowCalls()))
-	if breaker.local.state != pigeonhole.Closed || breaker.control != ControlNone ||
+	if breaker.local.state != breakerstore.Closed || breaker.control != ControlNone ||
 		!breaker.window.over(int(guard.GetMinimumCalls()), guard.GetFailureRate(), guard.GetSlowRate()) {
 		return
 	}
@@ -277,7 +277,7 @@
 
 // trip opens this node's own breaker and reports it. The lock is held.
 func (wicket *Wicket) trip(breaker *breaker) {
-	breaker.local = local{state: pigeonhole.Open, entered: wicket.env.Place.Now()}
+	breaker.local = local{state: breakerstore.Open, entered: wicket.env.Place.Now()}
 	breaker.window = newWindow(len(breaker.window.ring))
 	serial := uint64(1)
 	if breaker.shared != nil {
@@ -290,7 +290,7 @@
 // tallyLocal counts a probe of this node's own half-open round. The lock is held.
 func (wicket *Wicket) tallyLocal(breaker *breaker, guard *wire.Guard, outcome Outcome, slow bool) {
 	own := &breaker.local
-	if own.state != pigeonhole.HalfOpen {
+	if own.state != breakerstore.HalfOpen {
 		return
 	}
 	own.out--
@@ -309,7 +309,7 @@
 		wicket.trip(breaker)
 		return
 	}
-	*own = local{state: pigeonhole.Closed}
+	*own = local{state: breakerstore.Closed}
 }
 
 // learn takes a shared record, unless a newer one is known. A verdict that changed clears this node's own.
@@ -324,11 +324,11 @@
 		return
 	}
 	breaker.shared = record
-	if present == nil && record.State == pigeonhole.Closed || present != nil && present.State == record.State {
+	if present == nil && record.State == breakerstore.Closed || present != nil && present.State == record.State {
 		return
 	}
 	breaker.window = newWindow(len(breaker.window.ring))
-	breaker.local = local{state: pigeonhole.Closed}
+	breaker.local = local{state: breakerstore.Closed}
 	wicket.env.Place.Report(bulletin.GuardChanged, map[string]any{"service": breaker.service, "state": record.State, "serial": record.Serial})
 }
 
@@ -425,14 +425,14 @@
 		return
 	}
 	wicket.learn(wicket.breaker(ask.Service), tell.Record)
-	if ask.Verb == "trip" && tell.Applied && tell.Record.State == pigeonhole.Closed {
+	if ask.Verb == "trip" && tell.Applied && tell.Record.State == breakerstore.Closed {
 		wicket.env.Place.Report(bulletin.GuardReported, map[string]any{"service": ask.Service, "reports": len(tell.Record.Reports)})
 	}
 	if ask.Verb != "probe" || !tell.Applied || !tell.RoundComplete {
 		return
 	}
 	// This node's outcome was the round's last, so it decides, by the thresholds, fenced by the round's serial.
-	decision := &wire.GuardWriteAsk{Service: ask.Service, Verb: "decide", ExpectedSerial: tell.Record.Serial, Decision: pigeonhole.Judge(tell.Record),
+	decision := &wire.GuardWriteAsk{Service: ask.Service, Verb: "decide", ExpectedSerial: tell.Record.Serial, Decision: breakerstore.Judge(tell.Record),
 		Carrier: wicket.env.Carrier, Incarnation: wicket.env.Incarnation, Terms: ask.Terms}
 	decided := &wire.GuardWriteTell{}
 	if err := wicket.env.Call(wire.Kind_guard_write, decision, decided, writePatience); err != nil {
@@ -472,7 +472,7 @@
 	breaker.lock.Lock()
 	breaker.control = control
 	if control == ControlNone {
-		breaker.window, breaker.local = newWindow(len(breaker.window.ring)), local{state: pigeonhole.Closed}
+		breaker.window, breaker.local = newWindow(len(breaker.window.ring)), local{state: breakerstore.Closed}
 	}
 	breaker.lock.Unlock()
 	wicket.env.Place.Report(bulletin.GuardControl, map[string]any{"service": service, "control": verb})
@@ -508,7 +508,7 @@
 func (wicket *Wicket) Show() (shown []Shown) {
 	for _, breaker := range wicket.all() {
 		breaker.lock.Lock()
-		entry := Shown{Service: breaker.service, Shared: pigeonhole.Closed, Local: breaker.local.state, Control: breaker.control,
+		entry := Shown{Service: breaker.service, Shared: breakerstore.Closed, Local: breaker.local.state, Control: breaker.control,
 			Calls: breaker.calls, Failed: breaker.failed, Window: breaker.window.filled}
 		if breaker.shared != nil {
 			entry.Shared, entry.Serial = breaker.shared.State, breaker.shared.Serial
--- a/internal/carrier/wicket/wicket_test.go
+++ b/internal/carrier/wicket/wicket_test.go
@@ -9,8 +9,8 @@
 	"snowflow/internal/bulletin"
 	"snowflow/internal/carrier/wicket"
 	"snowflow/internal/franking"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
@@ -39,7 +39,7 @@
 	}
 	scene.service = franking.Compile(state, 1, "").Services["forms"]
 	played := false
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		scene.place = place
 		scene.guard = wicket.New(wicket.Env{Place: place, Carrier: "one", Incarnation: 1, Call: func(kind wire.Kind, _, tell proto.Message, _ postmark.Micros) error {
 			scene.calls = append(scene.calls, kind)
@@ -47,7 +47,7 @@
 		}})
 		course(scene)
 		played = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Minute)
 	defer simulated.Close()
--- a/internal/clerk/changes.go
+++ b/internal/clerk/changes.go
@@ -13,14 +13,14 @@
 
 	"snowflow/internal/clerk/doctor"
 	"snowflow/internal/clerk/rollout"
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
 	"snowflow/internal/house"
-	"snowflow/internal/postmaster/door"
 )
 
 // printed shows a comparison, one resource a line.
-func printed(told door.Changes) {
+func printed(told api.Changes) {
 	for _, list := range []struct {
 		sign  string
 		items []changes.Altered
@@ -36,8 +36,8 @@
 	fmt.Printf("%d added, %d changed, %d removed; %d bytes, the whole has %d\n", len(told.Summary.Added), len(told.Summary.Changed), len(told.Summary.Removed), told.Bytes, told.Whole)
 }
 
-func compared(shared *desks, method, path string, content []byte) (door.Changes, error) {
-	var told door.Changes
+func compared(shared *desks, method, path string, content []byte) (api.Changes, error) {
+	var told api.Changes
 	code, answer, err := shared.ask(method, path, content)
 	if err == nil && code != http.StatusOK {
 		err = fmt.Errorf("status %d: %s", code, answer)
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, 0, house.Misused(err)
 	}
-	set, err := door.Set(franking.Parse, content)
+	set, err := api.Set(franking.Parse, content)
 	return set, len(content), err
 }
 
@@ -85,7 +85,7 @@
 		if (base == nil) != (next == nil) {
 			return house.Misused(errors.New("name two files or two serials; a file against the newest serial is apply --preview"))
 		}
-		told := door.Changes{Whole: length}
+		told := api.Changes{Whole: length}
 		if base == nil {
 			if told, err = compared(shared, http.MethodGet, "/changes?from="+arguments[0]+"&to="+arguments[1], nil); err != nil {
 				return err
--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -16,10 +16,10 @@
 	"github.com/spf13/cobra"
 
 	"snowflow/internal/clerk/doctor"
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/env"
 	"snowflow/internal/franking"
 	"snowflow/internal/house"
-	"snowflow/internal/postmaster/door"
 	"snowflow/internal/release"
 )
 
@@ -99,7 +99,7 @@
 			if err != nil {
 				return fmt.Errorf("no certain outcome; apply again with --request %s: %w", request, err)
 			}
-			var applied door.Applied
+			var applied api.Applied
 			if err := json.Unmarshal(answer, &applied); err != nil {
 				return fmt.Errorf("status %d: %s", code, answer)
 			}
--- a/internal/clerk/doctor/cores.go
+++ b/internal/clerk/doctor/cores.go
@@ -3,11 +3,11 @@
 import (
 	"maps"
 	"slices"
-	"snowflow/internal/countersign"
+	"snowflow/internal/replication"
 )
 
 // cores lists the members of both groups, postmasters first, by name.
-func cores(mesh Mesh) (all []countersign.Status) {
+func cores(mesh Mesh) (all []replication.Status) {
 	for _, name := range slices.Sorted(maps.Keys(mesh.Postmasters)) {
 		all = append(all, mesh.Postmasters[name].Core)
 	}
--- a/internal/clerk/doctor/doctor.go
+++ b/internal/clerk/doctor/doctor.go
@@ -11,12 +11,12 @@
 	"slices"
 	"time"
 
-	"snowflow/internal/countersign"
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/door"
-	"snowflow/internal/sorter"
+	"snowflow/internal/registry"
+	"snowflow/internal/replication"
 )
 
 // How bad a finding is.
@@ -55,9 +55,9 @@
 
 // Mesh is what was gathered for the checks.
 type Mesh struct {
-	Overview    door.Overview
-	Postmasters map[string]postmaster.Status
-	Sorters     map[string]sorter.Status
+	Overview    api.Overview
+	Postmasters map[string]configstore.Status
+	Sorters     map[string]registry.Status
 	Unreachable []string
 	Asked       int64 // the doctor's wall clock while it asked
 }
@@ -75,10 +75,10 @@
 func Look(desks []string, patience time.Duration) (Mesh, error) {
 	limit, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	mesh := Mesh{Postmasters: map[string]postmaster.Status{}, Sorters: map[string]sorter.Status{}}
+	mesh := Mesh{Postmasters: map[string]configstore.Status{}, Sorters: map[string]registry.Status{}}
 	reached := false
 	for _, desk := range desks {
-		var overview door.Overview
+		var overview api.Overview
 		mesh.Asked = time.Now().UnixMicro()
 		if err := get(limit, desk, &overview); err != nil {
 			mesh.Unreachable = append(mesh.Unreachable, fmt.Sprintf("%s (%v)", desk, err))
@@ -114,13 +114,13 @@
 
 func (mesh *Mesh) decode() {
 	for name, content := range mesh.Overview.Postmasters {
-		var status postmaster.Status
+		var status configstore.Status
 		if json.Unmarshal(content, &status) == nil {
 			mesh.Postmasters[name] = status
 		}
 	}
 	for name, content := range mesh.Overview.Sorters {
-		var status sorter.Status
+		var status registry.Status
 		if json.Unmarshal(content, &status) == nil {
 			mesh.Sorters[name] = status
 		}
@@ -181,7 +181,7 @@
 }
 
 func copies(mesh Mesh) (found []Finding) {
-	newest, primaries := map[string]countersign.Status{}, map[string][]string{}
+	newest, primaries := map[string]replication.Status{}, map[string][]string{}
 	for _, core := range cores(mesh) {
 		if core.Epoch >= newest[core.Group].Epoch {
 			newest[core.Group] = core
@@ -277,13 +277,13 @@
 }
 
 // answering is the sorter that answers, which alone shows guards.
-func answering(mesh Mesh) (sorter.Status, bool) {
+func answering(mesh Mesh) (registry.Status, bool) {
 	for _, name := range slices.Sorted(maps.Keys(mesh.Sorters)) {
 		if status := mesh.Sorters[name]; status.Core.Answering {
 			return status, true
 		}
 	}
-	return sorter.Status{}, false
+	return registry.Status{}, false
 }
 
 func sessions(mesh Mesh) []*wire.Session {
--- a/internal/clerk/doctor/doctor_test.go
+++ b/internal/clerk/doctor/doctor_test.go
@@ -4,19 +4,19 @@
 	"strings"
 	"testing"
 
-	"snowflow/internal/countersign"
+	"snowflow/internal/configstore"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/sorter"
+	"snowflow/internal/registry"
+	"snowflow/internal/replication"
 )
 
 // healthy is a mesh without faults; each test spoils one thing.
 func healthy() Mesh {
-	mesh := Mesh{Postmasters: map[string]postmaster.Status{}, Sorters: map[string]sorter.Status{}, Asked: 1_000_000_000}
+	mesh := Mesh{Postmasters: map[string]configstore.Status{}, Sorters: map[string]registry.Status{}, Asked: 1_000_000_000}
 	for _, number := range []string{"1", "2", "3"} {
-		core := countersign.Status{Joined: true, Epoch: 4, Settled: true, Answering: number == "1", FreeBytes: 1 << 30, Release: "a", Wall: mesh.Asked}
-		master, registry := postmaster.Status{Core: core, Serial: 3}, sorter.Status{Core: core, Now: int64(postmark.Minute)}
+		core := replication.Status{Joined: true, Epoch: 4, Settled: true, Answering: number == "1", FreeBytes: 1 << 30, Release: "a", Wall: mesh.Asked}
+		master, registry := configstore.Status{Core: core, Serial: 3}, registry.Status{Core: core, Now: int64(postmark.Minute)}
 		master.Core.Primary, master.Core.Backup = "postmaster-1", "postmaster-2"
 		registry.Core.Primary, registry.Core.Backup = "sorter-1", "sorter-2"
 		master.Core.Group, master.Core.Name, master.Core.Voters = "postmaster", "postmaster-"+number, []string{"postmaster-1", "postmaster-2", "postmaster-3"}
@@ -28,7 +28,7 @@
 	return mesh
 }
 
-func spoilSorter(mesh Mesh, name string, spoil func(*sorter.Status)) {
+func spoilSorter(mesh Mesh, name string, spoil func(*registry.Status)) {
 	status := mesh.Sorters[name]
 	spoil(&status)
 	mesh.Sorters[name] = status
@@ -49,38 +49,40 @@
 			delete(mesh.Sorters, "sorter-2")
 		}},
 		{"copies", Ill, "0 sorters answer", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.Answering = false })
+			spoilSorter(mesh, "sorter-1", func(status *registry.Status) { status.Core.Answering = false })
 		}},
 		{"copies", Ill, "2 sorters answer", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Answering = true })
+			spoilSorter(mesh, "sorter-2", func(status *registry.Status) { status.Core.Answering = true })
+		}},
+		{"copies", Watch, "knows epoch 1", func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-2", func(status *registry.Status) { status.Core.Epoch = 1 })
 		}},
-		{"copies", Watch, "knows epoch 1", func(mesh Mesh) { spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Epoch = 1 }) }},
 		{"copies", Watch, "not joined", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Joined = false })
+			spoilSorter(mesh, "sorter-3", func(status *registry.Status) { status.Core.Joined = false })
 		}},
 		{"versions", Watch, "release b", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Release = "b" })
+			spoilSorter(mesh, "sorter-3", func(status *registry.Status) { status.Core.Release = "b" })
 		}},
 		{"clock", Watch, "wall clock", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Wall += int64(postmark.Minute) })
+			spoilSorter(mesh, "sorter-3", func(status *registry.Status) { status.Core.Wall += int64(postmark.Minute) })
 		}},
 		{"disk", Ill, "1 MiB", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.FreeBytes = 1 << 20 })
+			spoilSorter(mesh, "sorter-3", func(status *registry.Status) { status.Core.FreeBytes = 1 << 20 })
 		}},
 		{"disk", Watch, "last write", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.SyncTime = int64(postmark.Second) })
+			spoilSorter(mesh, "sorter-1", func(status *registry.Status) { status.Core.SyncTime = int64(postmark.Second) })
 		}},
 		{"carriers", Watch, "serial 2", func(mesh Mesh) { mesh.Sorters["sorter-1"].Carriers[0].DesiredSerial = 2 }},
 		{"guards", Ill, "forms is open", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Guards = []*wire.GuardRecord{{Service: "forms", State: "open"}} })
+			spoilSorter(mesh, "sorter-1", func(status *registry.Status) { status.Guards = []*wire.GuardRecord{{Service: "forms", State: "open"}} })
 		}},
 		{"guards", Watch, "half open", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) {
+			spoilSorter(mesh, "sorter-1", func(status *registry.Status) {
 				status.Guards = []*wire.GuardRecord{{Service: "forms", State: "half_open"}}
 			})
 		}},
 		{"guards", Watch, "stand alone", func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) {
+			spoilSorter(mesh, "sorter-1", func(status *registry.Status) {
 				status.Guards = []*wire.GuardRecord{{Service: "forms", State: "closed", Reports: []*wire.TripReport{{Carrier: "carrier-1"}}}}
 			})
 		}},
@@ -115,15 +117,17 @@
 		{"two of one group", "one process of a group", []string{"sorter-1", "sorter-2"}, func(Mesh) {}},
 		{"another is away", "sorter-3 doesn't answer", machine, func(mesh Mesh) { delete(mesh.Sorters, "sorter-3") }},
 		{"another is blank", "sorter-1 has not joined", machine, func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-1", func(status *sorter.Status) { status.Core.Joined = false })
+			spoilSorter(mesh, "sorter-1", func(status *registry.Status) { status.Core.Joined = false })
+		}},
+		{"a witness is behind", "", machine, func(mesh Mesh) {
+			spoilSorter(mesh, "sorter-3", func(status *registry.Status) { status.Core.Epoch = 3 })
 		}},
-		{"a witness is behind", "", machine, func(mesh Mesh) { spoilSorter(mesh, "sorter-3", func(status *sorter.Status) { status.Core.Epoch = 3 }) }},
 		{"the other copy is behind", "sorter-2 is behind", []string{"sorter-3"}, func(mesh Mesh) {
-			spoilSorter(mesh, "sorter-2", func(status *sorter.Status) { status.Core.Epoch = 3 })
+			spoilSorter(mesh, "sorter-2", func(status *registry.Status) { status.Core.Epoch = 3 })
 		}},
 		{"no backup in step", "no primary answers", machine, func(mesh Mesh) {
 			for name := range mesh.Sorters {
-				spoilSorter(mesh, name, func(status *sorter.Status) { status.Core.Settled = false })
+				spoilSorter(mesh, name, func(status *registry.Status) { status.Core.Settled = false })
 			}
 		}},
 	} {
--- a/internal/clerk/doctor/sight.go
+++ b/internal/clerk/doctor/sight.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"snowflow/internal/countersign"
+	"snowflow/internal/replication"
 )
 
 // sight is what a desk sees of one group of the core.
@@ -13,13 +13,13 @@
 	voters  []string
 	seen    []string
 	missing []string
-	members map[string]countersign.Status
+	members map[string]replication.Status
 }
 
 // sights sorts the core's members by group. A voter that no member names isn't known of.
 func sights(mesh Mesh) (all []sight) {
 	for _, group := range []string{"postmaster", "sorter"} {
-		present := sight{group: group, members: map[string]countersign.Status{}}
+		present := sight{group: group, members: map[string]replication.Status{}}
 		for _, member := range cores(mesh) {
 			if member.Group == group {
 				present.voters = member.Voters
@@ -45,7 +45,7 @@
 			continue
 		}
 		what := fmt.Sprintf("from this desk %v can be seen and %v can't", present.seen, present.missing)
-		if countersign.Decides(present.voters, present.seen) {
+		if replication.Decides(present.voters, present.seen) {
 			findings = append(findings, Finding{Watch, "split", what + ": those seen can decide", "bring the others back, or their way to these; until then no further machine may go"})
 		} else {
 			findings = append(findings, Finding{Ill, "split", what + ": those seen can't decide", "ask a desk on the other side, which may go on; bring the ways between them back"})
@@ -75,7 +75,7 @@
 		if leaving > 1 {
 			object("only one process of a group may go at a time")
 		}
-		newest, answering := countersign.Status{}, 0
+		newest, answering := replication.Status{}, 0
 		for _, name := range present.seen {
 			if member := present.members[name]; member.Epoch > newest.Epoch || member.Epoch == newest.Epoch && member.Answering {
 				newest = member
--- a/internal/clerk/rollout/rollout.go
+++ b/internal/clerk/rollout/rollout.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"snowflow/internal/postmaster"
+	"snowflow/internal/configstore"
 )
 
 // Progress is how far the newest version has come, as the primary postmaster knows it.
@@ -15,18 +15,18 @@
 	Primary string `json:"primary"`
 	Version uint64 `json:"version"`
 	// Nodes are those that hold a lease, those furthest behind first, then those that took longest.
-	Nodes []postmaster.HolderStatus `json:"nodes"`
-	There int                       `json:"there"` // nodes that have the newest
+	Nodes []configstore.HolderStatus `json:"nodes"`
+	There int                        `json:"there"` // nodes that have the newest
 }
 
 // Look finds the primary among what the postmasters told.
-func Look(statuses map[string]postmaster.Status) (Progress, bool) {
+func Look(statuses map[string]configstore.Status) (Progress, bool) {
 	for name, status := range statuses {
 		if !status.Core.Answering {
 			continue
 		}
 		progress := Progress{Primary: name, Version: status.Serial, Nodes: slices.Clone(status.Holders)}
-		slices.SortFunc(progress.Nodes, func(one, other postmaster.HolderStatus) int {
+		slices.SortFunc(progress.Nodes, func(one, other configstore.HolderStatus) int {
 			if one.Adopted != other.Adopted {
 				return compare(one.Adopted, other.Adopted)
 			}
--- a/internal/postmaster/door/door.go
+++ b/internal/configstore/api/api.go
@@ -1,5 +1,5 @@
-// Package door is the operators' HTTP door. Any postmaster has it; what needs the primary is passed on to it.
-package door
+// Package api is the operators' HTTP door. Any postmaster has it; what needs the primary is passed on to it.
+package api
 
 import (
 	"encoding/json"
@@ -12,13 +12,13 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
 
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/versions"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/ledger"
 )
 
 // Names of the headers and query words that operators use.
@@ -29,8 +29,8 @@
 
 type door struct {
 	store *forwarding
-	place office.Office
-	book  *gazetteer.Book
+	place host.Host
+	book  *discovery.Book
 	// reads reads contents in the dialect that they are stored in, with all their faults.
 	reads franking.Reader
 }
@@ -62,7 +62,7 @@
 }
 
 // New makes the handler. read reads contents in the dialect that they are stored in, with all their faults.
-func New(place office.Office, book *gazetteer.Book, metrics http.Handler, status func() any, read franking.Reader) http.Handler {
+func New(place host.Host, book *discovery.Book, metrics http.Handler, status func() any, read franking.Reader) http.Handler {
 	door := &door{store: &forwarding{place: place, book: book}, place: place, book: book, reads: read}
 	router := chi.NewRouter()
 	router.Put("/desired-state", door.apply)
@@ -85,7 +85,7 @@
 		write(writer, http.StatusOK, map[string]bool{"live": true})
 	})
 	router.Get("/ready", func(writer http.ResponseWriter, _ *http.Request) {
-		if leader := book.Leader(postmaster.Group); leader == "" {
+		if leader := book.Leader(configstore.Group); leader == "" {
 			write(writer, http.StatusServiceUnavailable, map[string]any{"ready": false, "why": "no primary is known"})
 			return
 		}
@@ -101,12 +101,12 @@
 // applyPatience is how long an apply may take: reaching the primary, and being in force everywhere.
 const applyPatience = 24 * postmark.Second
 
-var statuses = map[string]int{ledger.Accepted: http.StatusOK, ledger.Conflict: http.StatusPreconditionFailed, ledger.Invalid: http.StatusBadRequest}
+var statuses = map[string]int{versions.Accepted: http.StatusOK, versions.Conflict: http.StatusPreconditionFailed, versions.Invalid: http.StatusBadRequest}
 
 func (door *door) apply(writer http.ResponseWriter, incoming *http.Request) {
 	content, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, franking.Longest))
 	if err != nil {
-		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: ledger.Invalid, Faults: []string{err.Error()}})
+		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: versions.Invalid, Faults: []string{err.Error()}})
 		return
 	}
 	query := incoming.URL.Query()
@@ -116,13 +116,13 @@
 	}
 	switch expected := query.Get(ExpectedQuery); expected {
 	case "":
-		write(writer, http.StatusBadRequest, Applied{Outcome: ledger.Invalid, Faults: []string{"expected: the serial that this state follows must be named, or any"}})
+		write(writer, http.StatusBadRequest, Applied{Outcome: versions.Invalid, Faults: []string{"expected: the serial that this state follows must be named, or any"}})
 		return
 	case "any":
 		ask.AnySerial = true
 	default:
 		if ask.ExpectedSerial, err = strconv.ParseUint(expected, 10, 64); err != nil {
-			write(writer, http.StatusBadRequest, Applied{Outcome: ledger.Invalid, Faults: []string{"expected: " + err.Error()}})
+			write(writer, http.StatusBadRequest, Applied{Outcome: versions.Invalid, Faults: []string{"expected: " + err.Error()}})
 			return
 		}
 	}
@@ -144,7 +144,7 @@
 func (door *door) check(writer http.ResponseWriter, incoming *http.Request) {
 	content, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, franking.Longest))
 	if err != nil {
-		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: ledger.Invalid, Faults: []string{err.Error()}})
+		write(writer, http.StatusRequestEntityTooLarge, Applied{Outcome: versions.Invalid, Faults: []string{err.Error()}})
 		return
 	}
 	if !invalid(writer, content, "") {
@@ -158,7 +158,7 @@
 	if len(faults) == 0 {
 		return false
 	}
-	applied := Applied{Outcome: ledger.Invalid, Request: request}
+	applied := Applied{Outcome: versions.Invalid, Request: request}
 	for _, fault := range faults {
 		applied.Faults = append(applied.Faults, fault.String())
 	}
@@ -211,7 +211,7 @@
 	}{{"postmaster", wire.Kind_postmaster_status, overview.Postmasters}, {"sorter", wire.Kind_sorter_status, overview.Sorters}}
 	for _, asked := range kinds {
 		members := door.book.Members(asked.group)
-		replies := office.Gather(door.place, members, 2*postmark.Second, func(name string) (*wire.StatusTell, error) {
+		replies := host.Gather(door.place, members, 2*postmark.Second, func(name string) (*wire.StatusTell, error) {
 			tell := &wire.StatusTell{}
 			return tell, door.book.Call(name, asked.kind, &wire.StatusAsk{}, tell, 1500*postmark.Millisecond)
 		}, func(map[string]*wire.StatusTell, int) bool { return false })
--- a/internal/postmaster/door/changes.go
+++ b/internal/configstore/api/changes.go
@@ -1,4 +1,4 @@
-package door
+package api
 
 import (
 	"encoding/json"
@@ -9,11 +9,11 @@
 	"strconv"
 	"strings"
 
+	"snowflow/internal/configstore"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
 )
 
 // Names of the query words of a comparison: serials, the newest if left out.
@@ -130,7 +130,7 @@
 		told.Bytes = len(content)
 	}
 	for _, content := range door.status().Postmasters {
-		var status postmaster.Status
+		var status configstore.Status
 		if json.Unmarshal(content, &status) == nil {
 			told.Nodes = max(told.Nodes, len(status.Holders))
 		}
--- a/internal/postmaster/door/recent.go
+++ b/internal/configstore/api/recent.go
@@ -1,12 +1,12 @@
-package door
+package api
 
 import (
 	"errors"
 	"sync"
 
+	"snowflow/internal/configstore/delta"
 	"snowflow/internal/franking"
 	"snowflow/internal/parcel/wire"
-	"snowflow/internal/postmaster/delta"
 )
 
 // errNotAsTold: a primary's answer isn't what its digest says.
--- a/internal/postmaster/door/store.go
+++ b/internal/configstore/api/store.go
@@ -1,4 +1,4 @@
-package door
+package api
 
 import (
 	"errors"
@@ -7,13 +7,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/versions"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/ledger"
 	"snowflow/internal/seal"
 )
 
@@ -35,15 +35,15 @@
 
 // forwarding is a store that any postmaster's process has: it passes everything on to the primary.
 type forwarding struct {
-	place office.Office
-	book  *gazetteer.Book
+	place host.Host
+	book  *discovery.Book
 	// recent is the state that last went to or came from a primary. It's no more than a base for differences: what is answered is always
 	// what a primary tells of now.
 	recent recent
 }
 
 // NewStore makes a store that passes everything on to the primary.
-func NewStore(place office.Office, book *gazetteer.Book) Store {
+func NewStore(place host.Host, book *discovery.Book) Store {
 	return &forwarding{place: place, book: book}
 }
 
@@ -58,7 +58,7 @@
 	cutoff := store.place.Now() + patience
 	var err error = seal.Unreachable.New("no primary postmaster is known")
 	for store.place.Now() < cutoff {
-		if leader := store.book.Leader(postmaster.Group); leader != "" {
+		if leader := store.book.Leader(configstore.Group); leader != "" {
 			if err = store.book.Call(leader, kind, ask, tell, cutoff-store.place.Now()); err == nil {
 				return nil
 			}
@@ -76,7 +76,7 @@
 func (store *forwarding) reaches(patience postmark.Micros) bool {
 	cutoff := store.place.Now() + patience
 	for {
-		leader := store.book.Leader(postmaster.Group)
+		leader := store.book.Leader(configstore.Group)
 		limit := max(postmark.Millisecond, min(500*postmark.Millisecond, cutoff-store.place.Now()))
 		if leader != "" && store.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{Serial: math.MaxUint64}, &wire.DesiredReadTell{}, limit) == nil {
 			return true
@@ -102,16 +102,16 @@
 	sent, whole := false, false
 	var err error = seal.Unreachable.New("no time was left")
 	for place.Now() < cutoff {
-		if leader := store.book.Leader(postmaster.Group); leader != "" {
+		if leader := store.book.Leader(configstore.Group); leader != "" {
 			tell, short := &wire.DesiredApplyTell{}, store.short(leader, ask, whole)
 			// A primary that falls silent is left time for another to take over.
 			remaining := cutoff - place.Now()
 			if err = store.book.Call(leader, wire.Kind_desired_apply, short, tell, max(remaining/2, min(remaining, postmark.Second))); err == nil {
-				if tell.Outcome == ledger.BaseUnknown && !whole {
+				if tell.Outcome == versions.BaseUnknown && !whole {
 					whole = true
 					continue
 				}
-				if tell.Outcome == ledger.Accepted {
+				if tell.Outcome == versions.Accepted {
 					store.recent.keep(franking.Digest(ask.Content), ask.Content)
 				}
 				return tell, nil
--- a/internal/postmaster/bounds.go
+++ b/internal/configstore/bounds.go
@@ -1,4 +1,4 @@
-package postmaster
+package configstore
 
 import (
 	"errors"
--- a/internal/postmaster/postmaster.go
+++ b/internal/configstore/configstore.go
@@ -1,6 +1,6 @@
-// Package postmaster is the store of desired states. It acknowledges one only when no carrier can still be serving by
+// Package configstore is the store of desired states. It acknowledges one only when no carrier can still be serving by
 // an older one much longer.
-package postmaster
+package configstore
 
 import (
 	"encoding/json"
@@ -14,14 +14,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/countersign"
+	"snowflow/internal/configstore/differences"
+	"snowflow/internal/configstore/versions"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster/ledger"
-	"snowflow/internal/postmaster/versions"
+	"snowflow/internal/replication"
 	"snowflow/internal/seal"
 )
 
@@ -38,21 +38,21 @@
 
 // Env is what a postmaster is made of.
 type Env struct {
-	Place  office.Office
-	Book   *gazetteer.Book
+	Place  host.Host
+	Book   *discovery.Book
 	Name   string
 	Voters []string // of a first start
 	// Genesis tells that this process may take part in a first start.
 	Genesis bool
-	Adjust  func(*countersign.Env)
+	Adjust  func(*replication.Env)
 	Bounds  Bounds
 	// Read reads contents as they are applied and stored, franking.Parse if left out.
 	Read franking.Reader
 	// History is how many accepted states are kept at most, all for zero. It must be the same at every postmaster.
 	History int
-	// Versions bounds what is kept to tell carriers differences; what is left zero is as versions.Defaults has it.
-	Versions versions.Bounds
-	// AnyContent has the ledger confirm several contents under one number. Only rehearsals of the checkers set it.
+	// Versions bounds what is kept to tell carriers differences; what is left zero is as differences.Defaults has it.
+	Versions differences.Bounds
+	// AnyContent has the store confirm several contents under one number. Only rehearsals of the checkers set it.
 	AnyContent bool
 	// Adopted is told how long after its commit a carrier gave its word that it has adopted a version; it must not block.
 	Adopted func(carrier string, serial uint64, took postmark.Micros)
@@ -64,10 +64,10 @@
 // Postmaster is one store process.
 type Postmaster struct {
 	env    Env
-	Member *countersign.Member
-	ledger *ledger.Ledger
+	Member *replication.Member
+	store  *versions.Store
 	// versions are the states read lately, and what the newest changes in them.
-	versions *versions.Versions
+	versions *differences.Versions
 
 	packing packing
 	lock    sync.Mutex
@@ -108,15 +108,15 @@
 	if err := env.Bounds.check(); err != nil {
 		return nil, err
 	}
-	master := &Postmaster{env: env, ledger: ledger.New(env.History), versions: versions.New(env.Read, env.Versions), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
-	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis,
-		Machine: master.ledger, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
+	master := &Postmaster{env: env, store: versions.New(env.History), versions: differences.New(env.Read, env.Versions), holders: map[string]*holder{}, news: newCrowd(env.Place), words: newCrowd(env.Place)}
+	core := replication.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis,
+		Machine: master.store, Settled: master.settled, Handing: master.handing, Handed: master.takeHanded}
 	if env.Adjust != nil {
 		env.Adjust(&core)
 	}
 	env.Book.OfferDeltas()
-	master.ledger.Deltas, master.ledger.AnyContent = master.allTakeDeltas, env.AnyContent
-	member, err := countersign.Open(core)
+	master.store.Deltas, master.store.AnyContent = master.allTakeDeltas, env.AnyContent
+	member, err := replication.Open(core)
 	master.Member = member
 	if err == nil {
 		member.Vigil.OnLeap(func(postmark.Micros) { master.doubt() })
@@ -191,19 +191,19 @@
 		return
 	}
 	master.Member.Read(func(uint64, postmark.Micros) {
-		if states := master.ledger.All(); len(states) > 0 {
+		if states := master.store.All(); len(states) > 0 {
 			master.env.Kept(states)
 		}
 	})
 }
 
 // Register adds the postmaster's handlers.
-func (master *Postmaster) Register(table office.Table) {
+func (master *Postmaster) Register(table host.Table) {
 	master.Member.Register(table)
-	office.Handle(table, wire.Kind_desired_poll, master.Poll)
-	office.Handle(table, wire.Kind_desired_apply, master.Apply)
-	office.Handle(table, wire.Kind_desired_read, master.ReadBack)
-	office.Handle(table, wire.Kind_postmaster_status, func(*wire.StatusAsk) (*wire.StatusTell, error) {
+	host.Handle(table, wire.Kind_desired_poll, master.Poll)
+	host.Handle(table, wire.Kind_desired_apply, master.Apply)
+	host.Handle(table, wire.Kind_desired_read, master.ReadBack)
+	host.Handle(table, wire.Kind_postmaster_status, func(*wire.StatusAsk) (*wire.StatusTell, error) {
 		content, err := json.Marshal(master.Status())
 		return &wire.StatusTell{Json: content}, err
 	})
@@ -222,10 +222,10 @@
 		tell := &wire.DesiredPollTell{Primaries: master.env.Book.Primaries(), Tenure: int64(master.env.Bounds.Lease), Hold: int64(master.env.Bounds.PollHold)}
 		var base, newest *wire.DesiredKept
 		tell.Primary = master.Member.Read(func(epoch uint64, _ postmark.Micros) {
-			tell.Epoch, tell.Serial = epoch, master.ledger.Serial()
+			tell.Epoch, tell.Serial = epoch, master.store.Serial()
 			master.seen(tell.Serial)
-			if kept := master.ledger.Newest(); kept != nil && kept.Serial != ask.Have {
-				newest, base = kept, master.ledger.Find(ask.Have)
+			if kept := master.store.Newest(); kept != nil && kept.Serial != ask.Have {
+				newest, base = kept, master.store.Find(ask.Have)
 			}
 			// Noted under the same look that read the serial: an apply that comes later waits for this tenure.
 			master.grant(ask)
@@ -253,7 +253,7 @@
 		return tell
 	}
 	master.Member.Peek(func() {
-		if newest := master.ledger.Newest(); newest != nil {
+		if newest := master.store.Newest(); newest != nil {
 			tell.Serial = newest.Serial
 			master.packing.fill(tell, newest, ask.Packs)
 		}
@@ -379,11 +379,11 @@
 		return nil, err
 	}
 	if !known {
-		return &wire.DesiredApplyTell{Outcome: ledger.BaseUnknown}, nil
+		return &wire.DesiredApplyTell{Outcome: versions.BaseUnknown}, nil
 	}
 	state, faults := master.env.Read(ask.Content)
 	if len(faults) > 0 {
-		tell := &wire.DesiredApplyTell{Outcome: ledger.Invalid}
+		tell := &wire.DesiredApplyTell{Outcome: versions.Invalid}
 		for _, fault := range faults {
 			tell.Faults = append(tell.Faults, fault.String())
 		}
@@ -392,13 +392,13 @@
 	}
 	master.versions.Know(ask.Content, state)
 	tell, err := master.submit(ask)
-	if errors.Is(err, countersign.ErrUnknown) {
+	if errors.Is(err, replication.ErrUnknown) {
 		return nil, ErrUnacknowledged
 	}
 	if err != nil {
 		return nil, err
 	}
-	if tell.Outcome != ledger.Accepted {
+	if tell.Outcome != versions.Accepted {
 		return tell, nil
 	}
 	master.seen(tell.Serial)
@@ -479,18 +479,18 @@
 	done := master.Member.Read(func(uint64, postmark.Micros) {
 		if ask.List {
 			tell.Found = true
-			for _, kept := range master.ledger.All() {
+			for _, kept := range master.store.All() {
 				tell.States = append(tell.States, &wire.DesiredKept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request})
 			}
 			return
 		}
 		serial := ask.Serial
 		if serial == 0 {
-			serial = master.ledger.Serial()
+			serial = master.store.Serial()
 		}
-		if kept := master.ledger.Find(serial); kept != nil {
+		if kept := master.store.Find(serial); kept != nil {
 			tell.Found, tell.States = true, []*wire.DesiredKept{kept}
-			base = master.ledger.WithDigest(ask.Have)
+			base = master.store.WithDigest(ask.Have)
 		}
 	})
 	if !done {
@@ -504,7 +504,7 @@
 
 // Status is what operators are shown of a postmaster.
 type Status struct {
-	Core    countersign.Status `json:"core"`
+	Core    replication.Status `json:"core"`
 	Serial  uint64             `json:"serial"`
 	Holders []HolderStatus     `json:"tenure_holders,omitempty"`
 	// Computed counts the differences between versions that this process worked out.
@@ -523,7 +523,7 @@
 // Status tells how this postmaster stands.
 func (master *Postmaster) Status() Status {
 	status := Status{Core: master.Member.Status(), Computed: master.Computed()}
-	master.Member.Read(func(uint64, postmark.Micros) { status.Serial = master.ledger.Serial() })
+	master.Member.Read(func(uint64, postmark.Micros) { status.Serial = master.store.Serial() })
 	master.lock.Lock()
 	defer master.lock.Unlock()
 	now := master.env.Place.Now()
--- a/internal/postmaster/crowd.go
+++ b/internal/configstore/crowd.go
@@ -1,22 +1,22 @@
-package postmaster
+package configstore
 
 import (
 	"sync"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 )
 
 // crowd is a number of tasks that wait for the same thing. Invariant: waiting holds those that wait, in the order they came.
 type crowd struct {
-	place   office.Office
+	place   host.Host
 	lock    sync.Mutex
-	waiting []office.Signal
+	waiting []host.Signal
 }
 
-func newCrowd(place office.Office) *crowd { return &crowd{place: place} }
+func newCrowd(place host.Host) *crowd { return &crowd{place: place} }
 
 // join begins to wait. It comes before the look that may make waiting needless, so that no wake between the two is missed.
-func (crowd *crowd) join() office.Signal {
+func (crowd *crowd) join() host.Signal {
 	signal := crowd.place.NewSignal()
 	crowd.lock.Lock()
 	defer crowd.lock.Unlock()
@@ -25,7 +25,7 @@
 }
 
 // leave ends waiting.
-func (crowd *crowd) leave(signal office.Signal) {
+func (crowd *crowd) leave(signal host.Signal) {
 	crowd.lock.Lock()
 	defer crowd.lock.Unlock()
 	for index, present := range crowd.waiting {
--- a/internal/postmaster/delta/delta_test.go
+++ b/internal/configstore/delta/delta_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"testing"
 
-	"snowflow/internal/postmaster/delta"
+	"snowflow/internal/configstore/delta"
 )
 
 const most = 4 << 20
--- a/internal/postmaster/deltas.go
+++ b/internal/configstore/deltas.go
@@ -1,13 +1,13 @@
-package postmaster
+package configstore
 
 import (
 	"slices"
 
+	"snowflow/internal/configstore/delta"
+	"snowflow/internal/configstore/versions"
 	"snowflow/internal/franking"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster/delta"
-	"snowflow/internal/postmaster/ledger"
 	"snowflow/internal/seal"
 )
 
@@ -28,7 +28,7 @@
 	whole = &wire.DesiredApplyAsk{ExpectedSerial: ask.ExpectedSerial, Request: ask.Request, AnySerial: ask.AnySerial, Version: ask.Version}
 	var base []byte
 	done := master.Member.Read(func(uint64, postmark.Micros) {
-		if kept := master.ledger.WithDigest(ask.Base); kept != nil || ask.Base == "" {
+		if kept := master.store.WithDigest(ask.Base); kept != nil || ask.Base == "" {
 			base, known = kept.GetContent(), true
 		}
 	})
@@ -47,7 +47,7 @@
 	tell := &wire.DesiredApplyTell{}
 	if short := master.short(ask); short != nil {
 		err := master.Member.Submit(&wire.DesiredCommand{Apply: short}, tell)
-		if err != nil || tell.Outcome != ledger.BaseUnknown {
+		if err != nil || tell.Outcome != versions.BaseUnknown {
 			return tell, err
 		}
 		tell = &wire.DesiredApplyTell{} // so many changes came between that the base was let go
@@ -61,7 +61,7 @@
 		return nil
 	}
 	var newest *wire.DesiredKept
-	master.Member.Read(func(uint64, postmark.Micros) { newest = master.ledger.Newest() })
+	master.Member.Read(func(uint64, postmark.Micros) { newest = master.store.Newest() })
 	encoded, err := delta.Encode(newest.GetContent(), ask.Content)
 	if err != nil {
 		return nil
--- a/internal/postmaster/versions/versions.go
+++ b/internal/configstore/differences/differences.go
@@ -1,6 +1,6 @@
-// Package versions keeps the versions of the desired state that were read lately, and in what the newest differs from those that
+// Package differences keeps the versions of the desired state that were read lately, and in what the newest differs from those that
 // carriers have, so that a change costs one computation however many carriers ask.
-package versions
+package differences
 
 import (
 	"bytes"
--- a/internal/postmaster/versions/versions_test.go
+++ b/internal/configstore/differences/differences_test.go
@@ -1,4 +1,4 @@
-package versions_test
+package differences_test
 
 import (
 	"bytes"
@@ -7,22 +7,22 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"snowflow/internal/configstore/differences"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
 	"snowflow/internal/parcel/wire"
-	"snowflow/internal/postmaster/versions"
 )
 
 // scene is a store and the contents that were accepted, with how often contents were read.
 type scene struct {
 	t     *testing.T
-	store *versions.Versions
+	store *differences.Versions
 	reads int
 }
 
-func begin(t *testing.T, bounds versions.Bounds) *scene {
+func begin(t *testing.T, bounds differences.Bounds) *scene {
 	made := &scene{t: t}
-	made.store = versions.New(func(content []byte) (*wire.DesiredState, []franking.Fault) {
+	made.store = differences.New(func(content []byte) (*wire.DesiredState, []franking.Fault) {
 		made.reads++
 		return franking.Accepted(content)
 	}, bounds)
@@ -56,7 +56,7 @@
 
 // TestOneComputation: however many carriers ask from one base, the difference is worked out once, and leads to the newest.
 func TestOneComputation(t *testing.T) {
-	scene := begin(t, versions.Bounds{})
+	scene := begin(t, differences.Bounds{})
 	one, two := kept(t, 1), kept(t, 2)
 	for range 73 {
 		step, err := changes.Apply(set(t, one), scene.store.Difference(one, two, set(t, one).Digest()))
@@ -71,7 +71,7 @@
 
 // TestKnownStatesArentReadAgain: what an apply has read isn't read again for the carriers.
 func TestKnownStatesArentReadAgain(t *testing.T) {
-	scene := begin(t, versions.Bounds{})
+	scene := begin(t, differences.Bounds{})
 	for serial := uint64(1); serial <= 4; serial++ {
 		state, _ := franking.Accepted(kept(t, serial).Content)
 		scene.store.Know(kept(t, serial).Content, state)
@@ -89,7 +89,7 @@
 
 // TestWhole: what isn't certain, or isn't shorter, is sent whole.
 func TestWhole(t *testing.T) {
-	scene := begin(t, versions.Bounds{})
+	scene := begin(t, differences.Bounds{})
 	one, two := kept(t, 1), kept(t, 2)
 	damaged := &wire.DesiredKept{Serial: 1, Content: []byte("{"), Digest: "d"}
 	tiny := func(serial uint64, text string) *wire.DesiredKept {
@@ -118,7 +118,7 @@
 
 // TestBounds: no more is kept than the bounds allow; what has gone is read again.
 func TestBounds(t *testing.T) {
-	for name, bounds := range map[string]versions.Bounds{"count": {Count: 2}, "bytes": {Bytes: 3 * len(kept(t, 1).Content)}, "one": {Count: 1}} {
+	for name, bounds := range map[string]differences.Bounds{"count": {Count: 2}, "bytes": {Bytes: 3 * len(kept(t, 1).Content)}, "one": {Count: 1}} {
 		scene := begin(t, bounds)
 		for serial := uint64(2); serial < 40; serial++ {
 			base, newest := kept(t, serial-1), kept(t, serial)
--- a/internal/postmaster/ledger/taken.go
+++ b/internal/configstore/versions/taken.go
@@ -1,4 +1,4 @@
-package ledger
+package versions
 
 import (
 	"encoding/hex"
--- a/internal/postmaster/ledger/ledger_test.go
+++ b/internal/configstore/versions/versions_test.go
@@ -1,4 +1,4 @@
-package ledger_test
+package versions_test
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/datadriven"
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/configstore/versions"
 	"snowflow/internal/parcel/wire"
-	"snowflow/internal/postmaster/ledger"
 )
 
 // TestLedger keeps transcripts of applies. Each line goes to two copies: one lives on, the other is given the whole state anew
@@ -18,13 +18,13 @@
 //	version NUMBER CONTENT [REQUEST] | expected SERIAL CONTENT [REQUEST] | any CONTENT [REQUEST] | find SERIAL | restore
 func TestLedger(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
-		var one *ledger.Ledger
+		var one *versions.Store
 		history := 0
 		datadriven.RunTest(t, file, func(t *testing.T, data *datadriven.TestData) string {
 			if data.Cmd == "new" {
 				history = 0
 				data.MaybeScanArgs(t, "history", &history)
-				one = ledger.New(history)
+				one = versions.New(history)
 			}
 			var text strings.Builder
 			for _, line := range strings.Split(data.Input, "\n") {
@@ -32,7 +32,7 @@
 				if len(words) == 0 {
 					continue
 				}
-				other := ledger.New(history)
+				other := versions.New(history)
 				if err := other.Restore(one.View()); err != nil {
 					t.Fatal(err)
 				}
@@ -53,7 +53,7 @@
 	})
 }
 
-func carryOut(t *testing.T, one *ledger.Ledger, words []string) string {
+func carryOut(t *testing.T, one *versions.Store, words []string) string {
 	t.Helper()
 	ask, rest := &wire.DesiredApplyAsk{}, words[2:]
 	number := uint64(0)
@@ -86,7 +86,7 @@
 		t.Fatal(err)
 	}
 	newest := one.Newest()
-	if newest == nil || newest.Serial != one.Serial() || tell.Outcome == ledger.Accepted && one.Find(tell.Serial) != nil && one.Find(tell.Serial).Digest != tell.Digest {
+	if newest == nil || newest.Serial != one.Serial() || tell.Outcome == versions.Accepted && one.Find(tell.Serial) != nil && one.Find(tell.Serial).Digest != tell.Digest {
 		t.Errorf("%v: newest %v, serial %d, told %v", words, newest, one.Serial(), tell)
 	}
 	return strings.TrimSpace(fmt.Sprintf("%s %d %s", tell.Outcome, tell.Serial, strings.Join(tell.Faults, "; ")))
@@ -99,19 +99,19 @@
 	orders := []string{"version 1 a", "version 1 b", "version 2 a", "version 2 b", "version 3 a", "version 3 b"}
 	var search func(path []string)
 	search = func(path []string) {
-		one := ledger.New(1)
+		one := versions.New(1)
 		one.Deltas = func() bool { return false }
 		confirmed, newest := map[string]string{}, uint64(0)
 		for step, order := range path {
 			if step == len(path)/2 {
-				fresh := ledger.New(1)
+				fresh := versions.New(1)
 				if err := fresh.Restore(one.View()); err != nil {
 					t.Fatal(err)
 				}
 				one = fresh
 			}
 			words := strings.Fields(order)
-			accepted := strings.HasPrefix(carryOut(t, one, words), ledger.Accepted)
+			accepted := strings.HasPrefix(carryOut(t, one, words), versions.Accepted)
 			before, was := confirmed[words[1]]
 			switch {
 			case accepted && was && before != words[2]:
@@ -138,12 +138,12 @@
 
 // TestViews: a view without differences, as earlier builds make and read it, gives the same state; a damaged one is refused.
 func TestViews(t *testing.T) {
-	one := ledger.New(3)
+	one := versions.New(3)
 	for _, order := range []string{"version 3 aaaa", "version 4 aaab", "any aaac", "version 9 aaad"} {
 		carryOut(t, one, strings.Fields(order))
 	}
 	one.Deltas = func() bool { return false }
-	whole, other := one.View(), ledger.New(3)
+	whole, other := one.View(), versions.New(3)
 	if err := other.Restore(whole); err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if ledger.New(3).Restore(content) == nil {
+	if versions.New(3).Restore(content) == nil {
 		t.Error("a view whose first state is missing was taken")
 	}
 }
--- a/internal/depot/hollow/crowd.go
+++ b/internal/depot/hollow/crowd.go
@@ -9,9 +9,9 @@
 
 	"snowflow/internal/carrier"
 	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office/machine"
+	"snowflow/internal/host/machine"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -41,7 +41,7 @@
 	life    *life
 	name    string
 	carrier *carrier.Carrier
-	book    *gazetteer.Book
+	book    *discovery.Book
 }
 
 // NewCrowd makes a crowd that isn't there yet.
@@ -86,7 +86,7 @@
 	name := fmt.Sprintf("hollow-%05d", index)
 	// Nobody passes a request to a hollow carrier, so nothing listens at its address; it only has to be its own.
 	address := fmt.Sprintf("10.%d.%d.%d:7300", index>>16, index>>8&255, index&255)
-	book := gazetteer.New(place, nil, crowd.settings.Seeds)
+	book := discovery.New(place, nil, crowd.settings.Seeds)
 	made := carrier.New(carrier.Env{Place: place, Book: book, Name: name, Domain: crowd.settings.Zones[index%len(crowd.settings.Zones)], Address: address})
 	made.Roll.Activity = func() []*wire.Activity { return crowd.activity(index) }
 	instance := fmt.Sprintf("%016x", place.Random())
--- a/internal/depot/hollow/life.go
+++ b/internal/depot/hollow/life.go
@@ -1,4 +1,4 @@
-// Package hollow runs many carriers in one process: the carrier's own code with an office, a session and connections for
+// Package hollow runs many carriers in one process: the carrier's own code with an host, a session and connections for
 // each, and without callers and backends' traffic.
 package hollow
 
@@ -11,13 +11,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office"
-	"snowflow/internal/office/machine"
+	"snowflow/internal/host"
+	"snowflow/internal/host/machine"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
 
-// life is the office of one carrier's life.
+// life is the host of one carrier's life.
 // Invariant: once over is set, no task of this life gets past its next wait; offices hold no lock there, so none stays held.
 type life struct {
 	*machine.Machine
@@ -51,7 +51,7 @@
 }
 
 type signal struct {
-	office.Signal
+	host.Signal
 	life *life
 }
 
@@ -63,7 +63,7 @@
 }
 
 // NewSignal makes a signal.
-func (life *life) NewSignal() office.Signal {
+func (life *life) NewSignal() host.Signal {
 	return &signal{Signal: life.Machine.NewSignal(), life: life}
 }
 
--- a/internal/depot/scenario/faults.go
+++ b/internal/depot/scenario/faults.go
@@ -13,7 +13,7 @@
 	"snowflow/internal/clerk/doctor"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/standin"
-	"snowflow/internal/sorter/pigeonhole"
+	"snowflow/internal/registry/breakerstore"
 )
 
 // part is a piece of a scenario's length.
@@ -486,7 +486,7 @@
 	add(Scenario{Name: "clocks", Short: "the clocks of primaries and carriers step forward and back by seconds to an hour, while configurations are applied and a service fails", Rules: []int{1, 3, 6, 7, 10, 12}, Run: func(stage *Stage) error {
 		service := stage.Fleet.Layout.Services[0].Name
 		stage.manner(service, standin.Failing, 0)
-		stage.awaitGuard(service, "open", state(pigeonhole.Open))
+		stage.awaitGuard(service, "open", state(breakerstore.Open))
 		for turn, span := range []time.Duration{time.Hour, -3 * time.Second, 5 * time.Second, -time.Hour, 2 * time.Second, time.Hour} {
 			for _, victim := range []*fleet.Process{stage.Primary(stage.Fleet.Sorters), stage.Primary(stage.Fleet.Postmasters), stage.Fleet.Carriers[turn%len(stage.Fleet.Carriers)]} {
 				stage.Say("%s steps by %v", victim.Name, span)
--- a/internal/depot/scenario/guards.go
+++ b/internal/depot/scenario/guards.go
@@ -9,8 +9,8 @@
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/standin"
 	"snowflow/internal/parcel/wire"
-	"snowflow/internal/sorter"
-	"snowflow/internal/sorter/pigeonhole"
+	"snowflow/internal/registry"
+	"snowflow/internal/registry/breakerstore"
 )
 
 // guardPatience is how long a guard may take to come to what a scenario waits for.
@@ -20,7 +20,7 @@
 func (stage *Stage) awaitGuard(service, what string, fits func(record *wire.GuardRecord) bool) *wire.GuardRecord {
 	for cutoff := time.Now().Add(guardPatience); time.Now().Before(cutoff); time.Sleep(50 * time.Millisecond) {
 		for _, process := range stage.Fleet.Sorters {
-			var status sorter.Status
+			var status registry.Status
 			if !process.Running() || stage.Operator.Get(process, "/local", &status) != nil || !status.Core.Answering {
 				continue
 			}
@@ -110,12 +110,12 @@
 		service := stage.Fleet.Layout.Services[0].Name
 		for _, fault := range trialFaults {
 			stage.manner(service, standin.Failing, 0)
-			if stage.awaitGuard(service, pigeonhole.Open, state(pigeonhole.Open)) == nil {
+			if stage.awaitGuard(service, breakerstore.Open, state(breakerstore.Open)) == nil {
 				break
 			}
 			stage.manner(service, standin.Normal, 3*time.Second) // probes stay out for a while
 			record := stage.awaitGuard(service, "on trial with probes out", func(record *wire.GuardRecord) bool {
-				return record.State == pigeonhole.HalfOpen && len(record.Probes) > 0
+				return record.State == breakerstore.HalfOpen && len(record.Probes) > 0
 			})
 			if record == nil {
 				break
@@ -124,7 +124,9 @@
 			began := time.Now()
 			fault.bring(stage, record)
 			stage.manner(service, standin.Normal, 0)
-			stage.awaitGuard(service, pigeonhole.Closed, func(now *wire.GuardRecord) bool { return now.State == pigeonhole.Closed && now.Serial > record.Serial })
+			stage.awaitGuard(service, breakerstore.Closed, func(now *wire.GuardRecord) bool {
+				return now.State == breakerstore.Closed && now.Serial > record.Serial
+			})
 			stage.Say("closed again %d ms after that began", time.Since(began).Milliseconds())
 		}
 		stage.returned()
@@ -156,7 +158,7 @@
 			stage.Wait(stage.part(0.2))
 			stage.History.Mark("failing", stage.Clock.Now())
 			stage.manner(service, standin.Failing, 0)
-			stage.awaitGuard(service, pigeonhole.Open, state(pigeonhole.Open))
+			stage.awaitGuard(service, breakerstore.Open, state(breakerstore.Open))
 			stage.Wait(3 * time.Second)
 			stage.manner(service, standin.Normal, 0)
 			stage.History.Mark("recovered", stage.Clock.Now())
--- a/internal/depot/scenario/stage.go
+++ b/internal/depot/scenario/stage.go
@@ -23,7 +23,7 @@
 	"snowflow/internal/friday"
 	"snowflow/internal/inspector"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter"
+	"snowflow/internal/registry"
 )
 
 // Stage is a running rehearsal.
@@ -219,7 +219,7 @@
 			case <-time.After(200 * time.Millisecond):
 			}
 			for _, process := range stage.Fleet.Sorters {
-				var status sorter.Status
+				var status registry.Status
 				if !process.Running() || stage.Operator.Get(process, "/local", &status) != nil || !status.Core.Answering {
 					continue
 				}
--- a/internal/depot/standin/operator.go
+++ b/internal/depot/standin/operator.go
@@ -11,13 +11,13 @@
 	"strings"
 	"time"
 
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
 	"snowflow/internal/inspector"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster/door"
 )
 
 // Operator plays the operators: it applies desired states, asking again while an outcome isn't known.
@@ -34,7 +34,7 @@
 }
 
 // Apply applies a content and notes the outcome.
-func (operator *Operator) Apply(content []byte, expected string, patience time.Duration) (door.Applied, error) {
+func (operator *Operator) Apply(content []byte, expected string, patience time.Duration) (api.Applied, error) {
 	state, faults := franking.Parse(content)
 	if state != nil && len(faults) == 0 {
 		operator.allow(content)
@@ -45,7 +45,7 @@
 	for turn := rand.IntN(len(operator.Fleet.Postmasters)); ; turn++ {
 		master := operator.Fleet.Postmasters[turn%len(operator.Fleet.Postmasters)]
 		applied, err := operator.once(master, content, expected, request)
-		if err == nil && applied.Outcome != "unknown" && applied.Outcome != door.Unreached {
+		if err == nil && applied.Outcome != "unknown" && applied.Outcome != api.Unreached {
 			operator.History.Apply(inspector.Applied{Serial: applied.Serial, Digest: applied.Digest, Valid: len(faults) == 0, Outcome: applied.Outcome, At: operator.Clock.Now(), Sum: check(state)})
 			return applied, nil
 		}
@@ -80,8 +80,8 @@
 	}
 }
 
-func (operator *Operator) once(master *fleet.Process, content []byte, expected, request string) (door.Applied, error) {
-	var applied door.Applied
+func (operator *Operator) once(master *fleet.Process, content []byte, expected, request string) (api.Applied, error) {
+	var applied api.Applied
 	address := fmt.Sprintf("http://%s/desired-state?expected=%s&request=%s", master.Desk, expected, request)
 	ask, err := http.NewRequest(http.MethodPut, address, bytes.NewReader(content))
 	if err != nil {
@@ -100,7 +100,7 @@
 	var last error
 	for turn := range 40 {
 		master := operator.Fleet.Postmasters[turn%len(operator.Fleet.Postmasters)]
-		var kept []door.Kept
+		var kept []api.Kept
 		if last = operator.Get(master, "/history", &kept); last == nil {
 			operator.History.End(func() {
 				operator.History.Read = true
--- a/internal/depot/sweep/core.go
+++ b/internal/depot/sweep/core.go
@@ -12,18 +12,18 @@
 
 	"github.com/prometheus/common/expfmt"
 
-	"snowflow/internal/countersign"
 	"snowflow/internal/depot/fleet"
-	"snowflow/internal/office/machine"
+	"snowflow/internal/host/machine"
 	"snowflow/internal/parcel/wire"
+	"snowflow/internal/replication"
 )
 
 var client = &http.Client{Timeout: 10 * time.Second}
 
 // status asks a process of the core how its group stands.
-func status(process *fleet.Process) (countersign.Status, error) {
+func status(process *fleet.Process) (replication.Status, error) {
 	told := struct {
-		Core countersign.Status `json:"core"`
+		Core replication.Status `json:"core"`
 	}{}
 	response, err := client.Get("http://" + process.Desk + "/local")
 	if err != nil {
@@ -34,7 +34,7 @@
 }
 
 // role names what a process is in its group.
-func role(process *fleet.Process, core countersign.Status) string {
+func role(process *fleet.Process, core replication.Status) string {
 	switch process.Name {
 	case core.Primary:
 		return process.Program + " primary"
--- a/internal/depot/sweep/run.go
+++ b/internal/depot/sweep/run.go
@@ -10,15 +10,15 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"snowflow/internal/countersign"
 	"snowflow/internal/depot/fleet"
 	"snowflow/internal/depot/hollow"
 	"snowflow/internal/depot/layout"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office/machine"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host/machine"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter/directory"
+	"snowflow/internal/registry/directory"
+	"snowflow/internal/replication"
 )
 
 // Options are how a size is played.
@@ -46,7 +46,7 @@
 	fleet   *fleet.Fleet
 	crowd   *hollow.Crowd
 	place   *machine.Machine // the operator's
-	book    *gazetteer.Book
+	book    *discovery.Book
 	run     *Run
 	serial  int     // of the changes' contents
 	alone   float64 // what this process had resident before the carriers came
@@ -72,7 +72,7 @@
 	for _, process := range made.Core() {
 		seeds = append(seeds, process.Peer)
 	}
-	play.book = gazetteer.New(play.place, nil, seeds)
+	play.book = discovery.New(play.place, nil, seeds)
 	// Each service is called by two carriers at least, so that a report of trouble is kept.
 	calls := max(4, (2*size.Services+size.Carriers-1)/size.Carriers)
 	play.crowd = hollow.NewCrowd(hollow.Settings{Carriers: size.Carriers, Services: size.Services, Calls: calls, Zones: made.Layout.Zones, Seeds: seeds[1:4]})
@@ -296,8 +296,8 @@
 }
 
 // standing is how both groups stand by their primaries' word, once each has a backup.
-func (play *play) standing() (map[string]countersign.Status, error) {
-	found := map[string]countersign.Status{}
+func (play *play) standing() (map[string]replication.Status, error) {
+	found := map[string]replication.Status{}
 	_, reached := until(play.options.Patience, func() bool {
 		for _, process := range play.fleet.Core() {
 			core, err := status(process)
--- a/internal/gazetteer/gazetteer.go
+++ b/internal/discovery/book.go
@@ -1,6 +1,6 @@
-// Package gazetteer keeps where the core is: addresses by name, and which name leads each group.
+// Package discovery keeps where the core is: addresses by name, and which name leads each group.
 // Identity is a name; an address is only where that name last answered, so seeds may be stale.
-package gazetteer
+package discovery
 
 import (
 	"errors"
@@ -11,11 +11,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
 const mostAddresses = 4
@@ -24,7 +24,7 @@
 // Invariants: each name has at most mostAddresses addresses, the one that last answered first;
 // a group's primary only changes for one of a higher epoch.
 type Book struct {
-	place     office.Office
+	place     host.Host
 	lock      sync.Mutex
 	own       *wire.PeerAddress
 	known     map[string][]string
@@ -36,7 +36,7 @@
 	turn      int
 	asked     postmark.Micros
 	waiting   map[string]bool // targets that haven't answered yet
-	kept      *strongbox.Box  // addresses on disk, nil where there is no disk or it failed
+	kept      *wal.Log        // addresses on disk, nil where there is no disk or it failed
 	written   string
 }
 
@@ -44,7 +44,7 @@
 const askEvery = 100 * postmark.Millisecond
 
 // New makes a book. own is nil for a process that is not of the core.
-func New(place office.Office, own *wire.PeerAddress, seeds []string) *Book {
+func New(place host.Host, own *wire.PeerAddress, seeds []string) *Book {
 	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{}, batches: map[string]bool{}, deltas: map[string]bool{},
 		primaries: map[string]*wire.Primary{}, seeds: seeds}
 	if own != nil {
@@ -94,8 +94,8 @@
 
 // Remember keeps what is learned on a disk, so that a process finds the others again after all seeds have gone stale. It's
 // a help, not a promise: a disk that fails is done without.
-func (book *Book) Remember(disk strongbox.Disk) {
-	box, err := strongbox.Open(disk, addressFile, func(content []byte) error {
+func (book *Book) Remember(disk wal.Disk) {
+	box, err := wal.Open(disk, addressFile, func(content []byte) error {
 		kept := &wire.RegisterRecord{}
 		if err := proto.Unmarshal(content, kept); err != nil {
 			return err
@@ -104,7 +104,7 @@
 		return nil
 	})
 	if err != nil {
-		box, err = strongbox.Discard(disk, addressFile)
+		box, err = wal.Discard(disk, addressFile)
 	}
 	if err == nil {
 		book.kept = box
@@ -127,7 +127,7 @@
 	}
 	if err == nil {
 		book.written = text
-	} else if errors.Is(err, strongbox.ErrPoisoned) {
+	} else if errors.Is(err, wal.ErrPoisoned) {
 		book.kept = nil
 	}
 }
@@ -245,8 +245,8 @@
 }
 
 // Register adds the answer to "who is the core now".
-func (book *Book) Register(table office.Table) {
-	office.Handle(table, wire.Kind_whois, func(ask *wire.WhoisAsk) (*wire.WhoisTell, error) {
+func (book *Book) Register(table host.Table) {
+	host.Handle(table, wire.Kind_whois, func(ask *wire.WhoisAsk) (*wire.WhoisTell, error) {
 		book.Learn(ask.Known)
 		if ask.Sign {
 			return &wire.WhoisTell{}, nil
--- a/internal/gazetteer/gazetteer_test.go
+++ b/internal/discovery/book_test.go
@@ -1,12 +1,12 @@
-package gazetteer
+package discovery
 
 import (
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -16,14 +16,14 @@
 func TestSignOfLife(t *testing.T) {
 	simulated := world.New(1)
 	defer simulated.Close()
-	asked := simulated.Add("asked", "asked", "one", func(place *world.Place) (office.Table, error) {
+	asked := simulated.Add("asked", "asked", "one", func(place *world.Place) (host.Table, error) {
 		book := New(place, &wire.PeerAddress{Name: "asked", Address: "asked", Group: "sorter"}, nil)
-		table := office.Table{}
+		table := host.Table{}
 		book.Register(table)
 		return table, nil
 	})
 	var sign, whole *wire.WhoisTell
-	asker := simulated.Add("asker", "asker", "one", func(place *world.Place) (office.Table, error) {
+	asker := simulated.Add("asker", "asker", "one", func(place *world.Place) (host.Table, error) {
 		place.Go(func() {
 			sign, whole = &wire.WhoisTell{}, &wire.WhoisTell{}
 			for _, call := range []struct {
@@ -35,7 +35,7 @@
 				}
 			}
 		})
-		return office.Table{}, nil
+		return host.Table{}, nil
 	})
 	simulated.Start(asked)
 	simulated.Start(asker)
--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -104,10 +104,10 @@
 }
 
 // wallReaders may read the wall clock or the machine's own: for network cutoffs, for measuring, for people.
-var wallReaders = []string{"internal/office/machine/", "internal/postmark/", "internal/carrier/delivery/", "internal/strongbox/folder/",
-	"internal/countersign/countersign.go", "internal/depot/", "internal/clerk/", "cmd/depot/"}
+var wallReaders = []string{"internal/host/machine/", "internal/postmark/", "internal/carrier/delivery/", "internal/wal/folder/",
+	"internal/replication/member.go", "internal/depot/", "internal/clerk/", "cmd/depot/"}
 
-// TestNothingElseReadsTheWallClock: what decides goes through the office, so a clock that jumps decides nothing. What
+// TestNothingElseReadsTheWallClock: what decides goes through the host, so a clock that jumps decides nothing. What
 // the listed places read is either compared with another reading of the same process, which Go does on the
 // monotonic clock, or only shown.
 func TestNothingElseReadsTheWallClock(t *testing.T) {
@@ -128,7 +128,7 @@
 			t.Fatal(err)
 		}
 		if strings.Contains(string(content), "time.Now(") || strings.Contains(string(content), "time.Since(") {
-			t.Errorf("%s reads a clock past the office", name)
+			t.Errorf("%s reads a clock past the host", name)
 		}
 		return nil
 	})
--- a/internal/office/office.go
+++ b/internal/host/host.go
@@ -1,7 +1,7 @@
-// Package office is what a snowflow process may do to the world: read its clock, sleep, start tasks, call other
-// processes and use its disk. The real office stands on the machine; the mailround package gives a simulated one.
+// Package host is what a snowflow process may do to the world: read its clock, sleep, start tasks, call other
+// processes and use its disk. The real host stands on the machine; the mailround package gives a simulated one.
 // Code above this package uses nothing else, so the same code runs in both.
-package office
+package host
 
 import (
 	"slices"
@@ -12,12 +12,12 @@
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
-// Office is one process's way to the world.
+// Host is one process's way to the world.
 // Invariant: no lock is held across Sleep, Call, Wait or a disk's Sync; the simulator runs one task at a time.
-type Office interface {
+type Host interface {
 	postmark.Clock
 	Sleep(span postmark.Micros)
 	Go(task func())
@@ -26,7 +26,7 @@
 	Call(address string, kind wire.Kind, request, reply proto.Message, patience postmark.Micros) error
 	NewSignal() Signal
 	Random() uint64
-	Disk() strongbox.Disk
+	Disk() wal.Disk
 	// Report publishes a numbered event.
 	Report(number int, fields map[string]any)
 	// Stop ends this process at once, as after a failed sync.
@@ -70,8 +70,8 @@
 	signal Signal
 }
 
-// NewInbox makes an inbox in an office.
-func NewInbox[Item any](place Office) *Inbox[Item] { return &Inbox[Item]{signal: place.NewSignal()} }
+// NewInbox makes an inbox in an host.
+func NewInbox[Item any](place Host) *Inbox[Item] { return &Inbox[Item]{signal: place.NewSignal()} }
 
 // Put adds an item.
 func (inbox *Inbox[Item]) Put(item Item) {
@@ -100,12 +100,12 @@
 
 // Owner runs commands one after another in a task of its own; a table's owner.
 type Owner struct {
-	place Office
+	place Host
 	inbox *Inbox[func()]
 }
 
 // NewOwner starts an owner.
-func NewOwner(place Office) *Owner {
+func NewOwner(place Host) *Owner {
 	owner := &Owner{place: place, inbox: NewInbox[func()](place)}
 	place.Go(func() {
 		for {
@@ -127,7 +127,7 @@
 
 // Gather runs one task per name at once and waits until enough says so, all are done, or patience runs out.
 // Answers that come later are ignored. Names are visited in sorted order, so that simulated runs repeat.
-func Gather[Reply any](place Office, names []string, patience postmark.Micros, ask func(name string) (Reply, error),
+func Gather[Reply any](place Host, names []string, patience postmark.Micros, ask func(name string) (Reply, error),
 	enough func(replies map[string]Reply, failures int) bool) map[string]Reply {
 	ordered := slices.Sorted(slices.Values(names))
 	var lock sync.Mutex
--- a/internal/office/machine/machine.go
+++ b/internal/host/machine/machine.go
@@ -1,4 +1,4 @@
-// Package machine is the office on a real machine: goroutines, the monotonic clock, framed TCP and a locked folder.
+// Package machine is the host on a real machine: goroutines, the monotonic clock, framed TCP and a locked folder.
 package machine
 
 import (
@@ -7,23 +7,23 @@
 	"time"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
-// Machine is the real office of one process.
+// Machine is the real host of one process.
 type Machine struct {
 	*postmark.Machine
 	*Peers
-	disk     strongbox.Disk
+	disk     wal.Disk
 	bulletin *bulletin.Board
 	stop     func(why string)
 	crew     crew
 }
 
-// New makes an office. disk may be nil where a process keeps nothing.
-func New(disk strongbox.Disk, board *bulletin.Board, stop func(why string)) *Machine {
+// New makes an host. disk may be nil where a process keeps nothing.
+func New(disk wal.Disk, board *bulletin.Board, stop func(why string)) *Machine {
 	machine := &Machine{Machine: postmark.NewMachine(), disk: disk, bulletin: board, stop: stop}
 	machine.Peers = newPeers(machine)
 	return machine
@@ -39,7 +39,7 @@
 func (machine *Machine) Random() uint64 { return rand.Uint64() }
 
 // Disk is the data folder.
-func (machine *Machine) Disk() strongbox.Disk { return machine.disk }
+func (machine *Machine) Disk() wal.Disk { return machine.disk }
 
 // Report publishes a numbered event.
 func (machine *Machine) Report(number int, fields map[string]any) {
@@ -59,7 +59,7 @@
 type signal struct{ channel chan struct{} }
 
 // NewSignal makes a signal.
-func (machine *Machine) NewSignal() office.Signal { return &signal{channel: make(chan struct{}, 1)} }
+func (machine *Machine) NewSignal() host.Signal { return &signal{channel: make(chan struct{}, 1)} }
 
 func (signal *signal) Fire() {
 	select {
--- a/internal/office/machine/peers.go
+++ b/internal/host/machine/peers.go
@@ -12,8 +12,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office"
-	"snowflow/internal/office/machine/socket"
+	"snowflow/internal/host"
+	"snowflow/internal/host/machine/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -263,7 +263,7 @@
 }
 
 // Serve answers requests on a listener until it's closed.
-func (peers *Peers) Serve(listener net.Listener, table office.Table) error {
+func (peers *Peers) Serve(listener net.Listener, table host.Table) error {
 	for {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -277,7 +277,7 @@
 	}
 }
 
-func (peers *Peers) answer(connection net.Conn, table office.Table) {
+func (peers *Peers) answer(connection net.Conn, table host.Table) {
 	defer connection.Close()
 	reader := bufio.NewReaderSize(connection, readAhead)
 	var writing sync.Mutex
--- a/internal/office/machine/peers_test.go
+++ b/internal/host/machine/peers_test.go
@@ -10,14 +10,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
 
-func served(t *testing.T, table office.Table) (*Machine, string, *bulletin.Board) {
+func served(t *testing.T, table host.Table) (*Machine, string, *bulletin.Board) {
 	t.Helper()
 	board, err := bulletin.NewBoard("test", "test", "error")
 	if err != nil {
@@ -36,7 +36,7 @@
 // TestMalformedFramesCloseTheConnection sends what is no frame, a frame cut by a flipped bit, an unknown kind and a
 // version that isn't adjacent; each closes the connection and is told as an event.
 func TestMalformedFramesCloseTheConnection(t *testing.T) {
-	_, address, board := served(t, office.Table{wire.Kind_whois: nil})
+	_, address, board := served(t, host.Table{wire.Kind_whois: nil})
 	good := frame.Append(nil, frame.Frame{Kind: wire.Kind_pass, Number: 1, Content: []byte("abc")})
 	flipped := append([]byte(nil), good...)
 	flipped[len(flipped)-1] ^= 1
@@ -68,11 +68,11 @@
 
 // TestCallsSayWhatMayHaveHappened: refused, unreachable and lost are told apart.
 func TestCallsSayWhatMayHaveHappened(t *testing.T) {
-	table := office.Table{}
+	table := host.Table{}
 	held := make(chan struct{})
-	office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return nil, errors.New("no") })
-	office.Handle(table, wire.Kind_pass, func(*wire.PassAsk) (*wire.PassTell, error) { <-held; return &wire.PassTell{}, nil })
-	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) { return &wire.ClaimTell{Outcome: ask.Scope}, nil })
+	host.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return nil, errors.New("no") })
+	host.Handle(table, wire.Kind_pass, func(*wire.PassAsk) (*wire.PassTell, error) { <-held; return &wire.PassTell{}, nil })
+	host.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) { return &wire.ClaimTell{Outcome: ask.Scope}, nil })
 	machine, address, _ := served(t, table)
 	defer close(held)
 	if err := machine.Call(address, wire.Kind_whois, &wire.WhoisAsk{}, &wire.WhoisTell{}, postmark.Second); !seal.IsRefused(err) {
--- a/internal/office/machine/tally_test.go
+++ b/internal/host/machine/tally_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
@@ -12,11 +12,11 @@
 
 // TestKindsAreCounted: each message counts once at each end, under its own kind, with the bytes of its whole frame.
 func TestKindsAreCounted(t *testing.T) {
-	table := office.Table{}
-	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+	table := host.Table{}
+	host.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
 		return &wire.ClaimTell{Outcome: ask.Scope}, nil
 	})
-	office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return nil, seal.Invalid.New("no") })
+	host.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return nil, seal.Invalid.New("no") })
 	called, address, _ := served(t, table)
 	caller := New(nil, nil, nil)
 	for range 3 {
@@ -49,13 +49,13 @@
 
 // TestHangUp: who waits on a connection that this process ends is told that it's lost, and the next call dials anew.
 func TestHangUp(t *testing.T) {
-	table, came, held := office.Table{}, make(chan struct{}), make(chan struct{})
-	office.Handle(table, wire.Kind_pass, func(*wire.PassAsk) (*wire.PassTell, error) {
+	table, came, held := host.Table{}, make(chan struct{}), make(chan struct{})
+	host.Handle(table, wire.Kind_pass, func(*wire.PassAsk) (*wire.PassTell, error) {
 		close(came)
 		<-held
 		return &wire.PassTell{}, nil
 	})
-	office.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return &wire.WhoisTell{}, nil })
+	host.Handle(table, wire.Kind_whois, func(*wire.WhoisAsk) (*wire.WhoisTell, error) { return &wire.WhoisTell{}, nil })
 	_, address, _ := served(t, table)
 	defer close(held)
 	caller, lost := New(nil, nil, nil), make(chan error, 1)
--- a/internal/office/vigil/vigil.go
+++ b/internal/host/vigil/vigil.go
@@ -8,7 +8,7 @@
 	"go.uber.org/atomic"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/postmark"
 )
 
@@ -24,7 +24,7 @@
 // Invariants: pulse is the clock's reading at the last look; whoever has asked to hear of leaps has heard of each before pulse
 // moves past it.
 type Vigil struct {
-	place office.Office
+	place host.Host
 	pulse atomic.Int64
 	lock  sync.Mutex
 	leapt []func(span postmark.Micros)
@@ -44,7 +44,7 @@
 }
 
 // New makes a watch; Watch must be run.
-func New(place office.Office) *Vigil {
+func New(place host.Host) *Vigil {
 	vigil := &Vigil{place: place}
 	vigil.pulse.Store(int64(place.Now()))
 	return vigil
--- a/internal/office/vigil/vigil_test.go
+++ b/internal/host/vigil/vigil_test.go
@@ -4,8 +4,8 @@
 	"slices"
 	"testing"
 
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/postmark"
 )
 
@@ -13,11 +13,11 @@
 func watched(t *testing.T, span postmark.Micros, prepare func(watch *Vigil)) {
 	t.Helper()
 	simulated := world.New(1)
-	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
+	simulated.Start(simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
 		watch := New(place)
 		prepare(watch)
 		place.Go(watch.Watch)
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + span)
 	simulated.Close()
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -1,4 +1,4 @@
-// Package house puts a daemon together: settings, events, office, listeners under a supervisor, and a planned stop.
+// Package house puts a daemon together: settings, events, host, listeners under a supervisor, and a planned stop.
 package house
 
 import (
@@ -20,17 +20,17 @@
 	"github.com/thejerf/suture/v4"
 
 	"snowflow/internal/bulletin"
+	"snowflow/internal/discovery"
 	"snowflow/internal/env"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
-	"snowflow/internal/office/machine"
-	"snowflow/internal/office/machine/socket"
+	"snowflow/internal/host"
+	"snowflow/internal/host/machine"
+	"snowflow/internal/host/machine/socket"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/release"
-	"snowflow/internal/strongbox"
-	"snowflow/internal/strongbox/folder"
+	"snowflow/internal/wal"
+	"snowflow/internal/wal/folder"
 )
 
 // House is a daemon being put together. Invariant: cleanups unwind last first, once.
@@ -39,8 +39,8 @@
 	Values   env.Values
 	Board    *bulletin.Board
 	Place    *machine.Machine
-	Book     *gazetteer.Book
-	Table    office.Table
+	Book     *discovery.Book
+	Table    host.Table
 	Registry *prometheus.Registry
 	// Drain is called at a planned stop, before the listeners close.
 	Drain func()
@@ -105,11 +105,11 @@
 	if err != nil {
 		return err
 	}
-	house := &House{Program: program, Values: values, Board: board, Table: office.Table{}, Registry: prometheus.NewRegistry(),
+	house := &House{Program: program, Values: values, Board: board, Table: host.Table{}, Registry: prometheus.NewRegistry(),
 		faults: make(chan string, 4), stops: make(chan os.Signal, 4), supervisor: suture.New(program, suture.Spec{})}
 	defer house.unwind()
 	house.Defer(board.Close)
-	var disk strongbox.Disk
+	var disk wal.Disk
 	if path := values["data"]; path != "" {
 		// Where the system bounds a file's length, a write beyond it fails as on a full disk, instead of ending the process.
 		signal.Ignore(syscall.SIGXFSZ)
@@ -136,7 +136,7 @@
 	if group != "" {
 		own = &wire.PeerAddress{Name: values["name"], Address: advertised, Group: group}
 	}
-	house.Book = gazetteer.New(house.Place, own, values.List("seeds"))
+	house.Book = discovery.New(house.Place, own, values.List("seeds"))
 	if disk != nil {
 		house.Book.Remember(disk)
 	}
--- a/internal/house/metrics.go
+++ b/internal/house/metrics.go
@@ -7,7 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office/machine"
+	"snowflow/internal/host/machine"
 )
 
 var processOptions = collectors.ProcessCollectorOpts{}
--- a/internal/house/pages.go
+++ b/internal/house/pages.go
@@ -9,8 +9,8 @@
 
 	"snowflow/internal/carrier/letter"
 	"snowflow/internal/carrier/passage"
-	"snowflow/internal/countersign"
 	"snowflow/internal/postmark"
+	"snowflow/internal/replication"
 	"snowflow/internal/seal"
 )
 
@@ -23,7 +23,7 @@
 }
 
 // CoreGauges shows how a member of the core stands.
-func (house *House) CoreGauges(member *countersign.Member) {
+func (house *House) CoreGauges(member *replication.Member) {
 	house.Gauges([]Gauge{
 		{Name: "snowflow_core_epoch", Help: "The newest epoch heard of.", Read: func() float64 { return float64(member.Status().Epoch) }},
 		{Name: "snowflow_core_answering", Help: "1 while this process answers as primary.", Read: func() float64 {
--- a/internal/mailround/round/changes_test.go
+++ b/internal/mailround/round/changes_test.go
@@ -14,13 +14,13 @@
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/clerk/rollout"
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
 	"snowflow/internal/inspector"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/door"
 	"snowflow/internal/seal"
 )
 
@@ -357,7 +357,7 @@
 	mesh := scene.mesh
 	defer mesh.World.Close()
 	scene.apply(wide(t, 400, turned), postmark.Second)
-	pages := door.New(mesh.Outside, mesh.book, http.NotFoundHandler(), func() any { return nil }, franking.Parse)
+	pages := api.New(mesh.Outside, mesh.book, http.NotFoundHandler(), func() any { return nil }, franking.Parse)
 	ask := func(method, path string, content []byte, into any) int {
 		t.Helper()
 		recorder := httptest.NewRecorder()
@@ -370,12 +370,12 @@
 		}
 		return recorder.Code
 	}
-	told := door.Changes{}
+	told := api.Changes{}
 	moved := changes.Summary{Added: []changes.Altered{}, Removed: []changes.Altered{}, Changed: []changes.Altered{{Kind: "route", Name: "batch-47", Fields: []string{"split"}}}}
 	if code := ask("GET", "/changes?from=1&to=2", nil, &told); code != 200 || !reflect.DeepEqual(told.Summary, moved) || told.To != 2 || told.Nodes != 8 || told.Bytes > 300 || told.Whole < 30000 {
 		t.Errorf("%d %+v", code, told)
 	}
-	preview := door.Changes{}
+	preview := api.Changes{}
 	content := wide(t, 400, func(state *wire.DesiredState) { state.Routes = state.Routes[:400] })
 	if code := ask("POST", "/changes", content, &preview); code != 200 || preview.From != 2 || preview.To != 0 || len(preview.Summary.Changed) != 1 || len(preview.Summary.Removed) != 3 || preview.Nodes != 8 {
 		t.Errorf("%d %+v", code, preview)
@@ -393,11 +393,11 @@
 			t.Errorf("a broken content: %d", code)
 		}
 	}
-	overview := door.Overview{}
+	overview := api.Overview{}
 	ask("GET", "/status", nil, &overview)
-	statuses := map[string]postmaster.Status{}
+	statuses := map[string]configstore.Status{}
 	for name, content := range overview.Postmasters {
-		status := postmaster.Status{}
+		status := configstore.Status{}
 		if err := json.Unmarshal(content, &status); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/mailround/round/friday.go
+++ b/internal/mailround/round/friday.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/configstore"
 	"snowflow/internal/franking"
 	"snowflow/internal/franking/changes"
 	"snowflow/internal/friday"
@@ -13,7 +14,6 @@
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
 )
 
 var families = []friday.Family{{Kind: "submission", Method: "POST", Prefix: "/submissions/", Service: "submission", Other: "submission-next"},
@@ -235,7 +235,7 @@
 func init() {
 	altered := []fault{routeAlone, routeAlone, routeStorm, routeRace, routeStormUnheard}
 	add(Course{Name: "friday-routes", Short: "routes of submissions, corrections and downloads change alone, in storms and raced, while carriers restart and a primary dies",
-		Sizes:  Sizes{Cores: 4, Carriers: 12, Zones: 4, Backends: 4, Services: fridayServices(), Bounds: postmaster.Bounds{ServeOn: true}},
+		Sizes:  Sizes{Cores: 4, Carriers: 12, Zones: 4, Backends: 4, Services: fridayServices(), Bounds: configstore.Bounds{ServeOn: true}},
 		Length: 40 * postmark.Second, Rate: 300, Every: 900 * postmark.Millisecond, Rules: []int{1, 3, 5, 6, 7}, Traffic: fridayTraffic, Prepare: fridayPrepare,
 		Content: func(int) []byte { return friday.Content(fridayState()) }, Checks: []inspector.Check{inspector.KeysKept, inspector.TakenUp, inspector.CountersKept},
 		First: append(slices.Clone(altered[:4]), killMaster, dieCarrier, drainCarrier), Faults: append(slices.Clone(altered), routeAlone, dieCarrier, drainCarrier, killMaster)})
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -16,19 +16,19 @@
 	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/hutch"
 	"snowflow/internal/carrier/letter"
-	"snowflow/internal/countersign"
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/api"
+	"snowflow/internal/discovery"
 	"snowflow/internal/franking"
-	"snowflow/internal/gazetteer"
+	"snowflow/internal/host"
 	"snowflow/internal/inspector"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/door"
+	"snowflow/internal/registry"
+	"snowflow/internal/registry/statemachine"
+	"snowflow/internal/replication"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter"
-	"snowflow/internal/sorter/rack"
 )
 
 // Mesh is a simulated mesh with its outside.
@@ -41,11 +41,11 @@
 	carriers    []string // nodes
 	lives       map[string]*carrier.Carrier
 	begun       map[string]postmark.Micros // when each life of a carrier began, by its own clock
-	masters     map[string]*postmaster.Postmaster
-	doors       map[string]door.Store // the operators' doors on the postmasters' processes
-	sorters     map[string]*sorter.Sorter
+	masters     map[string]*configstore.Postmaster
+	doors       map[string]api.Store // the operators' doors on the postmasters' processes
+	sorters     map[string]*registry.Sorter
 	backends    []*backend
-	book        *gazetteer.Book
+	book        *discovery.Book
 	number      int
 	serving     bool
 	latest      uint64
@@ -56,7 +56,7 @@
 	sync        postmark.Micros   // the core disks' ordinary time for a sync
 	lossFrom    postmark.Micros   // no disk is lost before
 	troubled    map[string]string // carriers whose own network is in trouble, and how
-	adjust      func(*countersign.Env)
+	adjust      func(*replication.Env)
 	retired     map[string]bool                                                         // core machines that are gone for good
 	genesis     map[string][]string                                                     // the voters of the first start, by group
 	afterWrite  func(node *world.Node, kind wire.Kind)                                  // told of each write that a sorter acknowledges, if set
@@ -88,7 +88,7 @@
 	Services               []string // forms and households if left out
 	Slots                  uint32   // how many requests each backend says that it runs at once; zero: it doesn't say
 	// Bounds are the postmasters'; carriers serve on where they say so.
-	Bounds postmaster.Bounds
+	Bounds configstore.Bounds
 	// Found has the core know its voters at its first start only, as where nobody configures them.
 	Found bool
 	// Copies, Voters and Gone are the core's own settings, its defaults if left out.
@@ -111,7 +111,7 @@
 	NoTenure     bool   // carriers serve without a live tenure
 	NoSync       bool   // syncs do nothing
 	TrustShort   bool   // short answers pass for whole
-	Guards       string // what is wrong with the guards' table, one of pigeonhole's words
+	Guards       string // what is wrong with the guards' table, one of breakerstore's words
 	NoBudget     bool   // further tries are not bounded
 	NoDrain      bool   // a planned stop ends at once
 	NoReturn     bool   // the core stays down at the end
@@ -166,7 +166,7 @@
 // Build makes a mesh and starts its nodes.
 func Build(seed uint64, sizes Sizes, breakage Breakage) *Mesh {
 	mesh := &Mesh{samples: samples, sums: map[*franking.View]string{}, World: world.New(seed), History: &inspector.History{Allowance: 10 + 2, Keeps: sizes.History}, sizes: sizes, lives: map[string]*carrier.Carrier{}, begun: map[string]postmark.Micros{}, troubled: map[string]string{},
-		masters: map[string]*postmaster.Postmaster{}, doors: map[string]door.Store{}, sorters: map[string]*sorter.Sorter{}, started: map[string]bool{}, stopping: map[string]bool{}, retired: map[string]bool{}, genesis: map[string][]string{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
+		masters: map[string]*configstore.Postmaster{}, doors: map[string]api.Store{}, sorters: map[string]*registry.Sorter{}, started: map[string]bool{}, stopping: map[string]bool{}, retired: map[string]bool{}, genesis: map[string][]string{}, shut: map[string]bool{}, grace: carrier.Grace, breakage: breakage}
 	mesh.World.Trace = func(at postmark.Micros, node string, number int, fields map[string]any) {
 		if number == 601 {
 			return
@@ -189,11 +189,11 @@
 	for index := range sizes.Carriers {
 		mesh.addCarrier(index, seeds)
 	}
-	outside := mesh.World.Add("outside", "outside", "outside", func(place *world.Place) (office.Table, error) {
+	outside := mesh.World.Add("outside", "outside", "outside", func(place *world.Place) (host.Table, error) {
 		mesh.Outside = place
-		mesh.book = gazetteer.New(place, nil, seeds)
+		mesh.book = discovery.New(place, nil, seeds)
 		place.Go(func() { mesh.book.Roam(300 * postmark.Millisecond) })
-		return office.Table{}, nil
+		return host.Table{}, nil
 	})
 	mesh.World.Start(outside)
 	for _, node := range mesh.World.Nodes() {
@@ -228,17 +228,17 @@
 func (mesh *Mesh) addCore(machine, group string, index int, voters, seeds []string) {
 	name := fmt.Sprintf("%s-%d", group, index+1)
 	address := machine + ":" + group
-	node := mesh.World.Add(name, address, machine, func(place *world.Place) (office.Table, error) {
-		book := gazetteer.New(place, &wire.PeerAddress{Name: name, Address: place.Node().Address, Group: group}, mesh.seedsNow(seeds))
+	node := mesh.World.Add(name, address, machine, func(place *world.Place) (host.Table, error) {
+		book := discovery.New(place, &wire.PeerAddress{Name: name, Address: place.Node().Address, Group: group}, mesh.seedsNow(seeds))
 		book.Remember(place.Disk())
-		table, voters := office.Table{}, voters
+		table, voters := host.Table{}, voters
 		if mesh.sizes.Found && mesh.started[name] {
 			voters = nil
 		}
 		mesh.started[name] = true
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
-		adjust := func(env *countersign.Env) {
+		adjust := func(env *replication.Env) {
 			env.CompactFrom, env.Unwitnessed = 8<<10, mesh.breakage.TrustClock
 			env.Unleased, env.Unheld, env.Abandon = mesh.breakage.NoLease, mesh.breakage.AnySuccessor, mesh.breakage.Abandon
 			env.Copies, env.Size, env.Gone = mesh.sizes.Copies, mesh.sizes.Voters, mesh.sizes.Gone
@@ -247,8 +247,8 @@
 			}
 		}
 		if group == "sorter" {
-			one, err := sorter.Open(sorter.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust,
-				Prepare: func(state *rack.Rack) {
+			one, err := registry.Open(registry.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust,
+				Prepare: func(state *statemachine.Machine) {
 					state.Guards.Broken = mesh.breakage.Guards
 				}})
 			if err != nil {
@@ -262,12 +262,12 @@
 			one.Start()
 			return table, nil
 		}
-		one, err := postmaster.Open(postmaster.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust, Bounds: mesh.sizes.Bounds,
+		one, err := configstore.Open(configstore.Env{Place: place, Book: book, Name: name, Voters: voters, Genesis: slices.Contains(voters, name), Adjust: adjust, Bounds: mesh.sizes.Bounds,
 			AnyContent: mesh.breakage.AnyContent, History: mesh.sizes.History})
 		if err != nil {
 			return nil, err
 		}
-		mesh.masters[name], mesh.doors[name] = one, door.NewStore(place, book)
+		mesh.masters[name], mesh.doors[name] = one, api.NewStore(place, book)
 		one.Member.Vigil.Trusting(mesh.breakage.TrustClock)
 		one.Register(table)
 		mesh.overhear(table)
@@ -278,7 +278,7 @@
 }
 
 // member is the part that a core process has in its group.
-func (mesh *Mesh) member(name string) *countersign.Member {
+func (mesh *Mesh) member(name string) *replication.Member {
 	if one := mesh.sorters[name]; one != nil {
 		return one.Member
 	}
@@ -286,7 +286,7 @@
 }
 
 // listen has afterWrite told of each write that a sorter acknowledges, at the moment of its answer.
-func (mesh *Mesh) listen(node *world.Node, table office.Table) {
+func (mesh *Mesh) listen(node *world.Node, table host.Table) {
 	for _, kind := range []wire.Kind{wire.Kind_claim, wire.Kind_void, wire.Kind_probe_lease, wire.Kind_guard_write, wire.Kind_duty} {
 		answer := table[kind]
 		table[kind] = func(content []byte) (proto.Message, error) {
@@ -300,7 +300,7 @@
 }
 
 // overhear has polled told of each answer to a carrier's poll, on its way.
-func (mesh *Mesh) overhear(table office.Table) {
+func (mesh *Mesh) overhear(table host.Table) {
 	answer := table[wire.Kind_desired_poll]
 	table[wire.Kind_desired_poll] = func(content []byte) (proto.Message, error) {
 		reply, err := answer(content)
@@ -314,7 +314,7 @@
 }
 
 // direct has directed told of each answer of a sorter to a carrier's poll, on its way.
-func (mesh *Mesh) direct(sorter string, table office.Table) {
+func (mesh *Mesh) direct(sorter string, table host.Table) {
 	answer := table[wire.Kind_sorter_poll]
 	table[wire.Kind_sorter_poll] = func(content []byte) (proto.Message, error) {
 		reply, err := answer(content)
@@ -342,9 +342,9 @@
 func (mesh *Mesh) addCarrier(index int, seeds []string) {
 	name := fmt.Sprintf("carrier-%d", index+1)
 	mesh.carriers = append(mesh.carriers, name)
-	mesh.World.Add(name, name+":carrier", name, func(place *world.Place) (office.Table, error) {
-		book := gazetteer.New(place, nil, mesh.seedsNow(seeds))
-		table := office.Table{}
+	mesh.World.Add(name, name+":carrier", name, func(place *world.Place) (host.Table, error) {
+		book := discovery.New(place, nil, mesh.seedsNow(seeds))
+		table := host.Table{}
 		book.Register(table)
 		place.Go(func() { book.Roam(postmark.Second) })
 		one := carrier.New(carrier.Env{Place: place, Book: book, Name: name, Domain: fmt.Sprintf("zone-%d", index%mesh.sizes.Zones+1),
@@ -648,7 +648,7 @@
 	defer func(over func(postmark.Micros)) { over(mesh.World.Now()) }(mesh.History.Plan("a change of the desired state", mesh.World.Now()))
 	cutoff := mesh.World.Now() + patience
 	for mesh.World.Now() < cutoff {
-		leader := mesh.book.Leader(postmaster.Group)
+		leader := mesh.book.Leader(configstore.Group)
 		tell := &wire.DesiredApplyTell{}
 		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_apply, ask, tell, 20*postmark.Second) == nil {
 			mesh.History.Apply(inspector.Applied{Serial: tell.Serial, Digest: tell.Digest, Valid: len(faults) == 0, Outcome: tell.Outcome, At: mesh.World.Now(), Sum: sum})
@@ -683,7 +683,7 @@
 func (mesh *Mesh) readBack() {
 	for range 100 {
 		tell := &wire.DesiredReadTell{}
-		leader := mesh.book.Leader(postmaster.Group)
+		leader := mesh.book.Leader(configstore.Group)
 		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 2*postmark.Second) == nil {
 			for _, kept := range tell.States {
 				mesh.History.ReadBack = append(mesh.History.ReadBack, inspector.ReadBack{Serial: kept.Serial, Digest: kept.Digest})
--- a/internal/mailround/round/return_test.go
+++ b/internal/mailround/round/return_test.go
@@ -6,10 +6,10 @@
 	"testing"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/countersign"
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/replication"
 )
 
 // reports counts an event of a group's processes in the log from some line on.
@@ -26,7 +26,7 @@
 func quickCore(seed uint64, cores int) *Mesh {
 	mesh := Build(seed, Sizes{Cores: cores, Carriers: 1, Zones: 1, Backends: 1}, Breakage{})
 	mesh.World.Run(mesh.World.Now() + 5*postmark.Second)
-	mesh.adjust = func(env *countersign.Env) { env.Tenure = 600 * postmark.Millisecond }
+	mesh.adjust = func(env *replication.Env) { env.Tenure = 600 * postmark.Millisecond }
 	for _, node := range mesh.allCore() {
 		mesh.World.Kill(node)
 		mesh.World.Start(node)
--- a/internal/mailround/round/roster_test.go
+++ b/internal/mailround/round/roster_test.go
@@ -7,15 +7,15 @@
 	"testing"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/countersign"
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/postmark"
+	"snowflow/internal/replication"
 )
 
 // voters gives the roster that the core's processes know at the end, by group; all that are there must know the same.
 func (mesh *Mesh) voters(t *testing.T) map[string][]string {
 	known := map[string][]string{}
-	note := func(group, name string, member *countersign.Member) {
+	note := func(group, name string, member *replication.Member) {
 		node := mesh.World.Node(name)
 		if mesh.retired[node.Machine] {
 			return
--- a/internal/mailround/round/round_test.go
+++ b/internal/mailround/round/round_test.go
@@ -11,8 +11,8 @@
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/registry/breakerstore"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter/pigeonhole"
 )
 
 // seeds gives the fixed seeds, or a range from the environment for longer runs.
@@ -108,15 +108,15 @@
 		{"syncs that do nothing", 7, "acknowledged", Breakage{NoSync: true}, 1},
 		{"tries without a budget", 8, "backends", Breakage{NoBudget: true}, 1},
 		{"a planned stop that ends at once", 9, "drains", Breakage{NoDrain: true}, 1},
-		{"slots that leak", 10, "guards", Breakage{Guards: pigeonhole.Leaky}, 1},
-		{"every trip opens for all", 11, "troubled", Breakage{Guards: pigeonhole.AnyTrip}, 1},
+		{"slots that leak", 10, "guards", Breakage{Guards: breakerstore.Leaky}, 1},
+		{"every trip opens for all", 11, "troubled", Breakage{Guards: breakerstore.AnyTrip}, 1},
 		{"syncs that do nothing, and verdicts lost with them", 10, "written", Breakage{NoSync: true}, 60},
 		{"a configuration acknowledged by a clock that leapt", 6, "clocks", Breakage{TrustClock: true}, 2},
 		{"a key run again after a leap", 1, "clocks", Breakage{TrustClock: true}, 11},
-		{"one carrier may take a round and reopen alone", 11, "trials", Breakage{Guards: pigeonhole.Greedy}, 2},
-		{"closed without a trial", 10, "guards", Breakage{Guards: pigeonhole.Hasty}, 1},
-		{"a wait cut short", 10, "guards", Breakage{Guards: pigeonhole.Impatient}, 1},
-		{"probes that never go back", 10, "guards", Breakage{Guards: pigeonhole.Clinging}, 1},
+		{"one carrier may take a round and reopen alone", 11, "trials", Breakage{Guards: breakerstore.Greedy}, 2},
+		{"closed without a trial", 10, "guards", Breakage{Guards: breakerstore.Hasty}, 1},
+		{"a wait cut short", 10, "guards", Breakage{Guards: breakerstore.Impatient}, 1},
+		{"probes that never go back", 10, "guards", Breakage{Guards: breakerstore.Clinging}, 1},
 		{"calls in a trial without a probe", 10, "trials", Breakage{Unleased: true}, 1},
 		{"a core that stays away", 12, "core", Breakage{NoReturn: true}, 1},
 	}
--- a/internal/mailround/round/serve_on_test.go
+++ b/internal/mailround/round/serve_on_test.go
@@ -6,31 +6,31 @@
 	"testing"
 
 	"snowflow/internal/carrier/letter"
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/api"
+	"snowflow/internal/configstore/versions"
 	"snowflow/internal/franking"
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/door"
-	"snowflow/internal/postmaster/ledger"
 )
 
-var servingOn = postmaster.Bounds{ServeOn: true, PollHold: 2 * postmark.Second}
+var servingOn = configstore.Bounds{ServeOn: true, PollHold: 2 * postmark.Second}
 
 // started makes a small mesh that has adopted a first desired state, under version 10.
-func started(t *testing.T, bounds postmaster.Bounds) *Mesh {
+func started(t *testing.T, bounds configstore.Bounds) *Mesh {
 	t.Helper()
 	return startedBy(t, 3, bounds)
 }
 
-func startedBy(t *testing.T, seed uint64, bounds postmaster.Bounds) *Mesh {
+func startedBy(t *testing.T, seed uint64, bounds configstore.Bounds) *Mesh {
 	t.Helper()
 	sizes := small
 	sizes.Bounds = bounds
 	mesh := Build(seed, sizes, Breakage{})
 	t.Cleanup(mesh.World.Close)
 	mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
-	if tell, err, _ := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != ledger.Accepted || tell.Serial != 10 {
+	if tell, err, _ := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted || tell.Serial != 10 {
 		t.Fatalf("%v %v", tell, err)
 	}
 	mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
@@ -41,7 +41,7 @@
 func (mesh *Mesh) raise(version uint64, patience postmark.Micros) (tell *wire.DesiredApplyTell, err error, took postmark.Micros) {
 	began, done := mesh.World.Now(), false
 	mesh.Outside.Go(func() {
-		tell, err = door.NewStore(mesh.Outside, mesh.book).Apply(patience, &wire.DesiredApplyAsk{Content: Desired(int(version)), Version: version})
+		tell, err = api.NewStore(mesh.Outside, mesh.book).Apply(patience, &wire.DesiredApplyAsk{Content: Desired(int(version)), Version: version})
 		took, done = mesh.World.Now()-began, true
 	})
 	for limit := began + patience + postmark.Minute; !done && mesh.World.Now() < limit; {
@@ -58,12 +58,12 @@
 func TestServeOnAcknowledgement(t *testing.T) {
 	t.Parallel()
 	mesh := started(t, servingOn)
-	wait := postmaster.Defaults.Wait
+	wait := configstore.Defaults.Wait
 	raise := func(what string, version, serial uint64, least, most postmark.Micros, everywhere bool) {
 		t.Helper()
 		tell, err, took := mesh.raise(version, 10*postmark.Second)
 		t.Logf("%s: acknowledged after %d microseconds", what, took)
-		if err != nil || tell.Outcome != ledger.Accepted || tell.Serial != serial || tell.Spread != everywhere || took < least || took > most {
+		if err != nil || tell.Outcome != versions.Accepted || tell.Serial != serial || tell.Spread != everywhere || took < least || took > most {
 			t.Errorf("%s: %v, %v after %d microseconds", what, tell, err, took)
 		}
 	}
@@ -78,12 +78,12 @@
 	mesh.World.Run(mesh.World.Now() + 2*postmark.Second)
 	raise("it's back in another life", 35, 35, 0, wait/4, true)
 	mesh.World.Kill(mesh.World.Node(mesh.carriers[2]))
-	mesh.World.Run(mesh.World.Now() + postmaster.Tenure + servingOn.PollHold) // a poll that it left behind is answered, and counts, when its hold ends
+	mesh.World.Run(mesh.World.Now() + configstore.Tenure + servingOn.PollHold) // a poll that it left behind is answered, and counts, when its hold ends
 	raise("one long dead", 40, 40, 0, wait/4, true)
 	mesh.World.Kill(mesh.leader("postmaster"))
 	raise("the primary just dead", 50, 50, 0, 8*postmark.Second, false)
 	raise("a new primary", 51, 51, wait/2, wait+wait/4, true) // whoever serves has polled it by then
-	mesh.World.Run(mesh.World.Now() + postmaster.Tenure)
+	mesh.World.Run(mesh.World.Now() + configstore.Tenure)
 	raise("a primary of some time", 60, 60, 0, wait/4, true)
 }
 
@@ -91,9 +91,9 @@
 // time for that says that it doesn't know.
 func TestLeasedAcknowledgement(t *testing.T) {
 	t.Parallel()
-	mesh := started(t, postmaster.Bounds{Lease: 5 * postmark.Second, Slack: postmark.Second})
+	mesh := started(t, configstore.Bounds{Lease: 5 * postmark.Second, Slack: postmark.Second})
 	mesh.World.Kill(mesh.World.Node(mesh.carriers[2]))
-	if tell, err, took := mesh.raise(20, 2*postmark.Second); !errors.Is(err, door.ErrUnknown) || took > 2100*postmark.Millisecond {
+	if tell, err, took := mesh.raise(20, 2*postmark.Second); !errors.Is(err, api.ErrUnknown) || took > 2100*postmark.Millisecond {
 		t.Errorf("%v, %v after %d microseconds", tell, err, took)
 	}
 	tell, err, took := mesh.raise(15, 10*postmark.Second)
@@ -110,7 +110,7 @@
 	read := func(patience postmark.Micros) (kept *wire.DesiredKept, err error) {
 		done := false
 		mesh.Outside.Go(func() {
-			kept, err = door.NewStore(mesh.Outside, mesh.book).Newest(patience)
+			kept, err = api.NewStore(mesh.Outside, mesh.book).Newest(patience)
 			done = true
 		})
 		began := mesh.World.Now()
@@ -128,7 +128,7 @@
 	for _, core := range mesh.cores {
 		mesh.World.Cut("outside", core)
 	}
-	if tell, err, took := mesh.raise(20, 3*postmark.Second); !errors.Is(err, door.ErrNotTaken) || took > 3100*postmark.Millisecond {
+	if tell, err, took := mesh.raise(20, 3*postmark.Second); !errors.Is(err, api.ErrNotTaken) || took > 3100*postmark.Millisecond {
 		t.Errorf("cut off: %v, %v after %d microseconds", tell, err, took)
 	}
 	if _, err := read(2 * postmark.Second); err == nil {
@@ -143,8 +143,8 @@
 	// A content with faults is refused under any version.
 	done := false
 	mesh.Outside.Go(func() {
-		tell, err := door.NewStore(mesh.Outside, mesh.book).Apply(2*postmark.Second, &wire.DesiredApplyAsk{Content: []byte(`{"groups":[]}`), Version: 3})
-		if err != nil || tell.Outcome != ledger.Invalid || len(tell.Faults) != 1 {
+		tell, err := api.NewStore(mesh.Outside, mesh.book).Apply(2*postmark.Second, &wire.DesiredApplyAsk{Content: []byte(`{"groups":[]}`), Version: 3})
+		if err != nil || tell.Outcome != versions.Invalid || len(tell.Faults) != 1 {
 			t.Errorf("%v %v", tell, err)
 		}
 		done = true
@@ -179,7 +179,7 @@
 // TestServeOnOutOfTouch: a carrier that is cut off from the core serves on past its lease, by the state it has, and passes go both
 // ways between it and those that have a newer one, also for a service that the other side doesn't know. Otherwise it refuses.
 func TestServeOnOutOfTouch(t *testing.T) {
-	for name, bounds := range map[string]postmaster.Bounds{"serving on": servingOn, "by leases": {}} {
+	for name, bounds := range map[string]configstore.Bounds{"serving on": servingOn, "by leases": {}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			mesh := started(t, bounds)
@@ -230,7 +230,7 @@
 // TestServeOnWithoutPrimary: where carriers serve on, one that starts anew while no primary can be had begins with what a named copy
 // holds; by leases it waits for a primary. A copy that the register no longer names is nobody's source.
 func TestServeOnWithoutPrimary(t *testing.T) {
-	for name, bounds := range map[string]postmaster.Bounds{"serving on": servingOn, "by leases": {}} {
+	for name, bounds := range map[string]configstore.Bounds{"serving on": servingOn, "by leases": {}} {
 		t.Run(name, func(t *testing.T) {
 			mesh := started(t, bounds)
 			left, others := "", []string{}
--- a/internal/mailround/round/worst_days.go
+++ b/internal/mailround/round/worst_days.go
@@ -5,14 +5,14 @@
 	"fmt"
 	"slices"
 
+	"snowflow/internal/configstore"
+	"snowflow/internal/configstore/api"
+	"snowflow/internal/configstore/versions"
 	"snowflow/internal/franking"
 	"snowflow/internal/inspector"
 	"snowflow/internal/mailround/world"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/postmaster"
-	"snowflow/internal/postmaster/door"
-	"snowflow/internal/postmaster/ledger"
 )
 
 const (
@@ -91,11 +91,11 @@
 	})
 	outcome := inspector.Uncertain
 	switch {
-	case err == nil && tell.Outcome == ledger.Accepted:
+	case err == nil && tell.Outcome == versions.Accepted:
 		outcome = inspector.Confirmed
-	case err == nil && tell.Outcome == ledger.Conflict:
+	case err == nil && tell.Outcome == versions.Conflict:
 		outcome = inspector.Declined
-	case errors.Is(err, door.ErrNotTaken):
+	case errors.Is(err, api.ErrNotTaken):
 		outcome = inspector.NotTaken
 	}
 	if happen := mesh.atOrder; outcome == inspector.Confirmed && happen != nil {
@@ -283,7 +283,7 @@
 
 // worstSizes is a core as the platform has it: found at its first start only, a few configurations kept, carriers that serve on.
 func worstSizes(cores, copies int) Sizes {
-	return Sizes{Cores: cores, Carriers: 2, Zones: 2, Backends: 1, Found: true, Copies: copies, Gone: syncTime / 2, History: 3, Bounds: postmaster.Bounds{ServeOn: true}}
+	return Sizes{Cores: cores, Carriers: 2, Zones: 2, Backends: 1, Found: true, Copies: copies, Gone: syncTime / 2, History: 3, Bounds: configstore.Bounds{ServeOn: true}}
 }
 
 // worstDay is a course of the control side's troubles alone, among operators that order and read at every door.
--- a/internal/mailround/world/world.go
+++ b/internal/mailround/world/world.go
@@ -12,12 +12,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
-	"snowflow/internal/strongbox"
-	"snowflow/internal/strongbox/memory"
+	"snowflow/internal/wal"
+	"snowflow/internal/wal/memory"
 )
 
 // World is one simulated run.
@@ -96,7 +96,7 @@
 	Address string
 	Machine string
 	Disk    *memory.Disk
-	table   office.Table
+	table   host.Table
 	life    int
 	up      bool
 	frozen  postmark.Micros // until then
@@ -104,7 +104,7 @@
 	drift   float64
 	chance  *rand.Rand
 	tasks   map[*task]bool
-	boot    func(place *Place) (office.Table, error)
+	boot    func(place *Place) (host.Table, error)
 }
 
 // New makes a world from a seed.
@@ -174,7 +174,7 @@
 func (world *World) Node(name string) *Node { return world.nodes[name] }
 
 // Add makes a node; Start brings it up.
-func (world *World) Add(name, address, machine string, boot func(place *Place) (office.Table, error)) *Node {
+func (world *World) Add(name, address, machine string, boot func(place *Place) (host.Table, error)) *Node {
 	node := &Node{world: world, Name: name, Address: address, Machine: machine, Disk: memory.New(), boot: boot, tasks: map[*task]bool{},
 		chance: rand.New(rand.NewPCG(world.chance.Uint64(), world.chance.Uint64()))}
 	node.offset = postmark.Micros(world.chance.Uint64N(uint64(10 * postmark.Minute)))
@@ -331,7 +331,7 @@
 	world.yield(entry)
 }
 
-// Place is a node's office.
+// Place is a node's host.
 type Place struct {
 	node *Node
 	life int
@@ -362,7 +362,7 @@
 func (place *Place) Random() uint64 { return place.node.chance.Uint64() }
 
 // Disk is the node's disk.
-func (place *Place) Disk() strongbox.Disk { return place.node.Disk }
+func (place *Place) Disk() wal.Disk { return place.node.Disk }
 
 // Report tells the trace.
 func (place *Place) Report(number int, fields map[string]any) {
@@ -396,7 +396,7 @@
 }
 
 // NewSignal makes a signal.
-func (place *Place) NewSignal() office.Signal { return &signal{place: place} }
+func (place *Place) NewSignal() host.Signal { return &signal{place: place} }
 
 func (signal *signal) Fire() {
 	world := signal.place.node.world
@@ -447,7 +447,7 @@
 	return span
 }
 
-// link is what the real office keeps for each address: when something was last heard, and the calls that wait. As there,
+// link is what the real host keeps for each address: when something was last heard, and the calls that wait. As there,
 // a call that hears nothing at all while its patience runs ends the connection, and with it the others.
 type link struct {
 	heard   postmark.Micros
@@ -468,7 +468,7 @@
 
 // outcome of a call under way; decided once.
 type outcome struct {
-	signal office.Signal
+	signal host.Signal
 	done   bool
 	reply  []byte
 	err    error
--- a/internal/sorter/batch.go
+++ b/internal/registry/batch.go
@@ -1,12 +1,12 @@
-package sorter
+package registry
 
 import (
 	"errors"
 
 	"google.golang.org/protobuf/proto"
 
-	"snowflow/internal/countersign"
 	"snowflow/internal/parcel/wire"
+	"snowflow/internal/replication"
 )
 
 // batched tells whether a command may come in a batch: those that carriers make for requests, in numbers.
@@ -43,14 +43,14 @@
 	return tell, nil
 }
 
-func told(outcome countersign.Outcome) *wire.SorterOutcome {
+func told(outcome replication.Outcome) *wire.SorterOutcome {
 	result := &wire.SorterResult{}
 	err := outcome.Err
 	if err == nil {
 		err = proto.Unmarshal(outcome.Result, result)
 	}
 	if err != nil {
-		return &wire.SorterOutcome{Fault: err.Error(), Untaken: errors.Is(err, countersign.ErrNotPrimary)}
+		return &wire.SorterOutcome{Fault: err.Error(), Untaken: errors.Is(err, replication.ErrNotPrimary)}
 	}
 	return &wire.SorterOutcome{Result: result}
 }
--- a/internal/sorter/pigeonhole/pigeonhole.go
+++ b/internal/registry/breakerstore/breakerstore.go
@@ -1,6 +1,6 @@
-// Package pigeonhole keeps the shared breaker records: one per service, each holding the shared verdict, the trial
+// Package breakerstore keeps the shared breaker records: one per service, each holding the shared verdict, the trial
 // allowance and who holds a part of it. It's a pure state machine: time comes in as holder time.
-package pigeonhole
+package breakerstore
 
 import (
 	"maps"
--- a/internal/sorter/pigeonhole/shown.go
+++ b/internal/registry/breakerstore/shown.go
@@ -1,4 +1,4 @@
-package pigeonhole
+package breakerstore
 
 import (
 	"sync"
--- a/internal/sorter/pigeonhole/shown_test.go
+++ b/internal/registry/breakerstore/shown_test.go
@@ -1,4 +1,4 @@
-package pigeonhole_test
+package breakerstore_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter/pigeonhole"
+	"snowflow/internal/registry/breakerstore"
 )
 
 // asker is a carrier as far as guards' records go.
@@ -19,7 +19,7 @@
 	records         map[string]*wire.GuardRecord
 }
 
-func (asker *asker) take(change pigeonhole.Change) {
+func (asker *asker) take(change breakerstore.Change) {
 	if !change.Changes {
 		asker.records = map[string]*wire.GuardRecord{}
 	}
@@ -29,11 +29,11 @@
 	asker.source, asker.version = change.Source, change.Version
 }
 
-func (asker *asker) same(table *pigeonhole.Table) bool {
+func (asker *asker) same(table *breakerstore.Table) bool {
 	return maps.EqualFunc(asker.records, byService(table), func(one, other *wire.GuardRecord) bool { return proto.Equal(one, other) })
 }
 
-func byService(table *pigeonhole.Table) map[string]*wire.GuardRecord {
+func byService(table *breakerstore.Table) map[string]*wire.GuardRecord {
 	records := map[string]*wire.GuardRecord{}
 	for _, record := range table.Records() {
 		records[record.Service] = record
@@ -47,8 +47,8 @@
 	terms := &wire.GuardTerms{WaitOpen: 50, Permitted: 2, FailureRate: 0.5, ProbeTenure: 30, StateTtl: 400}
 	for seed := range uint64(60) {
 		random := rand.New(rand.NewPCG(seed, 2))
-		tables := []*pigeonhole.Table{pigeonhole.New(), pigeonhole.New()}
-		shown := []*pigeonhole.Shown{pigeonhole.NewShown(1), pigeonhole.NewShown(2)}
+		tables := []*breakerstore.Table{breakerstore.New(), breakerstore.New()}
+		shown := []*breakerstore.Shown{breakerstore.NewShown(1), breakerstore.NewShown(2)}
 		askers := []*asker{{}, {}, {}}
 		leader, now, saved, quiet := 0, postmark.Micros(0), 0, 0
 		for step := range 600 {
@@ -107,7 +107,7 @@
 
 // TestShownLess: with many records of which one changes, a carrier is told that one.
 func TestShownLess(t *testing.T) {
-	table, shown, one := pigeonhole.New(), pigeonhole.NewShown(7), &asker{}
+	table, shown, one := breakerstore.New(), breakerstore.NewShown(7), &asker{}
 	terms := &wire.GuardTerms{WaitOpen: 50, Permitted: 2, FailureRate: 0.5, ProbeTenure: 30, StateTtl: 400}
 	trip := func(service, carrier string) {
 		table.Write(&wire.GuardWriteAsk{Service: service, Verb: "trip", Carrier: carrier, ExpectedSerial: 1, Active: []string{carrier, "other"}, Terms: terms}, 1)
--- a/internal/sorter/counterfoil/counterfoil.go
+++ b/internal/registry/claims/claims.go
@@ -1,6 +1,6 @@
-// Package counterfoil keeps the claims of run-once requests: which try holds a key, which tries are void, and from
+// Package claims keeps the claims of run-once requests: which try holds a key, which tries are void, and from
 // which moment on a key was refused. It's a pure state machine on holder time.
-package counterfoil
+package claims
 
 import (
 	"bytes"
--- a/internal/sorter/counterfoil/counterfoil_test.go
+++ b/internal/registry/claims/claims_test.go
@@ -1,4 +1,4 @@
-package counterfoil_test
+package claims_test
 
 import (
 	"fmt"
@@ -11,35 +11,35 @@
 
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter/counterfoil"
+	"snowflow/internal/registry/claims"
 )
 
 // TestSetLife: a claim is held for as long as its table's life, a restored one too.
 func TestSetLife(t *testing.T) {
-	for _, life := range []postmark.Micros{counterfoil.Life, 270 * postmark.Second} {
-		table := counterfoil.New()
+	for _, life := range []postmark.Micros{claims.Life, 270 * postmark.Second} {
+		table := claims.New()
 		table.Life = life
 		ask := func(try string, now postmark.Micros) string {
 			return table.Claim(&wire.ClaimAsk{Scope: "one", Try: try, Carrier: "c", Incarnation: 1, Digest: []byte("d")}, now).Outcome
 		}
 		start := postmark.Minute
-		if told := ask("first", start); told != counterfoil.Granted {
+		if told := ask("first", start); told != claims.Granted {
 			t.Fatal(told)
 		}
 		restored(t, table)
 		table.Sweep(start + life - 1)
-		if told := ask("second", start+life-1); told != counterfoil.Held {
+		if told := ask("second", start+life-1); told != claims.Held {
 			t.Errorf("life %d: %s before its end", life, told)
 		}
 		table.Sweep(start + life)
-		if told := ask("third", start+life); told != counterfoil.Granted {
+		if told := ask("third", start+life); told != claims.Granted {
 			t.Errorf("life %d: %s after its end", life, told)
 		}
 	}
 }
 
 // restored takes a table through a view and back.
-func restored(t *testing.T, table *counterfoil.Table) {
+func restored(t *testing.T, table *claims.Table) {
 	t.Helper()
 	if err := table.Restore(contents(t, table.AppendView(nil, 2))); err != nil {
 		t.Fatal(err)
@@ -79,7 +79,7 @@
 func TestKeptAgainstModel(t *testing.T) {
 	for seed := range uint64(40) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		table, plain := counterfoil.New(), &model{life: 50, records: map[string]*wire.ClaimRecord{}}
+		table, plain := claims.New(), &model{life: 50, records: map[string]*wire.ClaimRecord{}}
 		table.Life = plain.life
 		now := postmark.Micros(0)
 		for step := range 400 {
@@ -90,12 +90,12 @@
 			void := present != nil && slices.Contains(present.Voided, try)
 			switch random.IntN(5) {
 			case 0, 1:
-				outcome := counterfoil.Granted
+				outcome := claims.Granted
 				switch {
 				case void:
-					outcome = counterfoil.Voided
+					outcome = claims.Voided
 				case held && present.Try != try:
-					outcome = counterfoil.Held
+					outcome = claims.Held
 				case !held:
 					record := plain.record(scope, now)
 					record.State, record.Try, record.Carrier, record.Incarnation, record.Digest = "held", try, "c", 1, []byte("d")
@@ -104,9 +104,9 @@
 					t.Fatalf("seed %d, step %d: claim %s, not %s", seed, step, told, outcome)
 				}
 			case 2:
-				outcome := counterfoil.Voided
+				outcome := claims.Voided
 				if held {
-					outcome = counterfoil.Claimed
+					outcome = claims.Claimed
 					if present.Try != try && !void {
 						present.Voided = append(present.Voided, try)
 					}
@@ -173,7 +173,7 @@
 	good := encoded(&wire.ClaimRecord{Scope: "one", State: "held", Try: "t", Fence: &wire.HolderMoment{Epoch: 1, Time: 2}, Expires: 9})
 	fence := protowire.AppendBytes(protowire.AppendTag(nil, 9, protowire.BytesType), []byte{0xff})
 	text := protowire.AppendBytes(protowire.AppendTag(nil, 4, protowire.BytesType), []byte{0xff})
-	table := counterfoil.New()
+	table := claims.New()
 	if err := table.Restore([][]byte{good}); err != nil {
 		t.Fatal(err)
 	}
@@ -182,7 +182,7 @@
 			t.Errorf("%s is taken", name)
 		}
 	}
-	if told := table.Claim(&wire.ClaimAsk{Scope: "one", Try: "other"}, 1).Outcome; table.Length() != 1 || told != counterfoil.Held {
+	if told := table.Claim(&wire.ClaimAsk{Scope: "one", Try: "other"}, 1).Outcome; table.Length() != 1 || told != claims.Held {
 		t.Errorf("%d claims, and a second try is %s", table.Length(), told)
 	}
 }
--- a/internal/sorter/counterfoil/kept.go
+++ b/internal/registry/claims/kept.go
@@ -1,4 +1,4 @@
-package counterfoil
+package claims
 
 import (
 	"cmp"
--- a/internal/sorter/directory/directory_test.go
+++ b/internal/registry/directory/directory_test.go
@@ -5,7 +5,7 @@
 
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter/directory"
+	"snowflow/internal/registry/directory"
 )
 
 type clock struct{ now postmark.Micros }
--- a/internal/sorter/sorter.go
+++ b/internal/registry/registry.go
@@ -1,5 +1,5 @@
-// Package sorter is the registry: sessions and backends in memory, guards, claims and duties replicated.
-package sorter
+// Package registry is the registry: sessions and backends in memory, guards, claims and duties replicated.
+package registry
 
 import (
 	"encoding/json"
@@ -7,15 +7,15 @@
 	"go.uber.org/atomic"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/countersign"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
+	"snowflow/internal/registry/breakerstore"
+	"snowflow/internal/registry/directory"
+	"snowflow/internal/registry/statemachine"
+	"snowflow/internal/replication"
 	"snowflow/internal/seal"
-	"snowflow/internal/sorter/directory"
-	"snowflow/internal/sorter/pigeonhole"
-	"snowflow/internal/sorter/rack"
 )
 
 // Group is the sorters' name as a group.
@@ -23,46 +23,46 @@
 
 // Env is what a sorter is made of.
 type Env struct {
-	Place  office.Office
-	Book   *gazetteer.Book
+	Place  host.Host
+	Book   *discovery.Book
 	Name   string
 	Voters []string // of a first start
 	// Genesis tells that this process may take part in a first start.
 	Genesis bool
-	// ClaimLife is how long run-once claims are kept, counterfoil.Life if left out. It's the same at every sorter.
+	// ClaimLife is how long run-once claims are kept, claims.Life if left out. It's the same at every sorter.
 	ClaimLife postmark.Micros
 	// Adjust lets tests and the simulator change the core's figures.
-	Adjust func(*countersign.Env)
+	Adjust func(*replication.Env)
 	// Prepare lets rehearsals of the checkers change the replicated state's manner.
-	Prepare func(*rack.Rack)
+	Prepare func(*statemachine.Machine)
 }
 
 // Sorter is one registry process.
 type Sorter struct {
 	env       Env
-	Member    *countersign.Member
-	rack      *rack.Rack
+	Member    *replication.Member
+	machine   *statemachine.Machine
 	directory *directory.Directory
-	shown     *pigeonhole.Shown // the guards' records, as carriers are told them
-	led       atomic.Int64      // when this process last began to answer as primary
+	shown     *breakerstore.Shown // the guards' records, as carriers are told them
+	led       atomic.Int64        // when this process last began to answer as primary
 }
 
 // Open reads the disk.
 func Open(env Env) (*Sorter, error) {
 	source := env.Place.Random()
-	sorter := &Sorter{env: env, rack: rack.New(), directory: directory.New(env.Place, source), shown: pigeonhole.NewShown(source | 1)}
+	sorter := &Sorter{env: env, machine: statemachine.New(), directory: directory.New(env.Place, source), shown: breakerstore.NewShown(source | 1)}
 	if env.ClaimLife > 0 {
-		sorter.rack.Claims.Life = env.ClaimLife
+		sorter.machine.Claims.Life = env.ClaimLife
 	}
 	if env.Prepare != nil {
-		env.Prepare(sorter.rack)
+		env.Prepare(sorter.machine)
 	}
-	core := countersign.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis, Machine: sorter.rack,
+	core := replication.Env{Place: env.Place, Book: env.Book, Group: Group, Name: env.Name, Voters: env.Voters, Genesis: env.Genesis, Machine: sorter.machine,
 		Settled: func(uint64, postmark.Micros) { sorter.led.Store(int64(env.Place.Now())) }}
 	if env.Adjust != nil {
 		env.Adjust(&core)
 	}
-	member, err := countersign.Open(core)
+	member, err := replication.Open(core)
 	sorter.Member = member
 	if err == nil {
 		member.Vigil.OnLeap(sorter.directory.Forgive)
@@ -78,28 +78,28 @@
 }
 
 // Register adds the sorter's handlers.
-func (sorter *Sorter) Register(table office.Table) {
+func (sorter *Sorter) Register(table host.Table) {
 	sorter.Member.Register(table)
 	sorter.env.Book.OfferBatches()
-	office.Handle(table, wire.Kind_sorter_poll, sorter.poll)
-	office.Handle(table, wire.Kind_sorter_batch, sorter.batch)
-	office.Handle(table, wire.Kind_sessions_tell, sorter.told)
-	office.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
+	host.Handle(table, wire.Kind_sorter_poll, sorter.poll)
+	host.Handle(table, wire.Kind_sorter_batch, sorter.batch)
+	host.Handle(table, wire.Kind_sessions_tell, sorter.told)
+	host.Handle(table, wire.Kind_claim, func(ask *wire.ClaimAsk) (*wire.ClaimTell, error) {
 		if tell := sorter.granted(ask); tell != nil {
 			return tell, nil
 		}
 		result, err := sorter.propose(&wire.SorterCommand{Claim: ask})
 		return result.GetClaim(), err
 	})
-	office.Handle(table, wire.Kind_void, func(ask *wire.VoidAsk) (*wire.VoidTell, error) {
+	host.Handle(table, wire.Kind_void, func(ask *wire.VoidAsk) (*wire.VoidTell, error) {
 		result, err := sorter.propose(&wire.SorterCommand{Void: ask})
 		return result.GetVoid(), err
 	})
-	office.Handle(table, wire.Kind_claim_settle, func(ask *wire.SettleAsk) (*wire.SettleTell, error) {
+	host.Handle(table, wire.Kind_claim_settle, func(ask *wire.SettleAsk) (*wire.SettleTell, error) {
 		result, err := sorter.propose(&wire.SorterCommand{Settle: ask})
 		return result.GetSettle(), err
 	})
-	office.Handle(table, wire.Kind_probe_lease, func(ask *wire.ProbeLeaseAsk) (*wire.ProbeLeaseTell, error) {
+	host.Handle(table, wire.Kind_probe_lease, func(ask *wire.ProbeLeaseAsk) (*wire.ProbeLeaseTell, error) {
 		ask.Active = sorter.wanting(ask.Service)
 		if tell := sorter.denied(ask); tell != nil {
 			return tell, nil
@@ -107,7 +107,7 @@
 		result, err := sorter.propose(&wire.SorterCommand{Lease: ask})
 		return result.GetLease(), err
 	})
-	office.Handle(table, wire.Kind_guard_write, func(ask *wire.GuardWriteAsk) (*wire.GuardWriteTell, error) {
+	host.Handle(table, wire.Kind_guard_write, func(ask *wire.GuardWriteAsk) (*wire.GuardWriteTell, error) {
 		ask.Active = sorter.directory.Active(ask.Service)
 		if ask.Verb == "trip" && len(ask.Active) < 2 && sorter.directory.Live() > 1 {
 			return sorter.lonely(ask), nil
@@ -115,11 +115,11 @@
 		result, err := sorter.propose(&wire.SorterCommand{Guard: ask})
 		return result.GetGuard(), err
 	})
-	office.Handle(table, wire.Kind_duty, func(ask *wire.DutyAsk) (*wire.DutyTell, error) {
+	host.Handle(table, wire.Kind_duty, func(ask *wire.DutyAsk) (*wire.DutyTell, error) {
 		result, err := sorter.propose(&wire.SorterCommand{Duty: ask})
 		return result.GetDuty(), err
 	})
-	office.Handle(table, wire.Kind_sorter_status, func(*wire.StatusAsk) (*wire.StatusTell, error) {
+	host.Handle(table, wire.Kind_sorter_status, func(*wire.StatusAsk) (*wire.StatusTell, error) {
 		content, err := json.Marshal(sorter.Status())
 		return &wire.StatusTell{Json: content}, err
 	})
@@ -128,7 +128,7 @@
 // granted tells a carrier that asks again what it was granted before. Where disks are slow, an ask may outlast its
 // asker's patience; the next one must not wait for a sync of its own.
 func (sorter *Sorter) granted(ask *wire.ClaimAsk) (tell *wire.ClaimTell) {
-	if !sorter.Member.Read(func(uint64, postmark.Micros) { tell = sorter.rack.Claims.Granted(ask) }) {
+	if !sorter.Member.Read(func(uint64, postmark.Micros) { tell = sorter.machine.Claims.Granted(ask) }) {
 		return nil
 	}
 	return tell
@@ -149,7 +149,7 @@
 
 // denied turns an ask for a probe down without a write, if the record as it stands can't grant one.
 func (sorter *Sorter) denied(ask *wire.ProbeLeaseAsk) (tell *wire.ProbeLeaseTell) {
-	if !sorter.Member.Read(func(_ uint64, now postmark.Micros) { tell = sorter.rack.Guards.Denied(ask, now) }) {
+	if !sorter.Member.Read(func(_ uint64, now postmark.Micros) { tell = sorter.machine.Guards.Denied(ask, now) }) {
 		return nil
 	}
 	return tell
@@ -200,7 +200,7 @@
 	tell.DirectoryAge = int64(sorter.directory.Age())
 	tell.Primary = sorter.Member.Read(func(epoch uint64, now postmark.Micros) {
 		tell.Epoch, tell.HolderTime = epoch, int64(now)
-		sorter.shown.Look(sorter.rack.Guards)
+		sorter.shown.Look(sorter.machine.Guards)
 	})
 	if tell.Primary {
 		change := sorter.shown.Since(ask.GuardsSource, ask.GuardsVersion)
@@ -263,7 +263,7 @@
 
 // Guards gives the shared records while this sorter answers, or nothing.
 func (sorter *Sorter) Guards() (records []*wire.GuardRecord) {
-	if !sorter.Member.Read(func(uint64, postmark.Micros) { records = sorter.rack.Guards.Records() }) {
+	if !sorter.Member.Read(func(uint64, postmark.Micros) { records = sorter.machine.Guards.Records() }) {
 		return nil
 	}
 	return records
@@ -271,7 +271,7 @@
 
 // Status is what operators are shown of a sorter.
 type Status struct {
-	Core     countersign.Status  `json:"core"`
+	Core     replication.Status  `json:"core"`
 	Carriers []*wire.Session     `json:"carriers"`
 	Guards   []*wire.GuardRecord `json:"guards,omitempty"`
 	Claims   int                 `json:"claims"`
@@ -283,7 +283,7 @@
 func (sorter *Sorter) Status() Status {
 	status := Status{Core: sorter.Member.Status(), Carriers: sorter.directory.Sessions()}
 	sorter.Member.Read(func(_ uint64, now postmark.Micros) {
-		status.Guards, status.Claims, status.Duties = sorter.rack.Guards.Records(), sorter.rack.Claims.Length(), sorter.rack.Duties.Records()
+		status.Guards, status.Claims, status.Duties = sorter.machine.Guards.Records(), sorter.machine.Claims.Length(), sorter.machine.Duties.Records()
 		status.Now = int64(now)
 	})
 	return status
--- a/internal/sorter/rack/bench_test.go
+++ b/internal/registry/statemachine/bench_test.go
@@ -1,4 +1,4 @@
-package rack
+package statemachine
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 	"snowflow/internal/postmark"
 )
 
-// full is a rack with as many claims as half a minute of a busy day leaves.
-func full(count int) *Rack {
+// full is a machine with as many claims as half a minute of a busy day leaves.
+func full(count int) *Machine {
 	made := New()
 	for index := range count {
 		content, _ := proto.Marshal(&wire.SorterCommand{Claim: claimOf(index)})
@@ -31,11 +31,11 @@
 func TestRestoreLeavesClaimsEncoded(t *testing.T) {
 	const claims = 2000
 	view := full(claims).View()
-	rack := New()
-	if allocations := testing.AllocsPerRun(3, func() { _ = rack.Restore(view) }); allocations > 1.5*claims {
+	machine := New()
+	if allocations := testing.AllocsPerRun(3, func() { _ = machine.Restore(view) }); allocations > 1.5*claims {
 		t.Errorf("%v allocations for %d claims", allocations, claims)
 	}
-	if again := rack.View(); !bytes.Equal(again, view) {
+	if again := machine.View(); !bytes.Equal(again, view) {
 		t.Errorf("a view of %d bytes came back as another of %d", len(view), len(again))
 	}
 }
--- /dev/null
+++ b/internal/registry/statemachine/statemachine.go
@@ -0,0 +1,144 @@
+// Package statemachine is the sorters' replicated state: guards, claims and duties behind replication's machine interface.
+package statemachine
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/registry/breakerstore"
+	"snowflow/internal/registry/claims"
+	"snowflow/internal/registry/duty"
+)
+
+// sweepEvery is how far holder time moves between two sweeps. Sweeps happen inside Apply, so both copies make the same.
+const sweepEvery = 250 * postmark.Millisecond
+
+// Machine is the machine. Invariant: it changes only in Apply and Restore, and only by what they are given.
+type Machine struct {
+	Guards *breakerstore.Table
+	Claims *claims.Table
+	Duties *duty.Table
+	swept  postmark.Micros
+}
+
+// New makes an empty machine.
+func New() *Machine {
+	return &Machine{Guards: breakerstore.New(), Claims: claims.New(), Duties: duty.New()}
+}
+
+// Apply carries out a command. An empty command is a tick.
+func (machine *Machine) Apply(epoch uint64, now postmark.Micros, content []byte) []byte {
+	command := &wire.SorterCommand{}
+	if err := proto.Unmarshal(content, command); err != nil {
+		return nil
+	}
+	if ended := command.GetTick().GetEnded(); now-machine.swept >= sweepEvery || len(ended) > 0 {
+		machine.swept = now
+		machine.Guards.Sweep(ended, now)
+		machine.Claims.Sweep(now)
+		machine.Duties.Sweep(now)
+	}
+	result := &wire.SorterResult{}
+	for _, step := range steps {
+		step(machine, epoch, now, command, result)
+	}
+	encoded, err := proto.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// steps carry out the part of a command that is present.
+var steps = []func(machine *Machine, epoch uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult){
+	func(machine *Machine, _ uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult) {
+		if command.Claim != nil {
+			result.Claim = machine.Claims.Claim(command.Claim, now)
+		}
+	},
+	func(machine *Machine, epoch uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult) {
+		if command.Void != nil {
+			result.Void = machine.Claims.Void(command.Void, epoch, now)
+		}
+	},
+	func(machine *Machine, _ uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult) {
+		if command.Settle != nil {
+			result.Settle = machine.Claims.Settle(command.Settle, now)
+		}
+	},
+	func(machine *Machine, _ uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult) {
+		if command.Lease != nil {
+			result.Lease = machine.Guards.Lease(command.Lease, now)
+		}
+	},
+	func(machine *Machine, _ uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult) {
+		if command.Guard != nil {
+			result.Guard = machine.Guards.Write(command.Guard, now)
+		}
+	},
+	func(machine *Machine, _ uint64, now postmark.Micros, command *wire.SorterCommand, result *wire.SorterResult) {
+		if command.Duty != nil {
+			result.Duty = machine.Duties.Ask(command.Duty, now)
+		}
+	},
+}
+
+// The claims' field in wire.SorterView. They are most of the state, so they are copied into a view and out of it as they are encoded.
+const claimsField protowire.Number = 2
+
+// View gives the whole state.
+func (machine *Machine) View() []byte {
+	rest := &wire.SorterView{Guards: machine.Guards.Records(), Duties: machine.Duties.Records(), Swept: int64(machine.swept)}
+	options := proto.MarshalOptions{}
+	room := options.Size(rest) + machine.Claims.Size() + machine.Claims.Length()*(protowire.SizeTag(claimsField)+protowire.SizeVarint(1<<20))
+	content, err := options.MarshalAppend(make([]byte, 0, room), rest)
+	if err != nil {
+		panic(err) // the state is made of messages that were decoded or built here
+	}
+	return machine.Claims.AppendView(content, claimsField)
+}
+
+// Restore replaces the state; nothing restores the empty one. The content is kept, not copied.
+func (machine *Machine) Restore(content []byte) error {
+	claims, rest, err := apart(content)
+	if err != nil {
+		return err
+	}
+	view := &wire.SorterView{}
+	if err := proto.Unmarshal(rest, view); err != nil {
+		return err
+	}
+	if err := machine.Claims.Restore(claims); err != nil {
+		return err
+	}
+	machine.Guards.Restore(view.Guards)
+	machine.Duties.Restore(view.Duties)
+	machine.swept = postmark.Micros(view.Swept)
+	return nil
+}
+
+// apart takes a view's encoded claims out of it.
+func apart(view []byte) (claims [][]byte, rest []byte, err error) {
+	for len(view) > 0 {
+		number, kind, length := protowire.ConsumeField(view)
+		if length < 0 {
+			return nil, nil, protowire.ParseError(length)
+		}
+		if number == claimsField && kind == protowire.BytesType {
+			_, _, tag := protowire.ConsumeTag(view)
+			claim, _ := protowire.ConsumeBytes(view[tag:])
+			claims = append(claims, claim)
+		} else {
+			rest = append(rest, view[:length]...)
+		}
+		view = view[length:]
+	}
+	return claims, rest, nil
+}
+
+// Waiting tells whether time matters.
+func (machine *Machine) Waiting() bool {
+	return machine.Guards.Waiting() || machine.Claims.Length() > 0 || len(machine.Duties.Records()) > 0
+}
--- a/internal/sorter/rack/rack_test.go
+++ b/internal/registry/statemachine/statemachine_test.go
@@ -1,4 +1,4 @@
-package rack_test
+package statemachine_test
 
 import (
 	"fmt"
@@ -10,19 +10,19 @@
 
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/sorter/rack"
+	"snowflow/internal/registry/statemachine"
 )
 
 // TestRack keeps transcripts of commands to the sorters' replicated state. Each line is one command at a second of holder
 // time; after every one the state is taken through a view and back, as a failover would.
 func TestRack(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		state := rack.New()
+		state := statemachine.New()
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			var text strings.Builder
 			for _, line := range strings.Split(strings.TrimSpace(data.Input), "\n") {
 				fmt.Fprintf(&text, "%s\n", play(t, state, strings.Fields(line)))
-				again := rack.New()
+				again := statemachine.New()
 				if err := again.Restore(state.View()); err != nil {
 					t.Fatal(err)
 				}
@@ -36,7 +36,7 @@
 var terms = &wire.GuardTerms{WaitOpen: int64(5 * postmark.Second), Permitted: 2, FailureRate: 0.5, ProbeTenure: int64(3 * postmark.Second), StateTtl: int64(300 * postmark.Second)}
 
 // play carries out "SECOND VERB ARGUMENTS...".
-func play(t *testing.T, state *rack.Rack, words []string) (text string) {
+func play(t *testing.T, state *statemachine.Machine, words []string) (text string) {
 	var second float64
 	if _, err := fmt.Sscan(words[0], &second); err != nil {
 		t.Fatal(err)
--- a/internal/countersign/copy.go
+++ b/internal/replication/copy.go
@@ -1,4 +1,4 @@
-package countersign
+package replication
 
 import (
 	"errors"
@@ -10,7 +10,7 @@
 	"snowflow/internal/bulletin"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
 const journalFile = "journal"
@@ -25,7 +25,7 @@
 //   - fenced is above every epoch whose primary this copy must no longer obey;
 //   - applied <= sequence; what lies between was written here but not answered.
 type copy struct {
-	box         *strongbox.Box
+	log         *wal.Log
 	incarnation atomic.Uint64
 	epoch       uint64
 	sequence    uint64
@@ -41,7 +41,7 @@
 func (member *Member) openCopy() error {
 	place := member.env.Place
 	name := member.file(journalFile)
-	box, err := strongbox.Open(place.Disk(), name, func(content []byte) error {
+	log, err := wal.Open(place.Disk(), name, func(content []byte) error {
 		record := &wire.JournalRecord{}
 		if err := proto.Unmarshal(content, record); err != nil {
 			return err
@@ -61,17 +61,17 @@
 	if isDamaged(err) {
 		place.Report(bulletin.DiskDamaged, map[string]any{"file": name, "error": err.Error()})
 		member.copy = copy{}
-		if box, err = strongbox.Discard(place.Disk(), name); err == nil {
+		if log, err = wal.Discard(place.Disk(), name); err == nil {
 			err = member.env.Machine.Restore(nil)
 		}
 	}
 	if err != nil {
 		return err
 	}
-	if box.Cut > 0 {
-		place.Report(bulletin.DiskTornTail, map[string]any{"file": name, "bytes": box.Cut})
+	if log.Cut > 0 {
+		place.Report(bulletin.DiskTornTail, map[string]any{"file": name, "bytes": log.Cut})
 	}
-	member.copy.box = box
+	member.copy.log = log
 	member.copy.line = timeline{at: place.Now(), line: member.copy.holderTime}
 	if member.copy.incarnation.Load() == 0 {
 		member.copy.incarnation.Store(place.Random() | 1)
@@ -132,20 +132,20 @@
 // rewrite replaces the journal by one view of all that is applied.
 func (member *Member) rewrite() error {
 	content := marshal(&wire.JournalRecord{View: member.view(), Part: member.copy.incarnation.Load()})
-	err := member.copy.box.Rewrite(content)
+	err := member.copy.log.Rewrite(content)
 	if isFull(err) && member.releaseReserve() {
-		if err = member.copy.box.Rewrite(content); err == nil {
-			_ = strongbox.Reserve(member.env.Place.Disk(), 1<<20) // best effort: without room the doctor tells
+		if err = member.copy.log.Rewrite(content); err == nil {
+			_ = wal.Reserve(member.env.Place.Disk(), 1<<20) // best effort: without room the doctor tells
 		}
 	}
-	member.copy.rewritten = member.copy.box.Size()
+	member.copy.rewritten = member.copy.log.Size()
 	return member.surviving(err)
 }
 
 // long tells whether the journal is worth rewriting: past a least length, and several times what a rewrite leaves. The
 // second keeps a large state from being rewritten with every batch.
 func (member *Member) long() bool {
-	return member.copy.box.Size() > max(member.env.CompactFrom, 3*member.copy.rewritten)
+	return member.copy.log.Size() > max(member.env.CompactFrom, 3*member.copy.rewritten)
 }
 
 // surviving stops the process on a failed sync, and passes every error on.
@@ -173,14 +173,14 @@
 // append writes records and syncs them. Where the disk is full, what is applied is rewritten first.
 func (member *Member) append(payloads [][]byte) error {
 	started := member.env.Place.Now()
-	err := member.copy.box.Append(payloads...)
-	if isFull(err) && len(member.copy.pending) == 0 && member.copy.box.Size() > 64<<10 {
+	err := member.copy.log.Append(payloads...)
+	if isFull(err) && len(member.copy.pending) == 0 && member.copy.log.Size() > 64<<10 {
 		if err = member.rewrite(); err == nil {
-			err = member.copy.box.Append(payloads...)
+			err = member.copy.log.Append(payloads...)
 		}
 	}
 	if err == nil {
-		err = member.copy.box.Sync()
+		err = member.copy.log.Sync()
 	}
 	member.copy.lastSync = member.env.Place.Now() - started
 	return member.surviving(err)
--- a/internal/countersign/copy_test.go
+++ b/internal/replication/copy_test.go
@@ -1,12 +1,12 @@
-package countersign
+package replication
 
 import (
 	"bytes"
 	"testing"
 
-	"snowflow/internal/gazetteer"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -23,8 +23,8 @@
 func TestLargeStateIsNotRewrittenWithEveryBatch(t *testing.T) {
 	simulated := world.New(1)
 	stored := 0
-	node := simulated.Add("one", "one", "one", func(place *world.Place) (office.Table, error) {
-		member, err := Open(Env{Place: place, Book: gazetteer.New(place, nil, nil), Group: "test", Name: "one", Voters: []string{"one"},
+	node := simulated.Add("one", "one", "one", func(place *world.Place) (host.Table, error) {
+		member, err := Open(Env{Place: place, Book: discovery.New(place, nil, nil), Group: "test", Name: "one", Voters: []string{"one"},
 			Machine: &heavy{content: bytes.Repeat([]byte("x"), 100<<10)}, CompactFrom: 1 << 10})
 		if err != nil {
 			return nil, err
@@ -38,7 +38,7 @@
 				}
 			})
 		}
-		return office.Table{}, err
+		return host.Table{}, err
 	})
 	simulated.Start(node)
 	simulated.Run(simulated.Now() + postmark.Minute)
--- a/internal/countersign/lead.go
+++ b/internal/replication/leading.go
@@ -1,4 +1,4 @@
-package countersign
+package replication
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"sync"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -300,7 +300,7 @@
 // delivery is how one backup took a batch. Its first end counts.
 type delivery struct {
 	backup   *wire.Holder
-	answered office.Signal
+	answered host.Signal
 	lock     sync.Mutex
 	over     bool
 	err      error
