--- a/internal/countersign/countersign.go
+++ b/internal/replication/member.go
@@ -1,9 +1,9 @@
-// Package countersign keeps one group's state in two synced copies and decides which machine leads.
+// Package replication keeps one group's state in two synced copies and decides which machine leads.
 //
 // All voters of a group keep a tiny epoch register, changed by single-decree ballots over a majority. The register
 // names the primary and the backup. A write is answered once both have synced it; the rest of the voters are
 // witnesses that keep only the register. There is no log that a majority replicates.
-package countersign
+package replication
 
 import (
 	"errors"
@@ -15,15 +15,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/gazetteer"
-	"snowflow/internal/office"
-	"snowflow/internal/office/vigil"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
+	"snowflow/internal/host/vigil"
 	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/release"
 	"snowflow/internal/seal"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
 // Machine is the state that a group keeps. Its functions are called one at a time and never block.
@@ -39,8 +39,8 @@
 
 // Env is what a member is made of.
 type Env struct {
-	Place office.Office
-	Book  *gazetteer.Book
+	Place host.Host
+	Book  *discovery.Book
 	Group string
 	Name  string
 	// Voters is the roster of a first start, the same at all that take part in it. Later ones are in the register.
@@ -101,18 +101,18 @@
 // Errors that a proposal may end with.
 var (
 	// ErrNotPrimary: the command was not taken; it has not been and will not be applied.
-	ErrNotPrimary = errors.New("countersign: not the primary")
+	ErrNotPrimary = errors.New("replication: not the primary")
 	// ErrUnknown: the command may be applied, now or later.
-	ErrUnknown = errors.New("countersign: outcome unknown")
+	ErrUnknown = errors.New("replication: outcome unknown")
 )
 
 // Member is one process's part in a group: its seat as a voter, its copy of the state, and its lead if it has one.
 type Member struct {
 	env      Env
-	seat     *office.Owner // owns voter
-	keeper   *office.Owner // owns copy's journal
-	proposer *office.Owner // runs ballots one at a time
-	inbox    *office.Inbox[*proposal]
+	seat     *host.Owner // owns voter
+	keeper   *host.Owner // owns copy's journal
+	proposer *host.Owner // runs ballots one at a time
+	inbox    *host.Inbox[*proposal]
 	voter    voter
 	copy     copy
 	// Vigil watches this process's clock.
@@ -141,7 +141,7 @@
 	// life is a number that no other life of this process has.
 	life uint64
 	// nudge wakes the task that attends to this member's place.
-	nudge office.Signal
+	nudge host.Signal
 
 	// machineLock guards env.Machine and the fields of copy that say how far it is applied.
 	machineLock sync.Mutex
@@ -183,7 +183,7 @@
 	command []byte
 	result  []byte
 	err     error
-	done    office.Signal
+	done    host.Signal
 }
 
 // Open reads what the disk holds. Start must follow.
@@ -195,13 +195,13 @@
 		// What this seat granted may seem to be over and not be.
 		member.seat.Do(func() { member.voter.waitOut(env.Place.Now() + env.Tenure) })
 	})
-	member.seat, member.keeper, member.proposer = office.NewOwner(env.Place), office.NewOwner(env.Place), office.NewOwner(env.Place)
-	member.inbox, member.nudge = office.NewInbox[*proposal](env.Place), env.Place.NewSignal()
+	member.seat, member.keeper, member.proposer = host.NewOwner(env.Place), host.NewOwner(env.Place), host.NewOwner(env.Place)
+	member.inbox, member.nudge = host.NewInbox[*proposal](env.Place), env.Place.NewSignal()
 	if env.Genesis && member.rank() == 0 {
 		return nil, fmt.Errorf("%s is not among the voters of a first start of %s", env.Name, env.Group)
 	}
 	member.lastHeard = env.Place.Now()
-	if err := strongbox.Reserve(env.Place.Disk(), 1<<20); err != nil && !isFull(err) {
+	if err := wal.Reserve(env.Place.Disk(), 1<<20); err != nil && !isFull(err) {
 		return nil, err
 	}
 	var err error
@@ -224,50 +224,50 @@
 }
 
 // Register adds the group's handlers.
-func (member *Member) Register(table office.Table) {
-	office.Handle(table, wire.Kind_register_read, func(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
+func (member *Member) Register(table host.Table) {
+	host.Handle(table, wire.Kind_register_read, func(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerRegisterRead(ask)
 	})
-	office.Handle(table, wire.Kind_register_promise, func(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
+	host.Handle(table, wire.Kind_register_promise, func(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerPromise(ask)
 	})
-	office.Handle(table, wire.Kind_register_accept, func(ask *wire.AcceptAsk) (*wire.AcceptTell, error) {
+	host.Handle(table, wire.Kind_register_accept, func(ask *wire.AcceptAsk) (*wire.AcceptTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerAccept(ask)
 	})
-	office.Handle(table, wire.Kind_tenure_ask, func(ask *wire.TenureAsk) (*wire.TenureTell, error) {
+	host.Handle(table, wire.Kind_tenure_ask, func(ask *wire.TenureAsk) (*wire.TenureTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerTenure(ask)
 	})
-	office.Handle(table, wire.Kind_enroll, func(ask *wire.EnrollAsk) (*wire.EnrollTell, error) {
+	host.Handle(table, wire.Kind_enroll, func(ask *wire.EnrollAsk) (*wire.EnrollTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerEnroll(ask)
 	})
-	office.Handle(table, wire.Kind_replicate, func(ask *wire.ReplicateAsk) (*wire.ReplicateTell, error) {
+	host.Handle(table, wire.Kind_replicate, func(ask *wire.ReplicateAsk) (*wire.ReplicateTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerReplicate(ask)
 	})
-	office.Handle(table, wire.Kind_install, func(ask *wire.InstallAsk) (*wire.InstallTell, error) {
+	host.Handle(table, wire.Kind_install, func(ask *wire.InstallAsk) (*wire.InstallTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
 		return member.answerInstall(ask)
 	})
-	office.Handle(table, wire.Kind_handover, func(ask *wire.HandoverAsk) (*wire.HandoverTell, error) {
+	host.Handle(table, wire.Kind_handover, func(ask *wire.HandoverAsk) (*wire.HandoverTell, error) {
 		if err := addressed(member, ask.To); err != nil {
 			return nil, err
 		}
@@ -342,7 +342,7 @@
 
 func (member *Member) releaseReserve() bool {
 	member.env.Place.Report(bulletin.DiskFull, map[string]any{"group": member.env.Group})
-	return strongbox.ReleaseReserve(member.env.Place.Disk()) == nil
+	return wal.ReleaseReserve(member.env.Place.Disk()) == nil
 }
 
 func (member *Member) stop(why string) {
@@ -356,9 +356,9 @@
 	}
 }
 
-func isDamaged(err error) bool  { return errors.Is(err, strongbox.ErrDamaged) }
-func isPoisoned(err error) bool { return errors.Is(err, strongbox.ErrPoisoned) }
-func isFull(err error) bool     { return errors.Is(err, strongbox.ErrFull) }
+func isDamaged(err error) bool  { return errors.Is(err, wal.ErrDamaged) }
+func isPoisoned(err error) bool { return errors.Is(err, wal.ErrPoisoned) }
+func isFull(err error) bool     { return errors.Is(err, wal.ErrFull) }
 
 // Propose has a command applied by the primary, here, and gives its result once both copies have synced it.
 func (member *Member) Propose(command []byte) ([]byte, error) {
@@ -505,7 +505,7 @@
 		Release: release.Version, Wire: frame.Version, Wall: time.Now().UnixMicro()}
 	member.seat.Do(func() { status.Joined = member.voter.record.Joined })
 	member.keeper.Do(func() {
-		status.Sequence, status.Journal, status.SyncTime = member.copy.sequence, member.copy.box.Size(), int64(member.copy.lastSync)
+		status.Sequence, status.Journal, status.SyncTime = member.copy.sequence, member.copy.log.Size(), int64(member.copy.lastSync)
 	})
 	member.lock.Lock()
 	if value := member.value; value != nil {
--- a/internal/countersign/proposer.go
+++ b/internal/replication/proposer.go
@@ -1,4 +1,4 @@
-package countersign
+package replication
 
 import (
 	"errors"
@@ -7,23 +7,23 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"snowflow/internal/office"
+	"snowflow/internal/host"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
 )
 
 // errNoMajority: the register could not be read or changed now; whether a change took place may be unknown.
-var errNoMajority = errors.New("countersign: no majority")
+var errNoMajority = errors.New("replication: no majority")
 
 // errUnchanged: the change function turned the present value down.
-var errUnchanged = errors.New("countersign: the register holds another value")
+var errUnchanged = errors.New("replication: the register holds another value")
 
 func gather[Reply any](member *Member, names []string, patience postmark.Micros, ask func(name string) (Reply, error), enough func(map[string]Reply, int) bool) map[string]Reply {
 	if enough == nil {
 		enough = func(map[string]Reply, int) bool { return false }
 	}
-	return office.Gather(member.env.Place, names, patience, ask, enough)
+	return host.Gather(member.env.Place, names, patience, ask, enough)
 }
 
 func (member *Member) call(name string, kind wire.Kind, ask, tell proto.Message) error {
--- a/internal/countersign/tail.go
+++ b/internal/replication/tail.go
@@ -1,4 +1,4 @@
-package countersign
+package replication
 
 import (
 	"slices"
--- a/internal/countersign/voter.go
+++ b/internal/replication/voter.go
@@ -1,4 +1,4 @@
-package countersign
+package replication
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 	"snowflow/internal/seal"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
 // voter is this process's seat in its group's epoch register. Its owner is Member.seat; only the seat's task touches it.
@@ -26,7 +26,7 @@
 //   - votesFrom is only cut short while it stands for an earlier life's grants alone, and once each of the grantees is known to be
 //     over: a lease is held by one life of a process, and ends with it.
 type voter struct {
-	box        *strongbox.Box
+	log        *wal.Log
 	record     *wire.RegisterRecord
 	promisedAt postmark.Micros
 	promisedTo *wire.Holder // in this life
@@ -50,7 +50,7 @@
 func (member *Member) openVoter() error {
 	place := member.env.Place
 	member.voter.record = &wire.RegisterRecord{}
-	box, err := strongbox.Open(place.Disk(), member.file(registerFile), func(content []byte) error {
+	log, err := wal.Open(place.Disk(), member.file(registerFile), func(content []byte) error {
 		record := &wire.RegisterRecord{}
 		if err := proto.Unmarshal(content, record); err != nil {
 			return err
@@ -61,15 +61,15 @@
 	if isDamaged(err) {
 		place.Report(bulletin.DiskDamaged, map[string]any{"file": member.file(registerFile), "error": err.Error()})
 		member.voter.record = &wire.RegisterRecord{}
-		box, err = strongbox.Discard(place.Disk(), member.file(registerFile))
+		log, err = wal.Discard(place.Disk(), member.file(registerFile))
 	}
 	if err != nil {
 		return err
 	}
-	if box.Cut > 0 {
-		place.Report(bulletin.DiskTornTail, map[string]any{"file": member.file(registerFile), "bytes": box.Cut})
+	if log.Cut > 0 {
+		place.Report(bulletin.DiskTornTail, map[string]any{"file": member.file(registerFile), "bytes": log.Cut})
 	}
-	member.voter.box = box
+	member.voter.log = log
 	record := member.voter.record
 	if record.Name != "" && record.Name != member.env.Name {
 		return seal.Invalid.New("data folder belongs to %s, not to %s", record.Name, member.env.Name)
@@ -91,14 +91,14 @@
 	if err != nil {
 		return err
 	}
-	box := member.voter.box
-	if box.Size() > 64<<10 {
-		err = box.Rewrite(content)
-	} else if err = box.Append(content); err == nil {
-		err = box.Sync()
+	log := member.voter.log
+	if log.Size() > 64<<10 {
+		err = log.Rewrite(content)
+	} else if err = log.Append(content); err == nil {
+		err = log.Sync()
 	}
 	if isFull(err) && member.releaseReserve() {
-		err = box.Rewrite(content)
+		err = log.Rewrite(content)
 	}
 	if err != nil {
 		if isPoisoned(err) {
--- a/internal/countersign/weights_test.go
+++ b/internal/replication/weights_test.go
@@ -1,4 +1,4 @@
-package countersign
+package replication
 
 import (
 	"fmt"
@@ -6,9 +6,9 @@
 	"testing"
 
 	"snowflow/internal/bulletin"
-	"snowflow/internal/gazetteer"
+	"snowflow/internal/discovery"
+	"snowflow/internal/host"
 	"snowflow/internal/mailround/world"
-	"snowflow/internal/office"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
 )
@@ -80,8 +80,8 @@
 			reports++
 		}
 	}
-	simulated.Start(simulated.Add("a", "a", "a", func(place *world.Place) (office.Table, error) {
-		member, err := Open(Env{Place: place, Book: gazetteer.New(place, nil, nil), Group: "test", Name: "a", Voters: []string{"a", "b", "c", "d"}, Machine: &heavy{}})
+	simulated.Start(simulated.Add("a", "a", "a", func(place *world.Place) (host.Table, error) {
+		member, err := Open(Env{Place: place, Book: discovery.New(place, nil, nil), Group: "test", Name: "a", Voters: []string{"a", "b", "c", "d"}, Machine: &heavy{}})
 		if err != nil {
 			return nil, err
 		}
@@ -101,7 +101,7 @@
 			}
 		}
 		asked = true
-		return office.Table{}, nil
+		return host.Table{}, nil
 	}))
 	simulated.Run(simulated.Now() + postmark.Second)
 	if !asked || reports != 2 {
--- a/internal/strongbox/disk.go
+++ b/internal/wal/disk.go
@@ -1,4 +1,4 @@
-package strongbox
+package wal
 
 import "errors"
 
@@ -22,10 +22,10 @@
 }
 
 // ErrFull marks a disk without room.
-var ErrFull = errors.New("strongbox: disk full")
+var ErrFull = errors.New("wal: disk full")
 
-// ErrPoisoned marks a box whose sync failed: what it holds on disk is unknown, so it's not used again in this life.
-var ErrPoisoned = errors.New("strongbox: a sync failed, the file is not to be trusted")
+// ErrPoisoned marks a log whose sync failed: what it holds on disk is unknown, so it's not used again in this life.
+var ErrPoisoned = errors.New("wal: a sync failed, the file is not to be trusted")
 
 // ErrDamaged marks a file with damage before its synced end. The copy is to be discarded.
-var ErrDamaged = errors.New("strongbox: damage before the end of the file")
+var ErrDamaged = errors.New("wal: damage before the end of the file")
--- a/internal/strongbox/folder/folder.go
+++ b/internal/wal/folder/folder.go
@@ -1,4 +1,4 @@
-// Package folder is the strongbox's disk on a real machine: one folder, or one owner's files in it, locked against a second process.
+// Package folder is the log file's disk on a real machine: one folder, or one owner's files in it, locked against a second process.
 package folder
 
 import (
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
 // Folder is a data folder, or one owner's part of it, held by this process alone until the process ends.
@@ -47,7 +47,7 @@
 }
 
 // Open opens or makes a file.
-func (folder *Folder) Open(name string) (strongbox.File, error) {
+func (folder *Folder) Open(name string) (wal.File, error) {
 	file, err := os.OpenFile(filepath.Join(folder.path, folder.prefix+name), os.O_CREATE|os.O_RDWR, 0o640)
 	if err != nil {
 		return nil, full(err)
@@ -120,7 +120,7 @@
 // full tells a disk, a quota or a file limit that is used up from other trouble.
 func full(err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) {
-		return fmt.Errorf("%w: %w", strongbox.ErrFull, err)
+		return fmt.Errorf("%w: %w", wal.ErrFull, err)
 	}
 	return err
 }
--- a/internal/strongbox/folder/folder_test.go
+++ b/internal/wal/folder/folder_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"snowflow/internal/strongbox/folder"
+	"snowflow/internal/wal/folder"
 )
 
 // TestOwnersShareAFolder: owners of one folder see nothing of each other, and each part belongs to one process.
--- a/internal/strongbox/memory/memory.go
+++ b/internal/wal/memory/memory.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"snowflow/internal/postmark"
-	"snowflow/internal/strongbox"
+	"snowflow/internal/wal"
 )
 
 // Disk is one simulated folder.
@@ -90,7 +90,7 @@
 }
 
 // Open opens or makes a file.
-func (disk *Disk) Open(name string) (strongbox.File, error) {
+func (disk *Disk) Open(name string) (wal.File, error) {
 	if disk.files[name] == nil {
 		disk.files[name] = &file{}
 	}
@@ -155,7 +155,7 @@
 func (handle *handle) WriteAt(content []byte, offset int64) error {
 	grown := int(offset) + len(content) - len(handle.file.content)
 	if grown > 0 && handle.disk.Capacity > 0 && handle.disk.used()+grown > handle.disk.Capacity {
-		return strongbox.ErrFull
+		return wal.ErrFull
 	}
 	if grown > 0 {
 		handle.file.content = append(handle.file.content, make([]byte, grown)...)
--- a/internal/strongbox/strongbox.go
+++ b/internal/wal/wal.go
@@ -1,6 +1,6 @@
-// Package strongbox keeps records in an append-only file: each record has a number, a checksum and the number
+// Package wal keeps records in an append-only file: each record has a number, a checksum and the number
 // that was known synced when it was written. The last tells a torn tail, which is cut, from damage, which is not mended.
-package strongbox
+package wal
 
 import (
 	"encoding/binary"
@@ -18,9 +18,9 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// Box is one file of records. It has one owner; it isn't safe for two tasks at once.
+// Log is an append-only file of records. It has one owner; it isn't safe for two tasks at once.
 // Invariants: records on disk are numbered without gaps from 1; synced <= last; size is the offset behind the last record.
-type Box struct {
+type Log struct {
 	disk     Disk
 	name     string
 	file     File
@@ -32,8 +32,8 @@
 	Cut int64
 }
 
-// Open reads a box and gives its records to visit, oldest first.
-func Open(disk Disk, name string, visit func(content []byte) error) (*Box, error) {
+// Open reads a log and gives its records to visit, oldest first.
+func Open(disk Disk, name string, visit func(content []byte) error) (*Log, error) {
 	// A rewrite that did not reach its rename leaves a file that holds nothing acknowledged.
 	if err := disk.Remove(name + ".new"); err != nil {
 		return nil, err
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	box := &Box{disk: disk, name: name, file: file}
+	log := &Log{disk: disk, name: name, file: file}
 	content, err := file.ReadAll()
 	if err != nil {
 		return nil, err
@@ -50,21 +50,21 @@
 	offset := int64(0)
 	for offset < int64(len(content)) {
 		number, payload, length, valid := parse(content[offset:])
-		if !valid || number != box.last+1 {
-			if evidence := syncedBeyond(content[offset:], box.last); evidence {
+		if !valid || number != log.last+1 {
+			if evidence := syncedBeyond(content[offset:], log.last); evidence {
 				return nil, fmt.Errorf("%w: %s at byte %d", ErrDamaged, name, offset)
 			}
-			box.Cut = int64(len(content)) - offset
+			log.Cut = int64(len(content)) - offset
 			break
 		}
 		if err := visit(payload); err != nil {
 			return nil, fmt.Errorf("%w: %s at byte %d: %w", ErrDamaged, name, offset, err)
 		}
-		box.last = number
+		log.last = number
 		offset += length
 	}
-	box.size = offset
-	if box.Cut > 0 {
+	log.size = offset
+	if log.Cut > 0 {
 		if err := file.Truncate(offset); err != nil {
 			return nil, err
 		}
@@ -73,8 +73,8 @@
 	if err := errors.Join(file.Sync(), disk.SyncFolder()); err != nil {
 		return nil, err
 	}
-	box.synced = box.last
-	return box, nil
+	log.synced = log.last
+	return log, nil
 }
 
 func parse(content []byte) (number uint64, payload []byte, length int64, valid bool) {
@@ -116,53 +116,53 @@
 }
 
 // Append writes records behind the last one. They last only after Sync.
-func (box *Box) Append(payloads ...[]byte) error {
-	if box.poisoned {
+func (log *Log) Append(payloads ...[]byte) error {
+	if log.poisoned {
 		return ErrPoisoned
 	}
 	var content []byte
 	for index, payload := range payloads {
-		content = append(content, frame(box.last+1+uint64(index), box.synced, payload)...)
+		content = append(content, frame(log.last+1+uint64(index), log.synced, payload)...)
 	}
-	if err := box.file.WriteAt(content, box.size); err != nil {
+	if err := log.file.WriteAt(content, log.size); err != nil {
 		// A part may have been written; it's cut so that the next append starts clean.
-		if cutErr := box.file.Truncate(box.size); cutErr != nil {
-			box.poisoned = true
+		if cutErr := log.file.Truncate(log.size); cutErr != nil {
+			log.poisoned = true
 		}
 		return err
 	}
-	box.size += int64(len(content))
-	box.last += uint64(len(payloads))
+	log.size += int64(len(content))
+	log.last += uint64(len(payloads))
 	return nil
 }
 
-// Sync makes all that was appended last. A failed sync poisons the box.
-func (box *Box) Sync() error {
-	if box.poisoned {
+// Sync makes all that was appended last. A failed sync poisons the log.
+func (log *Log) Sync() error {
+	if log.poisoned {
 		return ErrPoisoned
 	}
-	last := box.last
-	if err := box.file.Sync(); err != nil {
-		box.poisoned = true
+	last := log.last
+	if err := log.file.Sync(); err != nil {
+		log.poisoned = true
 		return fmt.Errorf("%w: %w", ErrPoisoned, err)
 	}
-	box.synced = last
+	log.synced = last
 	return nil
 }
 
 // Size is the length of the file in bytes.
-func (box *Box) Size() int64 { return box.size }
+func (log *Log) Size() int64 { return log.size }
 
 // Rewrite replaces the file by one that holds just these records, synced before it takes the old one's place.
-func (box *Box) Rewrite(payloads ...[]byte) error {
-	if box.poisoned {
+func (log *Log) Rewrite(payloads ...[]byte) error {
+	if log.poisoned {
 		return ErrPoisoned
 	}
-	fresh := box.name + ".new"
-	if err := box.disk.Remove(fresh); err != nil {
+	fresh := log.name + ".new"
+	if err := log.disk.Remove(fresh); err != nil {
 		return err
 	}
-	file, err := box.disk.Open(fresh)
+	file, err := log.disk.Open(fresh)
 	if err != nil {
 		return err
 	}
@@ -171,23 +171,23 @@
 		content = append(content, frame(uint64(index+1), 0, payload)...)
 	}
 	if err := errors.Join(file.WriteAt(content, 0), file.Sync()); err != nil {
-		return errors.Join(err, file.Close(), box.disk.Remove(fresh))
+		return errors.Join(err, file.Close(), log.disk.Remove(fresh))
 	}
-	// From here on the name may stand for either file, so a failure leaves the box unusable in this life.
-	if err := errors.Join(box.disk.Rename(fresh, box.name), box.disk.SyncFolder()); err != nil {
-		box.poisoned = true
+	// From here on the name may stand for either file, so a failure leaves the log unusable in this life.
+	if err := errors.Join(log.disk.Rename(fresh, log.name), log.disk.SyncFolder()); err != nil {
+		log.poisoned = true
 		return fmt.Errorf("%w: %w", ErrPoisoned, err)
 	}
-	old := box.file
-	box.file, box.size, box.last, box.synced = file, int64(len(content)), uint64(len(payloads)), uint64(len(payloads))
+	old := log.file
+	log.file, log.size, log.last, log.synced = file, int64(len(content)), uint64(len(payloads)), uint64(len(payloads))
 	return old.Close()
 }
 
 // Close closes the file.
-func (box *Box) Close() error { return box.file.Close() }
+func (log *Log) Close() error { return log.file.Close() }
 
-// Discard removes a damaged box's file and opens an empty one in its place.
-func Discard(disk Disk, name string) (*Box, error) {
+// Discard removes a damaged log's file and opens an empty one in its place.
+func Discard(disk Disk, name string) (*Log, error) {
 	if err := errors.Join(disk.Remove(name), disk.SyncFolder()); err != nil {
 		return nil, err
 	}
--- a/internal/strongbox/strongbox_test.go
+++ b/internal/wal/wal_test.go
@@ -1,36 +1,36 @@
-package strongbox_test
+package wal_test
 
 import (
 	"errors"
 	"fmt"
 	"testing"
 
-	"snowflow/internal/strongbox"
-	"snowflow/internal/strongbox/memory"
+	"snowflow/internal/wal"
+	"snowflow/internal/wal/memory"
 )
 
-func open(t *testing.T, disk *memory.Disk) (*strongbox.Box, []string, error) {
+func open(t *testing.T, disk *memory.Disk) (*wal.Log, []string, error) {
 	t.Helper()
 	var records []string
-	box, err := strongbox.Open(disk, "box", func(content []byte) error {
+	log, err := wal.Open(disk, "log", func(content []byte) error {
 		records = append(records, string(content))
 		return nil
 	})
-	return box, records, err
+	return log, records, err
 }
 
-func fill(t *testing.T, disk *memory.Disk, count int) *strongbox.Box {
+func fill(t *testing.T, disk *memory.Disk, count int) *wal.Log {
 	t.Helper()
-	box, _, err := open(t, disk)
+	log, _, err := open(t, disk)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for index := range count {
-		if err := errors.Join(box.Append([]byte(fmt.Sprintf("record %d", index))), box.Sync()); err != nil {
+		if err := errors.Join(log.Append([]byte(fmt.Sprintf("record %d", index))), log.Sync()); err != nil {
 			t.Fatal(err)
 		}
 	}
-	return box
+	return log
 }
 
 // TestTornTailIsCutAtEveryLength writes one more record without a sync and lets a power loss keep each part of it.
@@ -38,13 +38,13 @@
 	const whole = 32 + len("unsynced")
 	for kept := 0; kept <= whole; kept++ {
 		disk := memory.New()
-		box := fill(t, disk, 3)
-		if err := box.Append([]byte("unsynced")); err != nil {
+		log := fill(t, disk, 3)
+		if err := log.Append([]byte("unsynced")); err != nil {
 			t.Fatal(err)
 		}
 		disk.Tear = func(int) int { return kept }
 		disk.PowerLoss()
-		box, records, err := open(t, disk)
+		log, records, err := open(t, disk)
 		if err != nil {
 			t.Fatalf("kept %d: %v", kept, err)
 		}
@@ -52,10 +52,10 @@
 		if kept == whole {
 			want = 4
 		}
-		if len(records) != want || (kept > 0 && kept < whole) != (box.Cut > 0) {
-			t.Fatalf("kept %d: %q, cut %d", kept, records, box.Cut)
+		if len(records) != want || (kept > 0 && kept < whole) != (log.Cut > 0) {
+			t.Fatalf("kept %d: %q, cut %d", kept, records, log.Cut)
 		}
-		if err := errors.Join(box.Append([]byte("next")), box.Sync()); err != nil {
+		if err := errors.Join(log.Append([]byte("next")), log.Sync()); err != nil {
 			t.Fatal(err)
 		}
 		if _, again, err := open(t, disk); err != nil || len(again) != want+1 {
@@ -70,15 +70,15 @@
 	{
 		disk := memory.New()
 		fill(t, disk, 4)
-		length = disk.Size("box")
+		length = disk.Size("log")
 	}
 	for offset := range length {
 		disk := memory.New()
 		fill(t, disk, 4)
-		disk.Damage("box", offset)
+		disk.Damage("log", offset)
 		_, records, err := open(t, disk)
 		last := length * 3 / 4
-		if offset < last && !errors.Is(err, strongbox.ErrDamaged) {
+		if offset < last && !errors.Is(err, wal.ErrDamaged) {
 			t.Fatalf("byte %d: damage was not seen: %q %v", offset, records, err)
 		}
 	}
@@ -86,35 +86,35 @@
 
 func TestFailedSyncPoisons(t *testing.T) {
 	disk := memory.New()
-	box := fill(t, disk, 1)
-	if err := box.Append([]byte("lost")); err != nil {
+	log := fill(t, disk, 1)
+	if err := log.Append([]byte("lost")); err != nil {
 		t.Fatal(err)
 	}
 	disk.FailSyncs = 1
-	if err := box.Sync(); !errors.Is(err, strongbox.ErrPoisoned) {
+	if err := log.Sync(); !errors.Is(err, wal.ErrPoisoned) {
 		t.Fatal(err)
 	}
-	if err := box.Sync(); !errors.Is(err, strongbox.ErrPoisoned) {
+	if err := log.Sync(); !errors.Is(err, wal.ErrPoisoned) {
 		t.Fatalf("a second sync must not look as if it mended the first: %v", err)
 	}
-	if err := box.Append([]byte("more")); !errors.Is(err, strongbox.ErrPoisoned) {
+	if err := log.Append([]byte("more")); !errors.Is(err, wal.ErrPoisoned) {
 		t.Fatal(err)
 	}
 }
 
 func TestRewriteLeavesOldOrNewWhole(t *testing.T) {
 	disk := memory.New()
-	box := fill(t, disk, 5)
-	if err := box.Rewrite([]byte("all of it")); err != nil {
+	log := fill(t, disk, 5)
+	if err := log.Rewrite([]byte("all of it")); err != nil {
 		t.Fatal(err)
 	}
 	disk.PowerLoss()
 	if _, records, err := open(t, disk); err != nil || len(records) != 1 || records[0] != "all of it" {
 		t.Fatalf("%q %v", records, err)
 	}
-	box, _, _ = open(t, disk)
+	log, _, _ = open(t, disk)
 	disk.FailSyncs = 1
-	if err := box.Rewrite([]byte("newer")); err == nil {
+	if err := log.Rewrite([]byte("newer")); err == nil {
 		t.Fatal("a rewrite whose file was not synced must fail")
 	}
 	disk.PowerLoss()
@@ -125,13 +125,13 @@
 
 func TestFullDiskKeepsWhatWasThere(t *testing.T) {
 	disk := memory.New()
-	box := fill(t, disk, 2)
-	disk.Capacity = disk.Size("box") + 10
-	if err := box.Append([]byte("does not fit")); !errors.Is(err, strongbox.ErrFull) {
+	log := fill(t, disk, 2)
+	disk.Capacity = disk.Size("log") + 10
+	if err := log.Append([]byte("does not fit")); !errors.Is(err, wal.ErrFull) {
 		t.Fatal(err)
 	}
 	disk.Capacity = 0
-	if err := errors.Join(box.Append([]byte("fits")), box.Sync()); err != nil {
+	if err := errors.Join(log.Append([]byte("fits")), log.Sync()); err != nil {
 		t.Fatal(err)
 	}
 	if _, records, err := open(t, disk); err != nil || len(records) != 3 {
