--- /dev/null
+++ b/internal/configstore/apply.go
@@ -0,0 +1,145 @@
+package configstore
+
+import (
+	"errors"
+
+	"snowflow/internal/bulletin"
+	"snowflow/internal/configstore/versions"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/replication"
+	"snowflow/internal/seal"
+)
+
+// ErrUnacknowledged: the desired state may have been accepted. Asking again with the same request id is harmless.
+var ErrUnacknowledged = errors.New("postmaster: outcome unknown, ask again with the same request id")
+
+// Apply checks a desired state, has it kept in two copies, and waits until it's in force everywhere.
+func (master *Postmaster) Apply(ask *wire.DesiredApplyAsk) (*wire.DesiredApplyTell, error) {
+	ask, known, err := master.whole(ask)
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		return &wire.DesiredApplyTell{Outcome: versions.BaseUnknown}, nil
+	}
+	state, faults := master.env.Read(ask.Content)
+	if len(faults) > 0 {
+		tell := &wire.DesiredApplyTell{Outcome: versions.Invalid}
+		for _, fault := range faults {
+			tell.Faults = append(tell.Faults, fault.String())
+		}
+		master.env.Place.Report(bulletin.DesiredRefused, map[string]any{"faults": tell.Faults})
+		return tell, nil
+	}
+	master.versions.Know(ask.Content, state)
+	tell, err := master.submit(ask)
+	if errors.Is(err, replication.ErrUnknown) {
+		return nil, ErrUnacknowledged
+	}
+	if err != nil {
+		return nil, err
+	}
+	if tell.Outcome != versions.Accepted {
+		return tell, nil
+	}
+	master.seen(tell.Serial)
+	master.tellKept()
+	if ask.Version > 0 && tell.Serial != ask.Version {
+		return master.inForce(tell) // a higher one stands
+	}
+	master.env.Place.Report(bulletin.DesiredAccepted, map[string]any{"serial": tell.Serial, "digest": tell.Digest})
+	return master.inForce(tell)
+}
+
+// inForce acknowledges an accepted state once it's in force everywhere, or, where carriers serve on, once that was waited for.
+func (master *Postmaster) inForce(tell *wire.DesiredApplyTell) (*wire.DesiredApplyTell, error) {
+	tell.Spread = master.spread(tell.Serial)
+	if !tell.Spread && !master.env.Bounds.ServeOn {
+		return nil, ErrUnacknowledged
+	}
+	return tell, nil
+}
+
+// seen notes a serial that was accepted.
+func (master *Postmaster) seen(serial uint64) {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	if serial > master.newest {
+		master.newest, master.newestAt = serial, master.env.Place.Now()
+	}
+}
+
+// waitFrom is the moment from which an apply of a serial waits to be in force everywhere. Where carriers serve on, that is the
+// commit of the newest, as far as this process knows, so that asking again doesn't wait again.
+func (master *Postmaster) waitFrom(serial uint64) postmark.Micros {
+	master.lock.Lock()
+	defer master.lock.Unlock()
+	now := master.env.Place.Now()
+	if serial > master.committed {
+		master.committed, master.committedAt = serial, now
+	}
+	if master.env.Bounds.ServeOn {
+		return master.committedAt
+	}
+	return now
+}
+
+// spread waits until a serial is in force at every carrier that may serve. While this process isn't answering it
+// can't tell; when it answers again, settled has put ackFrom behind any tenure that another primary gave meanwhile.
+func (master *Postmaster) spread(serial uint64) bool {
+	place := master.env.Place
+	started, cutoff := place.Now(), master.waitFrom(serial)+master.env.Bounds.patience()
+	master.news.wake()
+	for {
+		wait := 100 * postmark.Millisecond
+		word := master.words.join()
+		if master.Member.Answering() {
+			names, behind := master.behind(serial)
+			if len(names) == 0 && master.Member.Answering() {
+				master.words.leave(word)
+				place.Report(bulletin.DesiredSpread, map[string]any{"serial": serial, "micros": int64(place.Now() - started)})
+				return true
+			}
+			wait = min(max(behind, postmark.Millisecond), 250*postmark.Millisecond)
+		}
+		remaining := cutoff - place.Now()
+		if remaining > 0 {
+			word.Wait(min(wait, remaining))
+		}
+		master.words.leave(word)
+		if remaining <= 0 {
+			return false
+		}
+	}
+}
+
+// ReadBack gives one accepted state, the newest for serial zero, or the list of all without their contents.
+func (master *Postmaster) ReadBack(ask *wire.DesiredReadAsk) (*wire.DesiredReadTell, error) {
+	tell := &wire.DesiredReadTell{}
+	var base *wire.DesiredKept
+	done := master.Member.Read(func(uint64, postmark.Micros) {
+		if ask.List {
+			tell.Found = true
+			for _, kept := range master.store.All() {
+				tell.States = append(tell.States, &wire.DesiredKept{Serial: kept.Serial, Digest: kept.Digest, Request: kept.Request})
+			}
+			return
+		}
+		serial := ask.Serial
+		if serial == 0 {
+			serial = master.store.Serial()
+		}
+		if kept := master.store.Find(serial); kept != nil {
+			tell.Found, tell.States = true, []*wire.DesiredKept{kept}
+			base = master.store.WithDigest(ask.Have)
+		}
+	})
+	if !done {
+		return nil, seal.Refused.New("not the primary")
+	}
+	if ask.Deltas && len(tell.States) == 1 && !ask.List {
+		tell.States[0] = shortened(tell.States[0], base)
+	}
+	return tell, nil
+}
--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -105,7 +105,7 @@
 
 // wallReaders may read the wall clock or the machine's own: for network cutoffs, for measuring, for people.
 var wallReaders = []string{"internal/host/machine/", "internal/postmark/", "internal/carrier/delivery/", "internal/wal/folder/",
-	"internal/replication/member.go", "internal/depot/", "internal/clerk/", "cmd/depot/"}
+	"internal/replication/status.go", "internal/depot/", "internal/clerk/", "cmd/depot/"}
 
 // TestNothingElseReadsTheWallClock: what decides goes through the host, so a clock that jumps decides nothing. What
 // the listed places read is either compared with another reading of the same process, which Go does on the
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -10,19 +10,13 @@
 	"fmt"
 	"slices"
 	"sync"
-	"time"
-
-	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/bulletin"
 	"snowflow/internal/discovery"
 	"snowflow/internal/host"
 	"snowflow/internal/host/vigil"
-	"snowflow/internal/parcel/frame"
 	"snowflow/internal/parcel/wire"
 	"snowflow/internal/postmark"
-	"snowflow/internal/release"
-	"snowflow/internal/seal"
 	"snowflow/internal/wal"
 )
 
@@ -98,14 +92,6 @@
 	}
 }
 
-// Errors that a proposal may end with.
-var (
-	// ErrNotPrimary: the command was not taken; it has not been and will not be applied.
-	ErrNotPrimary = errors.New("replication: not the primary")
-	// ErrUnknown: the command may be applied, now or later.
-	ErrUnknown = errors.New("replication: outcome unknown")
-)
-
 // Member is one process's part in a group: its seat as a voter, its copy of the state, and its lead if it has one.
 type Member struct {
 	env      Env
@@ -179,13 +165,6 @@
 	return min(lead.holderTime(now), lead.holderTime(lead.exchanged)+agreeAfter)
 }
 
-type proposal struct {
-	command []byte
-	result  []byte
-	err     error
-	done    host.Signal
-}
-
 // Open reads what the disk holds. Start must follow.
 func Open(env Env) (*Member, error) {
 	env.Defaults()
@@ -223,72 +202,6 @@
 	member.env.Place.Go(member.work)
 }
 
-// Register adds the group's handlers.
-func (member *Member) Register(table host.Table) {
-	host.Handle(table, wire.Kind_register_read, func(ask *wire.RegisterReadAsk) (*wire.RegisterReadTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerRegisterRead(ask)
-	})
-	host.Handle(table, wire.Kind_register_promise, func(ask *wire.PromiseAsk) (*wire.PromiseTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerPromise(ask)
-	})
-	host.Handle(table, wire.Kind_register_accept, func(ask *wire.AcceptAsk) (*wire.AcceptTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerAccept(ask)
-	})
-	host.Handle(table, wire.Kind_tenure_ask, func(ask *wire.TenureAsk) (*wire.TenureTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerTenure(ask)
-	})
-	host.Handle(table, wire.Kind_enroll, func(ask *wire.EnrollAsk) (*wire.EnrollTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerEnroll(ask)
-	})
-	host.Handle(table, wire.Kind_replicate, func(ask *wire.ReplicateAsk) (*wire.ReplicateTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerReplicate(ask)
-	})
-	host.Handle(table, wire.Kind_install, func(ask *wire.InstallAsk) (*wire.InstallTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		return member.answerInstall(ask)
-	})
-	host.Handle(table, wire.Kind_handover, func(ask *wire.HandoverAsk) (*wire.HandoverTell, error) {
-		if err := addressed(member, ask.To); err != nil {
-			return nil, err
-		}
-		if member.env.Handed != nil {
-			member.env.Handed(ask.Epoch, ask.Content)
-		}
-		member.lock.Lock()
-		member.lastHeard, member.young = -postmark.Minute, false
-		now := member.env.Place.Now()
-		if ask.Leaving != "" {
-			member.leavers[ask.Leaving] = now
-		}
-		for _, name := range ask.Waiting {
-			member.applicants[name] = applicant{at: now, joined: true}
-		}
-		member.lock.Unlock()
-		member.nudge.Fire()
-		return &wire.HandoverTell{Taken: true}, nil
-	})
-}
-
 func (member *Member) rank() int {
 	for index, name := range member.env.Voters {
 		if name == member.env.Name {
@@ -356,174 +269,8 @@
 	}
 }
 
-func isDamaged(err error) bool  { return errors.Is(err, wal.ErrDamaged) }
-func isPoisoned(err error) bool { return errors.Is(err, wal.ErrPoisoned) }
-func isFull(err error) bool     { return errors.Is(err, wal.ErrFull) }
-
-// Propose has a command applied by the primary, here, and gives its result once both copies have synced it.
-func (member *Member) Propose(command []byte) ([]byte, error) {
-	if !member.Answering() {
-		return nil, ErrNotPrimary
-	}
-	request := &proposal{command: command, done: member.env.Place.NewSignal()}
-	member.inbox.Put(request)
-	for !request.done.Wait(postmark.Forever) {
-	}
-	return request.result, request.err
-}
-
-// Outcome is what became of one of several commands proposed together.
-type Outcome struct {
-	Result []byte
-	Err    error
-}
-
-// ProposeAll has commands applied by the primary, here, each as if proposed alone, and waits for all of them.
-func (member *Member) ProposeAll(commands [][]byte) []Outcome {
-	outcomes := make([]Outcome, len(commands))
-	if !member.Answering() {
-		for index := range outcomes {
-			outcomes[index].Err = ErrNotPrimary
-		}
-		return outcomes
-	}
-	requests := make([]*proposal, len(commands))
-	for index, command := range commands {
-		requests[index] = &proposal{command: command, done: member.env.Place.NewSignal()}
-		member.inbox.Put(requests[index])
-	}
-	for index, request := range requests {
-		for !request.done.Wait(postmark.Forever) {
-		}
-		outcomes[index] = Outcome{request.result, request.err}
-	}
-	return outcomes
-}
-
-// Submit proposes a command that is a message, and decodes its result.
-func (member *Member) Submit(command, result proto.Message) error {
-	content, err := proto.Marshal(command)
-	if err != nil {
-		return err
-	}
-	answer, err := member.Propose(content)
-	if errors.Is(err, ErrNotPrimary) {
-		return seal.Refused.New("not the primary")
-	}
-	if err != nil {
-		return err
-	}
-	return proto.Unmarshal(answer, result)
-}
-
-// Answering tells whether this member may answer now.
-func (member *Member) Answering() bool {
-	member.lock.Lock()
-	defer member.lock.Unlock()
-	return member.lead.answering && (member.env.Unleased || member.env.Place.Now() < member.lead.until && !member.Vigil.Behind())
-}
-
-// Epoch is the epoch this member leads, or zero.
-func (member *Member) Epoch() uint64 {
-	member.lock.Lock()
-	defer member.lock.Unlock()
-	return member.lead.epoch
-}
-
-// HolderTime is the group's time as its primary counts it; it goes on across failovers.
-func (member *Member) HolderTime() postmark.Micros {
-	member.lock.Lock()
-	defer member.lock.Unlock()
-	return member.lead.told(member.env.Place.Now())
-}
-
-// Read looks at the machine under a live tenure. It tells whether it did.
-func (member *Member) Read(look func(epoch uint64, now postmark.Micros)) bool {
-	if !member.Answering() {
-		return false
-	}
-	epoch, now := member.Epoch(), member.HolderTime()
-	member.machineLock.Lock()
-	look(epoch, now)
-	member.machineLock.Unlock()
-	return member.Answering() && member.Epoch() == epoch
-}
+func isDamaged(err error) bool { return errors.Is(err, wal.ErrDamaged) }
 
-// Peek looks at this member's own copy, whoever leads, if the newest register heard of names it as one: what it shows may have been
-// overtaken since, or never have been answered. It tells whether it looked.
-func (member *Member) Peek(look func()) bool {
-	member.lock.Lock()
-	value, self := member.value, member.self()
-	member.lock.Unlock()
-	if value == nil || !sameHolder(value.Primary, self) && !holds(backupsOf(value), self) {
-		return false
-	}
-	member.machineLock.Lock()
-	defer member.machineLock.Unlock()
-	look()
-	return true
-}
-
-// Status is what operators are shown of a member.
-type Status struct {
-	Group     string   `json:"group"`
-	Name      string   `json:"name"`
-	Joined    bool     `json:"joined"`
-	Answering bool     `json:"answering"`
-	Epoch     uint64   `json:"epoch"`
-	Primary   string   `json:"primary"`
-	Backup    string   `json:"backup"`
-	Backups   []string `json:"backups,omitempty"`
-	Settled   bool     `json:"settled"`
-	Sequence  uint64   `json:"sequence"`
-	Journal   int64    `json:"journal_bytes"`
-	Voters    []string `json:"voters"`
-	// Joint is the roster to come while it changes; Members are the group's processes that were heard of.
-	Joint     []string `json:"joint_voters,omitempty"`
-	Members   []string `json:"members,omitempty"`
-	SyncTime  int64    `json:"sync_micros"`
-	FreeBytes uint64   `json:"free_bytes"`
-	Release   string   `json:"release"`
-	Wire      uint16   `json:"wire"`
-	// Wall is this machine's wall clock, for the doctor; nothing decides by it.
-	Wall int64 `json:"wall_micros"`
-}
-
-// Copies lists who holds the state in step, the primary first. Builds that knew of one backup tell it alone.
-func (status Status) Copies() []string {
-	if len(status.Backups) > 0 {
-		return append([]string{status.Primary}, status.Backups...)
-	}
-	return []string{status.Primary, status.Backup}
-}
-
-// Status tells how this member stands.
-func (member *Member) Status() Status {
-	present, _ := member.configuration()
-	status := Status{Group: member.env.Group, Name: member.env.Name, Voters: present.voters, Joint: present.joint,
-		Members: member.env.Book.Members(member.env.Group), Answering: member.Answering(),
-		Release: release.Version, Wire: frame.Version, Wall: time.Now().UnixMicro()}
-	member.seat.Do(func() { status.Joined = member.voter.record.Joined })
-	member.keeper.Do(func() {
-		status.Sequence, status.Journal, status.SyncTime = member.copy.sequence, member.copy.log.Size(), int64(member.copy.lastSync)
-	})
-	member.lock.Lock()
-	if value := member.value; value != nil {
-		status.Epoch, status.Primary, status.Settled = value.Epoch, value.Primary.Name, value.Settled
-		status.Backups = names(backupsOf(value))
-		if value.Backup != nil {
-			status.Backup = value.Backup.Name
-		}
-	}
-	member.lock.Unlock()
-	status.FreeBytes, _ = member.env.Place.Disk().Free()
-	return status
-}
+func isPoisoned(err error) bool { return errors.Is(err, wal.ErrPoisoned) }
 
-func marshal(message proto.Message) []byte {
-	content, err := proto.Marshal(message)
-	if err != nil {
-		panic(err) // only messages built here come by; one that can't be encoded is a fault of the program
-	}
-	return content
-}
+func isFull(err error) bool { return errors.Is(err, wal.ErrFull) }
