--- a/internal/discovery/book.go
+++ b/internal/discovery/book.go
@@ -29,8 +29,9 @@
 	own       *wire.PeerAddress
 	known     map[string][]string
 	groups    map[string]string
-	batches   map[string]bool // names that said they take batches
-	deltas    map[string]bool // names that said they take contents as differences
+	batches   map[string]bool   // names that said they take batches
+	domains   map[string]string // failure domains, of names that told theirs
+	deltas    map[string]bool   // names that said they take contents as differences
 	primaries map[string]*wire.Primary
 	seeds     []string
 	turn      int
@@ -45,7 +46,7 @@
 
 // New makes a book. own is nil for a process that is not of the core.
 func New(place host.Host, own *wire.PeerAddress, seeds []string) *Book {
-	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{}, batches: map[string]bool{}, deltas: map[string]bool{},
+	book := &Book{place: place, own: own, waiting: map[string]bool{}, known: map[string][]string{}, groups: map[string]string{}, batches: map[string]bool{}, deltas: map[string]bool{}, domains: map[string]string{},
 		primaries: map[string]*wire.Primary{}, seeds: seeds}
 	if own != nil {
 		book.Learn([]*wire.PeerAddress{own})
@@ -83,6 +84,13 @@
 	return !slices.ContainsFunc(names, func(name string) bool { return !book.deltas[name] })
 }
 
+// Domain is the failure domain that a name told it stands in, empty if it told none.
+func (book *Book) Domain(name string) string {
+	book.lock.Lock()
+	defer book.lock.Unlock()
+	return book.domains[name]
+}
+
 // Seed replaces the seeds: the platform names others in the course of a process's life.
 func (book *Book) Seed(seeds []string) {
 	book.lock.Lock()
@@ -142,6 +150,9 @@
 		}
 		book.groups[peer.Name] = peer.Group
 		book.batches[peer.Name] = book.batches[peer.Name] || peer.Batches
+		if peer.Domain != "" {
+			book.domains[peer.Name] = peer.Domain
+		}
 		book.deltas[peer.Name] = book.deltas[peer.Name] || peer.Deltas
 		addresses := book.known[peer.Name]
 		if slices.Contains(addresses, peer.Address) {
@@ -196,7 +207,7 @@
 	var peers []*wire.PeerAddress
 	for name, addresses := range book.known {
 		for _, address := range addresses {
-			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name], Batches: book.batches[name], Deltas: book.deltas[name]})
+			peers = append(peers, &wire.PeerAddress{Name: name, Address: address, Group: book.groups[name], Batches: book.batches[name], Deltas: book.deltas[name], Domain: book.domains[name]})
 		}
 	}
 	sort.SliceStable(peers, func(one, other int) bool { return peers[one].Name < peers[other].Name })
--- a/internal/house/house.go
+++ b/internal/house/house.go
@@ -134,7 +134,7 @@
 	house.Values["advertise"] = advertised
 	var own *wire.PeerAddress
 	if group != "" {
-		own = &wire.PeerAddress{Name: values["name"], Address: advertised, Group: group}
+		own = &wire.PeerAddress{Name: values["name"], Address: advertised, Group: group, Domain: values["failure-domain"]}
 	}
 	house.Book = discovery.New(house.Place, own, values.List("seeds"))
 	if disk != nil {
--- a/internal/mailround/round/exchange_test.go
+++ b/internal/mailround/round/exchange_test.go
@@ -2,11 +2,48 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"snowflow/internal/postmark"
 )
 
+// TestVotersApart: two of three core machines stand in one zone; once a fourth comes in another, the voters and the copies stand in three, and the loss
+// of the zone with two machines leaves the core answering with all that was acknowledged.
+func TestVotersApart(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2, 3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sizes := found
+			sizes.Copies, sizes.Gone, sizes.Domains = 2, syncTime/2, []string{"a", "a", "b", "c"}
+			mesh := Build(seed, sizes, Breakage{})
+			t.Cleanup(mesh.World.Close)
+			mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
+			mesh.come()
+			mesh.World.Run(mesh.World.Now() + 20*postmark.Second)
+			for group, voters := range mesh.voters(t) {
+				stand := map[string]bool{}
+				for _, name := range voters {
+					stand[sizes.Domains[slices.Index([]string{group + "-1", group + "-2", group + "-3", group + "-4"}, name)]] = true
+				}
+				if len(voters) != 3 || len(stand) != 3 {
+					t.Errorf("the %ss' voters are %v", group, voters)
+				}
+			}
+			tell, err, _ := mesh.raise(100, 10*postmark.Second)
+			if err != nil || tell.Serial != 100 {
+				t.Fatalf("%v %v", tell, err)
+			}
+			mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
+			mesh.retire("core-1")
+			mesh.retire("core-2")
+			if tell, err, _ = mesh.raise(101, 20*postmark.Second); err != nil || tell.Serial != 101 {
+				t.Errorf("after the zone's loss: %v %v", tell, err)
+			}
+		})
+	}
+}
+
 // TestLossAfterPlannedExchange: a core machine is exchanged as planned, and soon after it another is lost for good, again and again. The core
 // answers to the end, and nothing acknowledged is missing.
 func TestLossAfterPlannedExchange(t *testing.T) {
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -94,6 +94,8 @@
 	// Copies, Voters and Gone are the core's own settings, its defaults if left out.
 	Copies, Voters int
 	Gone           postmark.Micros
+	// Domains are the core machines' failure domains, in their order; none are known if left out.
+	Domains []string
 	// History is how many configurations the core keeps, all for zero.
 	History int
 	// Linger is how long a carrier that stops as planned goes on before it turns callers away.
@@ -229,7 +231,11 @@
 	name := fmt.Sprintf("%s-%d", group, index+1)
 	address := machine + ":" + group
 	node := mesh.World.Add(name, address, machine, func(place *world.Place) (host.Table, error) {
-		book := discovery.New(place, &wire.PeerAddress{Name: name, Address: place.Node().Address, Group: group}, mesh.seedsNow(seeds))
+		own := &wire.PeerAddress{Name: name, Address: place.Node().Address, Group: group}
+		if index < len(mesh.sizes.Domains) {
+			own.Domain = mesh.sizes.Domains[index]
+		}
+		book := discovery.New(place, own, mesh.seedsNow(seeds))
 		book.Remember(place.Disk())
 		table, voters := host.Table{}, voters
 		if mesh.sizes.Found && mesh.started[name] {
@@ -242,6 +248,9 @@
 			env.CompactFrom, env.Unwitnessed = 8<<10, mesh.breakage.TrustClock
 			env.Unleased, env.Unheld, env.Abandon = mesh.breakage.NoLease, mesh.breakage.AnySuccessor, mesh.breakage.Abandon
 			env.Copies, env.Size, env.Gone = mesh.sizes.Copies, mesh.sizes.Voters, mesh.sizes.Gone
+			if len(mesh.sizes.Domains) > 0 {
+				env.Zone = book.Domain
+			}
 			if mesh.adjust != nil {
 				mesh.adjust(env)
 			}
--- a/internal/replication/backups.go
+++ b/internal/replication/backups.go
@@ -233,7 +233,7 @@
 	if member.env.Zone == nil {
 		return candidates[0]
 	}
-	taken := map[string]bool{member.env.Zone(member.env.Name): true}
+	taken := map[string]bool{member.env.Zone(member.env.Name): true, "": true}
 	for _, backup := range backups {
 		taken[member.env.Zone(backup.Name)] = true
 	}
--- a/internal/replication/configuration_test.go
+++ b/internal/replication/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -75,6 +76,15 @@
 	return chosen
 }
 
+// domains reads words of a name and its domain, a letter each.
+func domains(text string) map[string]string {
+	found := map[string]string{}
+	for _, word := range strings.Fields(text) {
+		found[word[:1]] = word[1:]
+	}
+	return found
+}
+
 func TestRosterPolicy(t *testing.T) {
 	three, four, five := roster{"a", "b", "c"}, roster{"a", "b", "c", "d"}, roster{"a", "b", "c", "d", "e"}
 	for name, one := range map[string]struct {
@@ -103,6 +113,12 @@
 		"those that are left are no quorum":     {situation{voters: three, silence: set("b", "c"), gone: set("b"), waiting: []string{"d"}}, nil},
 		"left out, the rest would be no quorum": {situation{voters: four, size: 3, silence: set("a", "b"), gone: set("b")}, nil},
 		"a replacement keeps the wanted number": {situation{voters: three, size: 3, silence: set("c"), gone: set("c"), waiting: []string{"d"}}, roster{"a", "b", "d"}},
+		"into a domain of its own":              {situation{voters: three, size: 4, waiting: []string{"d", "e"}, domain: domains("a1 b2 c3 d1 e4")}, roster{"a", "b", "c", "e"}},
+		"a successor apart from the others":     {situation{voters: three, size: 3, silence: set("b"), gone: set("b"), waiting: []string{"d", "e"}, domain: domains("a1 b2 c3 d1 e2")}, roster{"a", "e", "c"}},
+		"two in one domain":                     {situation{voters: three, size: 3, held: []string{"a"}, waiting: []string{"d"}, domain: domains("a1 b1 c2 d3")}, roster{"a", "d", "c"}},
+		"two in one domain, and nobody better":  {situation{voters: three, size: 3, waiting: []string{"d"}, domain: domains("a1 b1 c2 d2")}, nil},
+		"two in one domain, both with a copy":   {situation{voters: three, size: 3, held: []string{"a", "b"}, waiting: []string{"d"}, domain: domains("a1 b1 c2 d3")}, nil},
+		"domains that nobody told":              {situation{voters: three, size: 3, waiting: []string{"d"}, domain: domains("")}, nil},
 		"alone, and a second comes":             {situation{voters: roster{"a"}, size: 3, waiting: []string{"b"}}, roster{"a", "b"}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/replication/member.go
+++ b/internal/replication/member.go
@@ -49,7 +49,7 @@
 	Size int
 	// Gone is how long a voter may be silent before a successor that waits takes its place.
 	Gone postmark.Micros
-	// Zone tells where a voter is, so that copies are kept apart; it may be left out.
+	// Zone tells in which failure domain a process stands, empty if that isn't known, so that copies and voters are kept apart; it may be left out.
 	Zone func(name string) string
 	// Tenure is how long a majority lets a primary lead; Beat how often it's renewed; Patience how long one call waits.
 	Tenure, Beat, Patience postmark.Micros
--- a/internal/replication/roster.go
+++ b/internal/replication/roster.go
@@ -13,12 +13,13 @@
 // situation is what a primary knows when it looks whether the roster should be another.
 type situation struct {
 	voters  roster
-	size    int             // wanted number of voters
-	held    []string        // the primary and its backups, which stay
-	silence map[string]bool // voters that haven't answered lately
-	gone    map[string]bool // voters that have been silent past the bound; also among the silent
-	leaving map[string]bool // voters that stop as planned
-	waiting []string        // processes in contact that aren't voters and keep a register, the preferred one first
+	size    int               // wanted number of voters
+	held    []string          // the primary and its backups, which stay
+	silence map[string]bool   // voters that haven't answered lately
+	gone    map[string]bool   // voters that have been silent past the bound; also among the silent
+	leaving map[string]bool   // voters that stop as planned
+	waiting []string          // processes in contact that aren't voters and keep a register
+	domain  map[string]string // failure domains, such as zones, as far as they are known
 }
 
 // next gives the roster to change to, one voter added, replaced or left out, or nothing.
@@ -26,7 +27,7 @@
 // Invariants: the roster never has two changes at a time; whoever holds a copy stays; the voters that are left and answer are
 // a quorum of the roster before and of the one after, so that the change can be carried through.
 func (situation situation) next() roster {
-	for _, rule := range []func() roster{situation.replace, situation.grow, situation.shrink} {
+	for _, rule := range []func() roster{situation.replace, situation.grow, situation.shrink, situation.apart} {
 		if fresh := rule(); fresh != nil && situation.carries(fresh) {
 			return fresh
 		}
@@ -62,16 +63,54 @@
 		return nil
 	}
 	fresh := slices.Clone(situation.voters)
-	fresh[position] = situation.waiting[0]
+	fresh[position] = situation.preferred(slices.Delete(slices.Clone(situation.voters), position, position+1))
 	return fresh
 }
 
+// preferred is the process that waits and is best beside some voters: the first one in a domain where none of them is, or else the first.
+func (situation situation) preferred(voters roster) string {
+	taken := map[string]bool{"": true}
+	for _, name := range voters {
+		taken[situation.domain[name]] = true
+	}
+	for _, name := range situation.waiting {
+		if !taken[situation.domain[name]] {
+			return name
+		}
+	}
+	return situation.waiting[0]
+}
+
+// apart replaces a voter that shares its domain with another by one that waits in a domain where none is, while all is calm. Each such change has
+// the voters in one domain more, so that there is an end to them.
+func (situation situation) apart() roster {
+	if len(situation.waiting) == 0 || len(situation.silence) > 0 || len(situation.leaving) > 0 {
+		return nil
+	}
+	count := map[string]int{}
+	for _, name := range situation.voters {
+		count[situation.domain[name]]++
+	}
+	fresh := situation.preferred(situation.voters)
+	if domain := situation.domain[fresh]; domain == "" || count[domain] > 0 {
+		return nil
+	}
+	for position, name := range situation.voters {
+		if domain := situation.domain[name]; domain != "" && count[domain] > 1 && !slices.Contains(situation.held, name) {
+			changed := slices.Clone(situation.voters)
+			changed[position] = fresh
+			return changed
+		}
+	}
+	return nil
+}
+
 // grow takes one more in, while every voter answers: a silent one may have to be replaced instead.
 func (situation situation) grow() roster {
 	if len(situation.waiting) == 0 || len(situation.voters) >= situation.size || len(situation.silence) > 0 {
 		return nil
 	}
-	return append(slices.Clone(situation.voters), situation.waiting[0])
+	return append(slices.Clone(situation.voters), situation.preferred(situation.voters))
 }
 
 // shrink leaves a voter that is gone or leaves out where there are more than wanted.
@@ -154,6 +193,12 @@
 		}
 	}
 	found.waiting = slices.DeleteFunc(member.applicantsNow(now), func(name string) bool { return present.has(name) || found.leaving[name] })
+	if member.env.Zone != nil {
+		found.domain = map[string]string{}
+		for _, name := range slices.Concat(present.all(), found.waiting) {
+			found.domain[name] = member.env.Zone(name)
+		}
+	}
 	return state.epoch, present, state.leased.same(present), found
 }
 
