--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -89,7 +89,7 @@
 		Hutch: carrier.Hutch, Shelf: shelf, Delivery: env.Delivery, Link: env.Link, CallPrimary: carrier.Roll.CallPrimary, CallCarrier: carrier.callCarrier})
 	carrier.Passage = passage.New(passage.Env{Place: env.Place, Carrier: env.Name, Incarnation: carrier.incarnation, Address: env.Address,
 		Domain: env.Domain, Blind: env.Blind, FarPenalty: env.FarPenalty, Desk: carrier.Desk, Roll: carrier.Roll, Wicket: carrier.Wicket, Purse: carrier.Purse, Gate: carrier.Gate,
-		CallPrimary: carrier.Roll.CallPrimary, Finished: env.Finished, Silence: env.Silence})
+		CallPrimary: carrier.Roll.CallPrimary, Keep: shelf.Put, Finished: env.Finished, Silence: env.Silence})
 	carrier.vigil.OnLeap(carrier.Hutch.Forgive)
 	carrier.vigil.OnLeap(func(postmark.Micros) { carrier.Purse.Forfeit() })
 	carrier.vigil.OnLeap(func(postmark.Micros) { carrier.Roll.Doubt() })
--- a/internal/carrier/gate/gate.go
+++ b/internal/carrier/gate/gate.go
@@ -2,6 +2,9 @@
 package gate
 
 import (
+	"fmt"
+	"strings"
+
 	"go.uber.org/atomic"
 	"google.golang.org/protobuf/proto"
 
@@ -357,8 +360,31 @@
 // recall finds the answer of an earlier run, here or at the carrier that holds the key, or tells why there's none: the key is
 // at work, or nobody has its answer any more.
 func (gate *Gate) recall(ask *wire.PassAsk, held *wire.ClaimTell, cutoff postmark.Micros) (*letter.Answer, seal.Cause) {
-	patience := min(cutoff-gate.env.Place.Now(), recallPatience)
-	if held.Holder == gate.env.Carrier {
+	until := min(cutoff, gate.env.Place.Now()+recallPatience)
+	answer, cause := gate.recallFrom(held.Holder, ask, held.Try, until-gate.env.Place.Now())
+	if answer != nil || cause == seal.KeyHeld {
+		return answer, cause
+	}
+	// The carrier that passed the request on keeps the answer too.
+	if sender := senderOf(held.Try); sender != "" && sender != held.Holder && gate.env.Place.Now() < until {
+		answer, _ = gate.recallFrom(sender, ask, held.Try, until-gate.env.Place.Now())
+	}
+	return answer, seal.AnswerGone
+}
+
+// TryOf names a try of a carrier's; senderOf tells whose it is.
+func TryOf(carrier string, random uint64) string { return fmt.Sprintf("%s-%016x", carrier, random) }
+
+func senderOf(try string) string {
+	if end := strings.LastIndexByte(try, '-'); end > 0 {
+		return try[:end]
+	}
+	return ""
+}
+
+// recallFrom asks one carrier, or this one, for a key's recorded answer.
+func (gate *Gate) recallFrom(carrier string, ask *wire.PassAsk, try string, patience postmark.Micros) (*letter.Answer, seal.Cause) {
+	if carrier == gate.env.Carrier {
 		answer, busy := gate.recorded(ask.Scope, ask.Digest, patience)
 		if busy {
 			return answer, seal.KeyHeld
@@ -366,7 +392,7 @@
 		return answer, seal.AnswerGone
 	}
 	tell := &wire.PassTell{}
-	err := gate.env.CallCarrier(held.Holder, wire.Kind_recall, &wire.RecallAsk{Scope: ask.Scope, Digest: ask.Digest, Try: held.Try}, tell, patience)
+	err := gate.env.CallCarrier(carrier, wire.Kind_recall, &wire.RecallAsk{Scope: ask.Scope, Digest: ask.Digest, Try: try}, tell, patience)
 	if err == nil && tell.Refused && seal.Cause(tell.Cause) == seal.KeyHeld {
 		return nil, seal.KeyHeld
 	}
--- a/internal/carrier/passage/passage.go
+++ b/internal/carrier/passage/passage.go
@@ -3,7 +3,6 @@
 package passage
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,6 +47,8 @@
 	// Silence is how long a carrier may owe answers before it's asked for a sign of life, 700 ms if left out.
 	Silence     postmark.Micros
 	CallPrimary func(kind wire.Kind, ask, tell proto.Message, patience postmark.Micros) error
+	// Keep is given the answer of each run-once request, so that it outlives the carrier beside the backend. It may be left out.
+	Keep func(scope string, digest []byte, answer *letter.Answer)
 	// Finished is told every outcome, for counting; it must not block.
 	Finished func(trip *Trip, answer *letter.Answer, fault *seal.Fault)
 }
@@ -319,7 +320,7 @@
 		AnswerLimit: trip.Service.Limits.GetAnswerBytes(), Priority: trip.Path.Priority, Aim: trip.aim(place.Now()), Single: trip.Single, Patient: trip.last, Route: trip.Path.Name,
 		Domain: passage.env.Domain, Peers: passage.choices.beside(passage.env.Roll.Directory(), trip.Service.Name, candidate.Instance)}
 	if trip.Once {
-		ask.Try = fmt.Sprintf("%s-%016x", passage.env.Carrier, place.Random())
+		ask.Try = gate.TryOf(passage.env.Carrier, place.Random())
 	}
 	if !trip.errand.Start() {
 		ticket.Done(wicket.Neutral)
@@ -354,7 +355,11 @@
 	}
 	ticket.Done(outcome)
 	passage.choices.judge(candidate.Instance, outcome == wicket.Failure)
-	return &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance, Serial: trip.View.Serial}, nil, false
+	answer = &letter.Answer{Status: tell.Status, Headers: tell.Headers, Body: tell.Body, Instance: tell.Instance, Serial: trip.View.Serial}
+	if trip.Once && passage.env.Keep != nil {
+		passage.env.Keep(trip.Scope, trip.Digest, answer)
+	}
+	return answer, nil, false
 }
 
 // send passes a request on; to this carrier's own gate without a connection.
--- /dev/null
+++ b/internal/mailround/round/recall_test.go
@@ -0,0 +1,53 @@
+package round
+
+import (
+	"testing"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/postmark"
+)
+
+// TestAnswerOutlivesItsCarrier: the carrier beside the backend that ran a submission dies, or the one that passed it on; whoever repeats the key, anywhere,
+// gets the first answer.
+func TestAnswerOutlivesItsCarrier(t *testing.T) {
+	for _, dies := range []string{"the carrier beside the backend", "the carrier that passed it on"} {
+		for _, seed := range seeds(t, 1, 2, 3, 4) {
+			mesh := startedBy(t, seed, servingOn)
+			caller := mesh.carriers[0]
+			submission := func(id string) *letter.Request {
+				return &letter.Request{ID: id, Method: "POST", Target: "/households/1", Key: "k-1"}
+			}
+			first, fault := mesh.carry(caller, submission("first"))
+			if fault != nil {
+				t.Fatalf("seed %d: %v", seed, fault)
+			}
+			victim := caller
+			for _, one := range mesh.backends {
+				if one.instance == first.Instance && dies == "the carrier beside the backend" {
+					victim = one.carrier
+				}
+			}
+			if victim == caller && dies == "the carrier beside the backend" {
+				continue // both are one
+			}
+			mesh.World.Kill(mesh.World.Node(victim))
+			mesh.World.Start(mesh.World.Node(victim))
+			mesh.World.Run(mesh.World.Now() + 5*postmark.Second)
+			for _, again := range mesh.carriers {
+				answer, fault := mesh.carry(again, submission("again-"+again))
+				if fault != nil || string(answer.Body) != string(first.Body) {
+					t.Errorf("seed %d, after %s: %s got %v, %v", seed, dies, again, answer, fault)
+				}
+			}
+			ran := 0
+			for _, run := range mesh.History.Runs {
+				if run.Key == "k-1" {
+					ran++
+				}
+			}
+			if ran > 1 {
+				t.Errorf("seed %d: %d runs", seed, ran)
+			}
+		}
+	}
+}
