--- /dev/null
+++ b/internal/carrier/delivery/early_test.go
@@ -0,0 +1,69 @@
+package delivery_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"snowflow/internal/carrier/delivery"
+	"snowflow/internal/carrier/gate"
+	"snowflow/internal/carrier/hutch"
+	"snowflow/internal/host/machine"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// TestEarlyAnswer: a backend answers before it has read a long body, keeps the connection and reads on. What it reads is that body to its end, and
+// behind it the next request or nothing.
+func TestEarlyAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	body := bytes.Repeat([]byte("0123456789abcdef"), 512<<10) // more than a connection holds
+	read := make(chan error, 4)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				reader := bufio.NewReader(connection)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					fmt.Fprintf(connection, "HTTP/1.1 413 Too Large\r\nX-Snowflow-Request: %s\r\nContent-Length: 2\r\n\r\nno", request.Header.Get("X-Snowflow-Request"))
+					content, err := io.ReadAll(request.Body)
+					if err == nil && !bytes.Equal(content, body) {
+						err = fmt.Errorf("%d other bytes", len(content))
+					}
+					read <- err
+				}
+			}()
+		}
+	}()
+	dialect := delivery.Own()
+	dialect.Greets = false
+	clock := machine.New(nil, nil, nil)
+	courier := delivery.New(clock, dialect)
+	for turn := range 3 {
+		order := gate.Order{ID: fmt.Sprintf("a-%d.1", turn), Backend: hutch.Backend{Instance: "one", Service: "forms", Address: listener.Addr().String()}, Method: "POST", Target: "/a", Body: body,
+			Cutoff: clock.Now() + postmark.Minute, AnswerLimit: 1 << 20, Still: func() *seal.Fault { return nil }}
+		answer, fault := courier.Deliver(order)
+		if fault != nil || answer.Status != http.StatusRequestEntityTooLarge {
+			t.Fatalf("turn %d: %v %v", turn, answer, fault)
+		}
+		if err := <-read; err != nil {
+			t.Errorf("turn %d: the backend read %v", turn, err)
+		}
+	}
+}
--- a/internal/mailround/round/caller_left_test.go
+++ b/internal/mailround/round/caller_left_test.go
@@ -77,3 +77,21 @@
 		}
 	}
 }
+
+// TestCutoffIsKept: a request whose backend works on beyond its path's limit has its final answer half a second after it at the latest, and
+// that says that it may have run.
+func TestCutoffIsKept(t *testing.T) {
+	const cutoff = 4 * postmark.Second // as Desired has it
+	for _, seed := range seeds(t, 1, 2, 3) {
+		mesh := startedBy(t, seed, servingOn)
+		mesh.labour = 8 * postmark.Second
+		for _, request := range []letter.Request{{ID: "r-1", Method: "GET", Target: "/forms/1"}, {ID: "s-1", Method: "POST", Target: "/households/1", Key: "k-1"}} {
+			began := mesh.World.Now()
+			_, fault := mesh.carry(mesh.carriers[0], &request)
+			refused := new(seal.Fault)
+			if took := mesh.World.Now() - began; took < cutoff-postmark.Second || took > cutoff+500*postmark.Millisecond || !errors.As(fault, &refused) || refused.NotRun() {
+				t.Errorf("seed %d: %s ended after %d microseconds: %v", seed, request.ID, took, fault)
+			}
+		}
+	}
+}
