--- a/internal/carrier/outlier/outlier_test.go
+++ b/internal/carrier/outlier/outlier_test.go
@@ -343,8 +343,10 @@
 		bench.now += firstGap
 		short(50 * ms)
 	}
-	if !short(50*ms) || !short(50*ms) {
-		t.Error("it's quick again, and left out still")
+	for range 2 {
+		if !short(50 * ms) {
+			t.Error("it's quick again, and left out still")
+		}
 	}
 }
 
--- a/internal/carrier/passage/ailing_test.go
+++ b/internal/carrier/passage/ailing_test.go
@@ -30,8 +30,8 @@
 )
 
 type toll struct {
-	asked, bad, tries, after, afterIll int
-	visits                             int // to those ill, while ill
+	asked, bad, after, afterIll int
+	visits                      int // to those ill, while ill
 }
 
 func (toll toll) share() float64 { return float64(toll.bad) / float64(max(1, toll.asked)) }
--- a/internal/carrier/passage/moves_test.go
+++ b/internal/carrier/passage/moves_test.go
@@ -56,8 +56,10 @@
 		time := &clock{now: postmark.Minute}
 		budget := purse.New(time, func(uint32) float64 { return 4 })
 		trip := &Trip{Service: &franking.Service{Name: "forms", Retry: &wire.Retry{BudgetRatio: proto.Float64(1), Allowance: proto.Uint32(4)}}}
-		if !budget.Spend("forms", 4) || !budget.Spend("forms", 4) { // two are left of the four that it begins with
-			t.Fatal("nothing to spend")
+		for range 2 { // two are left of the four that it begins with
+			if !budget.Spend("forms", 4) {
+				t.Fatal("nothing to spend")
+			}
 		}
 		if row.paid {
 			trip.moves.paid = budget.Spend("forms", 4)
--- a/internal/mailround/round/behind_test.go
+++ b/internal/mailround/round/behind_test.go
@@ -20,7 +20,7 @@
 	mesh := Build(seed, sizes, Breakage{})
 	defer mesh.World.Close()
 	mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
-	if tell, err, _ := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted {
+	if tell, _, err := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted {
 		t.Fatalf("seed %d: %v %v", seed, tell, err)
 	}
 	mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
@@ -35,7 +35,7 @@
 			also(mesh)
 		}
 	})
-	if tell, err, _ := mesh.raise(11, 10*postmark.Second); err != nil || tell.Outcome != versions.Accepted {
+	if tell, _, err := mesh.raise(11, 10*postmark.Second); err != nil || tell.Outcome != versions.Accepted {
 		t.Fatalf("seed %d: %v %v", seed, tell, err)
 	}
 	acknowledged = mesh.World.Now()
@@ -97,7 +97,7 @@
 		mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
 		raise := func(version uint64) {
 			t.Helper()
-			if tell, err, _ := mesh.raise(version, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted {
+			if tell, _, err := mesh.raise(version, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted {
 				t.Fatalf("seed %d: %v %v", seed, tell, err)
 			}
 		}
--- a/internal/mailround/round/exchange_test.go
+++ b/internal/mailround/round/exchange_test.go
@@ -30,14 +30,14 @@
 					t.Errorf("the %ss' voters are %v", group, voters)
 				}
 			}
-			tell, err, _ := mesh.raise(100, 10*postmark.Second)
+			tell, _, err := mesh.raise(100, 10*postmark.Second)
 			if err != nil || tell.Serial != 100 {
 				t.Fatalf("%v %v", tell, err)
 			}
 			mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
 			mesh.retire("core-1")
 			mesh.retire("core-2")
-			if tell, err, _ = mesh.raise(101, 20*postmark.Second); err != nil || tell.Serial != 101 {
+			if tell, _, err = mesh.raise(101, 20*postmark.Second); err != nil || tell.Serial != 101 {
 				t.Errorf("after the zone's loss: %v %v", tell, err)
 			}
 		})
--- a/internal/mailround/round/serve_on_test.go
+++ b/internal/mailround/round/serve_on_test.go
@@ -30,7 +30,7 @@
 	mesh := Build(seed, sizes, Breakage{})
 	t.Cleanup(mesh.World.Close)
 	mesh.World.Run(mesh.World.Now() + 3*postmark.Second)
-	if tell, err, _ := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted || tell.Serial != 10 {
+	if tell, _, err := mesh.raise(10, 20*postmark.Second); err != nil || tell.Outcome != versions.Accepted || tell.Serial != 10 {
 		t.Fatalf("%v %v", tell, err)
 	}
 	mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
@@ -38,7 +38,7 @@
 }
 
 // raise applies a state under a version through a door's store, and tells how long that took.
-func (mesh *Mesh) raise(version uint64, patience postmark.Micros) (tell *wire.DesiredApplyTell, err error, took postmark.Micros) {
+func (mesh *Mesh) raise(version uint64, patience postmark.Micros) (tell *wire.DesiredApplyTell, took postmark.Micros, err error) {
 	began, done := mesh.World.Now(), false
 	mesh.Outside.Go(func() {
 		tell, err = api.NewStore(mesh.Outside, mesh.book).Apply(patience, &wire.DesiredApplyAsk{Content: Desired(int(version)), Version: version})
@@ -50,7 +50,7 @@
 	if !done {
 		err = errors.New("it took no end")
 	}
-	return tell, err, took
+	return tell, took, err
 }
 
 // TestServeOnAcknowledgement: where carriers serve on, a dead one delays an apply by about Wait, not by its lease, and only until
@@ -61,7 +61,7 @@
 	wait := configstore.Defaults.Wait
 	raise := func(what string, version, serial uint64, least, most postmark.Micros, everywhere bool) {
 		t.Helper()
-		tell, err, took := mesh.raise(version, 10*postmark.Second)
+		tell, took, err := mesh.raise(version, 10*postmark.Second)
 		t.Logf("%s: acknowledged after %d microseconds", what, took)
 		if err != nil || tell.Outcome != versions.Accepted || tell.Serial != serial || tell.Spread != everywhere || took < least || took > most {
 			t.Errorf("%s: %v, %v after %d microseconds", what, tell, err, took)
@@ -93,10 +93,10 @@
 	t.Parallel()
 	mesh := started(t, configstore.Bounds{Lease: 5 * postmark.Second, Slack: postmark.Second})
 	mesh.World.Kill(mesh.World.Node(mesh.carriers[2]))
-	if tell, err, took := mesh.raise(20, 2*postmark.Second); !errors.Is(err, api.ErrUnknown) || took > 2100*postmark.Millisecond {
+	if tell, took, err := mesh.raise(20, 2*postmark.Second); !errors.Is(err, api.ErrUnknown) || took > 2100*postmark.Millisecond {
 		t.Errorf("%v, %v after %d microseconds", tell, err, took)
 	}
-	tell, err, took := mesh.raise(15, 10*postmark.Second)
+	tell, took, err := mesh.raise(15, 10*postmark.Second)
 	t.Logf("acknowledged after %d microseconds more", took)
 	if err != nil || tell.Serial != 20 || !tell.Spread || took < postmark.Second || took > 2500*postmark.Millisecond {
 		t.Errorf("%v, %v after %d microseconds", tell, err, took)
@@ -128,7 +128,7 @@
 	for _, core := range mesh.cores {
 		mesh.World.Cut("outside", core)
 	}
-	if tell, err, took := mesh.raise(20, 3*postmark.Second); !errors.Is(err, api.ErrNotTaken) || took > 3100*postmark.Millisecond {
+	if tell, took, err := mesh.raise(20, 3*postmark.Second); !errors.Is(err, api.ErrNotTaken) || took > 3100*postmark.Millisecond {
 		t.Errorf("cut off: %v, %v after %d microseconds", tell, err, took)
 	}
 	if _, err := read(2 * postmark.Second); err == nil {
@@ -188,7 +188,7 @@
 				mesh.cutFor(cut, core, true, 20*postmark.Second)
 			}
 			mesh.World.Run(mesh.World.Now() + 8*postmark.Second)
-			if _, err, _ := mesh.raise(20, 10*postmark.Second); err != nil {
+			if _, _, err := mesh.raise(20, 10*postmark.Second); err != nil {
 				t.Fatal(err)
 			}
 			if serial, _ := mesh.lives[cut].Desk.Serial(); serial != 10 {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -9,9 +9,11 @@
 	"hash/crc32"
 )
 
+// recordMark begins each record.
+const recordMark uint32 = 0x534e4f57
+
 const (
-	recordMark   uint32 = 0x534e4f57
-	headerLength        = 32
+	headerLength = 32
 	// Longest is the longest record that is read back.
 	Longest = 64 << 20
 )
