--- /dev/null
+++ b/internal/mailround/round/callers.go
@@ -0,0 +1,79 @@
+package round
+
+import (
+	"encoding/json"
+
+	"snowflow/internal/carrier/letter"
+	"snowflow/internal/inspector"
+	"snowflow/internal/mailround/world"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+	"snowflow/internal/seal"
+)
+
+// ---- callers ----
+// serve keeps callers sending at a rate until serving is turned off.
+func (mesh *Mesh) serve(perSecond int) {
+	mesh.serving = true
+	mesh.sending(0, perSecond, func() bool { return mesh.serving })
+}
+
+// sending sends requests at a rate, numbered from one on, while a condition holds.
+func (mesh *Mesh) sending(first, perSecond int, on func() bool) {
+	chance := mesh.World.Chance()
+	mesh.Outside.Go(func() {
+		for number := first; on(); number++ {
+			mesh.Outside.Sleep(postmark.Micros(chance.Uint64N(uint64(2 * int(postmark.Second) / perSecond))))
+			mesh.Outside.Go(func() { mesh.call(number, number%2 == 0) })
+		}
+	})
+}
+
+var spellings = []string{"/households/%d", "/households/%d", "//households/%d", "/households//%d", "/households/./%d", "/%%68ouseholds/%d", "/forms/../households/%d",
+	"/households/%d/"}
+
+type told struct {
+	Status  uint32
+	Serial  uint64
+	Echo    string
+	Whole   bool
+	Sum     string
+	Mesh    bool
+	Cause   uint32
+	NotRun  bool
+	Retry   postmark.Micros
+	Planned bool
+}
+
+// send makes one attempt, and tells after how long the mesh asked its caller to come back.
+func (mesh *Mesh) send(attempt *inspector.Attempt) (retry postmark.Micros) {
+	node := mesh.World.Node(attempt.Caller)
+	life, read := mesh.lives[attempt.Caller], false
+	content, err := mesh.Outside.Transact(node.Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
+		if mesh.shut[attempt.Caller] {
+			return nil, seal.Refused.New("the door is closed")
+		}
+		life, read = mesh.lives[attempt.Caller], true
+		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Target: attempt.Path, Key: attempt.Key,
+			ReadAt: life.Moment(), Headers: []*wire.Header{{Name: letter.KeyHeader, Value: attempt.Key}}}
+		if mesh.troubled[attempt.Caller] == "late" {
+			request.Cutoff = life.Now() + 3*postmark.Millisecond
+		}
+		answer, fault := life.Passage.Carry(request)
+		if fault != nil {
+			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter})
+		}
+		return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body), Sum: sum(answer.Body)})
+	})
+	attempt.Ended = mesh.World.Now()
+	attempt.Read = read && mesh.onlyPlanned
+	if err != nil {
+		attempt.Transport = "lost"
+		return 0
+	}
+	var reply told
+	_ = json.Unmarshal(content, &reply)
+	attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole, attempt.Sum = int(reply.Status), reply.Serial, reply.Echo, reply.Whole, reply.Sum
+	attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry > 0
+	return reply.Retry
+}
--- a/internal/mailround/round/mesh.go
+++ b/internal/mailround/round/mesh.go
@@ -13,9 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"snowflow/internal/carrier"
-	"snowflow/internal/carrier/gate"
 	"snowflow/internal/carrier/hutch"
-	"snowflow/internal/carrier/letter"
 	"snowflow/internal/configstore"
 	"snowflow/internal/configstore/api"
 	"snowflow/internal/discovery"
@@ -375,7 +373,6 @@
 }
 
 // ---- backends ----
-
 func (mesh *Mesh) startBackend(service, carrier, address string, quiet postmark.Micros) *backend {
 	mesh.number++
 	fresh := &backend{service: service, instance: fmt.Sprintf("%s-%d", service, mesh.number), address: address, carrier: carrier, up: true, quiet: quiet}
@@ -442,134 +439,8 @@
 	return found
 }
 
-// courier is the simulated delivery. It keeps the promises that the real one keeps over HTTP.
-type courier struct {
-	mesh  *Mesh
-	place *world.Place
-}
-
-// leaves passes the time of a backend's work, and tells whether the caller left in it.
-func (courier *courier) leaves(order gate.Order, span postmark.Micros) bool {
-	if order.Cancelled == nil {
-		courier.place.Sleep(span)
-		return false
-	}
-	left := courier.place.NewSignal()
-	defer order.Cancelled(left.Fire)()
-	return left.Wait(span)
-}
-
-func (courier *courier) Deliver(order gate.Order) (*letter.Answer, *seal.Fault) {
-	mesh := courier.mesh
-	chance := mesh.World.Chance()
-	pause := func() { courier.place.Sleep(postmark.Micros(100 + chance.Uint64N(1500))) }
-	pause()
-	var found *backend
-	for _, one := range mesh.backends {
-		if one.up && one.address == order.Backend.Address {
-			found = one
-		}
-	}
-	if found == nil {
-		return nil, seal.New(seal.BackendDial, seal.NotRun, "refused")
-	}
-	if (found.instance != order.Backend.Instance || found.service != order.Backend.Service) && !mesh.breakage.NoIdentity {
-		return nil, seal.New(seal.BackendIdentity, seal.NotRun, "it's %s", found.instance)
-	}
-	if fault := order.Still(); fault != nil {
-		return nil, fault
-	}
-	// From here on the bytes are on their way.
-	found.running++
-	found.most = max(found.most, found.running)
-	defer func() { found.running-- }()
-	pause()
-	if courier.place.Now() >= order.Cutoff {
-		return nil, seal.New(seal.AnswerLate, seal.MayHaveRun, "late")
-	}
-	if !found.up {
-		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "reset")
-	}
-	position := strings.LastIndexByte(order.ID, '.')
-	try := 1
-	_, _ = fmt.Sscanf(order.ID[position+1:], "%d", &try)
-	manner := found.manner
-	if manner == "mixed" {
-		manner = []string{"", "", "failing", "losing", "short", "not_executed"}[chance.IntN(6)]
-	}
-	body := []byte(order.ID[:position] + " answered by " + found.instance)
-	given := map[string]string{"": sum(body), "slow": sum(body)}[manner]
-	mesh.History.Ran(inspector.Run{Sum: given, Attempt: order.ID[:position], Try: try, Key: letter.Header(order.Headers, letter.KeyHeader), Service: found.service,
-		Instance: found.instance, Method: order.Method, Path: order.Target, At: mesh.World.Now(), Executed: manner != "not_executed"})
-	if found.service == "households" && chance.IntN(4) == 0 {
-		mesh.lookup(order, found)
-	}
-	labour := mesh.labour
-	if manner == "slow" {
-		labour += 6 * postmark.Second
-	}
-	if labour > 0 && courier.leaves(order, min(labour, order.Cutoff-courier.place.Now())) { // as a connection's own limit would end it
-		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "its connection was closed")
-	}
-	pause()
-	if courier.place.Now() >= order.Cutoff {
-		return nil, seal.New(seal.AnswerLate, seal.MayHaveRun, "late")
-	}
-	answer := &letter.Answer{Status: 200, Body: body, Headers: []*wire.Header{{Name: "Sum", Value: sum(body)}, {Name: "Echo", Value: order.ID[:position]}}}
-	switch {
-	case manner == "losing" || !found.up:
-		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "lost")
-	case manner == "short" && mesh.breakage.TrustShort:
-		answer.Body = body[:4]
-	case manner == "short":
-		return nil, seal.New(seal.AnswerBroken, seal.MayHaveRun, "short")
-	case manner == "failing":
-		answer.Status = 500
-	case manner == "not_executed":
-		answer.NotRun = true
-		answer.Status, answer.Headers = 503, append(answer.Headers, &wire.Header{Name: letter.NotExecutedHeader, Value: "1"})
-	}
-	return answer, nil
-}
-
-// lookup is a backend's own call through the carrier beside it: mostly a quick read, at times the very submission that it
-// is running, which must not run again on that path either.
-func (mesh *Mesh) lookup(order gate.Order, from *backend) {
-	mesh.number++
-	attempt := &inspector.Attempt{ID: fmt.Sprintf("lookup-%d", mesh.number), Kind: "lookup", Caller: from.carrier, Method: "GET", Path: fmt.Sprintf("/forms/%d", mesh.number), Sent: mesh.World.Now()}
-	if key := letter.Header(order.Headers, letter.KeyHeader); mesh.World.Chance().IntN(4) == 0 && key != "" {
-		attempt.Kind, attempt.Method, attempt.Path, attempt.Key = "submission", order.Method, order.Target, key
-	}
-	mesh.Outside.Go(func() {
-		mesh.History.Send(attempt)
-		mesh.send(attempt)
-	})
-}
-
 func sum(content []byte) string { return fmt.Sprint(crc32.ChecksumIEEE(content)) }
 
-// ---- callers ----
-
-// serve keeps callers sending at a rate until serving is turned off.
-func (mesh *Mesh) serve(perSecond int) {
-	mesh.serving = true
-	mesh.sending(0, perSecond, func() bool { return mesh.serving })
-}
-
-// sending sends requests at a rate, numbered from one on, while a condition holds.
-func (mesh *Mesh) sending(first, perSecond int, on func() bool) {
-	chance := mesh.World.Chance()
-	mesh.Outside.Go(func() {
-		for number := first; on(); number++ {
-			mesh.Outside.Sleep(postmark.Micros(chance.Uint64N(uint64(2 * int(postmark.Second) / perSecond))))
-			mesh.Outside.Go(func() { mesh.call(number, number%2 == 0) })
-		}
-	})
-}
-
-var spellings = []string{"/households/%d", "/households/%d", "//households/%d", "/households//%d", "/households/./%d", "/%%68ouseholds/%d", "/forms/../households/%d",
-	"/households/%d/"}
-
 func (mesh *Mesh) call(number int, keyed bool) {
 	chance := mesh.World.Chance()
 	for again := 0; again < 4 || mesh.patient && mesh.serving; again++ {
@@ -599,112 +470,6 @@
 	}
 }
 
-type told struct {
-	Status  uint32
-	Serial  uint64
-	Echo    string
-	Whole   bool
-	Sum     string
-	Mesh    bool
-	Cause   uint32
-	NotRun  bool
-	Retry   postmark.Micros
-	Planned bool
-}
-
-// send makes one attempt, and tells after how long the mesh asked its caller to come back.
-func (mesh *Mesh) send(attempt *inspector.Attempt) (retry postmark.Micros) {
-	node := mesh.World.Node(attempt.Caller)
-	life, read := mesh.lives[attempt.Caller], false
-	content, err := mesh.Outside.Transact(node.Address, 8*postmark.Second, func(*world.Node) ([]byte, error) {
-		if mesh.shut[attempt.Caller] {
-			return nil, seal.Refused.New("the door is closed")
-		}
-		life, read = mesh.lives[attempt.Caller], true
-		request := &letter.Request{ID: attempt.ID, Method: attempt.Method, Target: attempt.Path, Key: attempt.Key,
-			ReadAt: life.Moment(), Headers: []*wire.Header{{Name: letter.KeyHeader, Value: attempt.Key}}}
-		if mesh.troubled[attempt.Caller] == "late" {
-			request.Cutoff = life.Now() + 3*postmark.Millisecond
-		}
-		answer, fault := life.Passage.Carry(request)
-		if fault != nil {
-			return json.Marshal(told{Status: uint32(fault.Status()), Mesh: true, Cause: uint32(fault.Cause), NotRun: fault.NotRun(), Retry: fault.RetryAfter})
-		}
-		return json.Marshal(told{Status: answer.Status, Serial: answer.Serial, Echo: letter.Header(answer.Headers, "Echo"), Whole: letter.Header(answer.Headers, "Sum") == sum(answer.Body), Sum: sum(answer.Body)})
-	})
-	attempt.Ended = mesh.World.Now()
-	attempt.Read = read && mesh.onlyPlanned
-	if err != nil {
-		attempt.Transport = "lost"
-		return 0
-	}
-	var reply told
-	_ = json.Unmarshal(content, &reply)
-	attempt.Status, attempt.Serial, attempt.Echo, attempt.Whole, attempt.Sum = int(reply.Status), reply.Serial, reply.Echo, reply.Whole, reply.Sum
-	attempt.Mesh, attempt.Cause, attempt.NotRun, attempt.RetryTold = reply.Mesh, int(reply.Cause), reply.NotRun, reply.Retry > 0
-	return reply.Retry
-}
-
-// ---- operators ----
-
-// apply has an operator apply a content, asking again until the outcome is certain or patience ends.
-func (mesh *Mesh) apply(content []byte, any bool, expected uint64, patience postmark.Micros) *wire.DesiredApplyTell {
-	if mesh.handed != nil {
-		mesh.handed(content)
-	}
-	sum, faults := mesh.permit(content)
-	ask := &wire.DesiredApplyAsk{Content: content, AnySerial: any, ExpectedSerial: expected, Request: fmt.Sprintf("apply-%x", mesh.Outside.Random())}
-	defer func(over func(postmark.Micros)) { over(mesh.World.Now()) }(mesh.History.Plan("a change of the desired state", mesh.World.Now()))
-	cutoff := mesh.World.Now() + patience
-	for mesh.World.Now() < cutoff {
-		leader := mesh.book.Leader(configstore.Group)
-		tell := &wire.DesiredApplyTell{}
-		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_apply, ask, tell, 20*postmark.Second) == nil {
-			mesh.History.Apply(inspector.Applied{Serial: tell.Serial, Digest: tell.Digest, Valid: len(faults) == 0, Outcome: tell.Outcome, At: mesh.World.Now(), Sum: sum})
-			mesh.latest = max(mesh.latest, tell.Serial)
-			return tell
-		}
-		mesh.book.Ask()
-		mesh.Outside.Sleep(200 * postmark.Millisecond)
-	}
-	return nil
-}
-
-// permit notes where a content sends each kind of traffic, and tells what it does; or what is wrong with it.
-func (mesh *Mesh) permit(content []byte) (sum string, faults []franking.Fault) {
-	state, faults := franking.Parse(content)
-	if state == nil || len(faults) > 0 {
-		return "", faults
-	}
-	view := franking.Compile(state, 0, "")
-	for _, sample := range mesh.samples {
-		path, _ := view.Resolve("", sample.method, sample.path)
-		for _, share := range path.Split {
-			if _, has := path.Has(share.Service.Name); has {
-				mesh.History.Allow(sample.kind, share.Service.Name, mesh.World.Now())
-			}
-		}
-	}
-	return view.Sum(), nil
-}
-
-// readBack reads the history of desired states at the end.
-func (mesh *Mesh) readBack() {
-	for range 100 {
-		tell := &wire.DesiredReadTell{}
-		leader := mesh.book.Leader(configstore.Group)
-		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 2*postmark.Second) == nil {
-			for _, kept := range tell.States {
-				mesh.History.ReadBack = append(mesh.History.ReadBack, inspector.ReadBack{Serial: kept.Serial, Digest: kept.Digest})
-			}
-			mesh.History.Read = true
-			return
-		}
-		mesh.book.Ask()
-		mesh.Outside.Sleep(300 * postmark.Millisecond)
-	}
-}
-
 // watch notes the shared records as the sorters that answer hold them.
 func (mesh *Mesh) watch() {
 	mesh.Outside.Go(func() {
--- /dev/null
+++ b/internal/mailround/round/operators.go
@@ -0,0 +1,70 @@
+package round
+
+import (
+	"fmt"
+
+	"snowflow/internal/configstore"
+	"snowflow/internal/franking"
+	"snowflow/internal/inspector"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// ---- operators ----
+// apply has an operator apply a content, asking again until the outcome is certain or patience ends.
+func (mesh *Mesh) apply(content []byte, any bool, expected uint64, patience postmark.Micros) *wire.DesiredApplyTell {
+	if mesh.handed != nil {
+		mesh.handed(content)
+	}
+	sum, faults := mesh.permit(content)
+	ask := &wire.DesiredApplyAsk{Content: content, AnySerial: any, ExpectedSerial: expected, Request: fmt.Sprintf("apply-%x", mesh.Outside.Random())}
+	defer func(over func(postmark.Micros)) { over(mesh.World.Now()) }(mesh.History.Plan("a change of the desired state", mesh.World.Now()))
+	cutoff := mesh.World.Now() + patience
+	for mesh.World.Now() < cutoff {
+		leader := mesh.book.Leader(configstore.Group)
+		tell := &wire.DesiredApplyTell{}
+		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_apply, ask, tell, 20*postmark.Second) == nil {
+			mesh.History.Apply(inspector.Applied{Serial: tell.Serial, Digest: tell.Digest, Valid: len(faults) == 0, Outcome: tell.Outcome, At: mesh.World.Now(), Sum: sum})
+			mesh.latest = max(mesh.latest, tell.Serial)
+			return tell
+		}
+		mesh.book.Ask()
+		mesh.Outside.Sleep(200 * postmark.Millisecond)
+	}
+	return nil
+}
+
+// permit notes where a content sends each kind of traffic, and tells what it does; or what is wrong with it.
+func (mesh *Mesh) permit(content []byte) (sum string, faults []franking.Fault) {
+	state, faults := franking.Parse(content)
+	if state == nil || len(faults) > 0 {
+		return "", faults
+	}
+	view := franking.Compile(state, 0, "")
+	for _, sample := range mesh.samples {
+		path, _ := view.Resolve("", sample.method, sample.path)
+		for _, share := range path.Split {
+			if _, has := path.Has(share.Service.Name); has {
+				mesh.History.Allow(sample.kind, share.Service.Name, mesh.World.Now())
+			}
+		}
+	}
+	return view.Sum(), nil
+}
+
+// readBack reads the history of desired states at the end.
+func (mesh *Mesh) readBack() {
+	for range 100 {
+		tell := &wire.DesiredReadTell{}
+		leader := mesh.book.Leader(configstore.Group)
+		if leader != "" && mesh.book.Call(leader, wire.Kind_desired_read, &wire.DesiredReadAsk{List: true}, tell, 2*postmark.Second) == nil {
+			for _, kept := range tell.States {
+				mesh.History.ReadBack = append(mesh.History.ReadBack, inspector.ReadBack{Serial: kept.Serial, Digest: kept.Digest})
+			}
+			mesh.History.Read = true
+			return
+		}
+		mesh.book.Ask()
+		mesh.Outside.Sleep(300 * postmark.Millisecond)
+	}
+}
