--- a/internal/configstore/versions/versions_test.go
+++ b/internal/configstore/versions/versions_test.go
@@ -164,3 +164,41 @@
 		t.Error("a view whose first state is missing was taken")
 	}
 }
+
+// TestDamagedViews: a view with any byte changed, or cut anywhere, is refused, or gives the states that it was made of; and a refused one leaves what was there.
+func TestDamagedViews(t *testing.T) {
+	one := versions.New(3)
+	for _, order := range []string{"version 3 aaaaaaaaaaaaaaaaaaaa", "version 4 aaaaaaaaaaaaaaaaaaab", "version 9 aaaaaaaaaaaaaaaaaaac"} {
+		carryOut(t, one, strings.Fields(order))
+	}
+	shown := func(store *versions.Store) (text string) {
+		for _, kept := range store.All() {
+			text += fmt.Sprintf(" %s", kept.Content)
+		}
+		return text
+	}
+	whole, refused := one.View(), 0
+	for index := range whole {
+		spoilt := append([]byte(nil), whole...)
+		spoilt[index] ^= 0x41
+		for _, content := range [][]byte{spoilt, whole[:index]} {
+			other := versions.New(3)
+			carryOut(t, other, strings.Fields("version 1 before"))
+			if err := other.Restore(content); err != nil {
+				refused++
+				if shown(other) != " before" {
+					t.Fatalf("byte %d: a refused view left %q", index, shown(other))
+				}
+				continue
+			}
+			for _, kept := range other.All() {
+				if !strings.Contains(shown(one), string(kept.Content)) {
+					t.Fatalf("byte %d: %q was taken", index, kept.Content)
+				}
+			}
+		}
+	}
+	if refused < len(whole)/2 {
+		t.Errorf("only %d of %d were refused", refused, 2*len(whole))
+	}
+}
--- /dev/null
+++ b/internal/mailround/round/bad_messages_test.go
@@ -0,0 +1,101 @@
+package round
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/configstore"
+	"snowflow/internal/parcel/wire"
+	"snowflow/internal/postmark"
+)
+
+// badMessages are messages between core members that are from an earlier epoch, another copy or another group, cut short, or garbage.
+func badMessages(to string, incarnation uint64) map[string]struct {
+	kind wire.Kind
+	ask  proto.Message
+	tell proto.Message
+} {
+	entry := &wire.Entry{Epoch: 1, Sequence: 1, Command: []byte("garbage")}
+	type message = struct {
+		kind wire.Kind
+		ask  proto.Message
+		tell proto.Message
+	}
+	return map[string]message{
+		"entries of an old epoch":         {wire.Kind_replicate, &wire.ReplicateAsk{To: to, ToIncarnation: incarnation, Epoch: 1, Entries: []*wire.Entry{entry}}, &wire.ReplicateTell{}},
+		"entries for another copy":        {wire.Kind_replicate, &wire.ReplicateAsk{To: to, ToIncarnation: incarnation + 1, Epoch: 1 << 40, Entries: []*wire.Entry{entry}}, &wire.ReplicateTell{}},
+		"entries out of step":             {wire.Kind_replicate, &wire.ReplicateAsk{To: to, ToIncarnation: incarnation, Epoch: 1 << 20, PreviousSequence: 1 << 30, Entries: []*wire.Entry{entry}}, &wire.ReplicateTell{}},
+		"entries for another process":     {wire.Kind_replicate, &wire.ReplicateAsk{To: "nobody", ToIncarnation: incarnation, Epoch: 1 << 20}, &wire.ReplicateTell{}},
+		"a view of an old epoch":          {wire.Kind_install, &wire.InstallAsk{To: to, Epoch: 1, View: &wire.View{Epoch: 1, Sequence: 1}}, &wire.InstallTell{}},
+		"a view that is garbage":          {wire.Kind_install, &wire.InstallAsk{To: to, Epoch: 1 << 20, View: &wire.View{Epoch: 1 << 20, Sequence: 9, Content: bytes.Repeat([]byte{0xff, 0x07}, 40)}}, &wire.InstallTell{}},
+		"a view that is cut":              {wire.Kind_install, &wire.InstallAsk{To: to, Epoch: 1 << 20, View: &wire.View{Epoch: 1 << 20, Sequence: 9, Content: []byte{0x0a, 0x7f, 0x01}}}, &wire.InstallTell{}},
+		"entries behind another position": {wire.Kind_install, &wire.InstallAsk{To: to, Epoch: 1 << 20, SinceEpoch: 3, SinceSequence: 1 << 30, Entries: []*wire.Entry{entry}}, &wire.InstallTell{}},
+		"a ballot by other voters":        {wire.Kind_register_promise, &wire.PromiseAsk{To: to, Ballot: 1 << 50, Proposer: &wire.Holder{Name: "x"}, Voters: []string{"x", "y", "z"}}, &wire.PromiseTell{}},
+		"an acceptance without a promise": {wire.Kind_register_accept, &wire.AcceptAsk{To: to, Ballot: 1 << 49, Proposer: &wire.Holder{Name: "x"}, Value: &wire.RegisterValue{Epoch: 99}}, &wire.AcceptTell{}},
+		"a lease by other voters":         {wire.Kind_tenure_ask, &wire.TenureAsk{To: to, Epoch: 99, Ballot: 1 << 49, Holder: &wire.Holder{Name: "x"}, Voters: []string{"x"}}, &wire.TenureTell{}},
+		"a goodbye of nobody":             {wire.Kind_enroll, &wire.EnrollAsk{To: to, Name: "nobody", Leaving: true}, &wire.EnrollTell{}},
+	}
+}
+
+// TestBadMessages: whatever bad message comes to any core process, at any moment, nothing that was acknowledged is lost, and the core goes on.
+func TestBadMessages(t *testing.T) {
+	for _, seed := range seeds(t, 1, 2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			mesh := startedBy(t, seed, servingOn)
+			version := uint64(100)
+			for range 4 {
+				for _, node := range mesh.allCore() {
+					seen := &wire.RegisterReadTell{}
+					mesh.ask(node.Address, wire.Kind_register_read, &wire.RegisterReadAsk{To: node.Name, From: "outside"}, seen)
+					bad := badMessages(node.Name, seen.Incarnation)
+					for _, name := range slices.Sorted(maps.Keys(bad)) {
+						one := bad[name]
+						mesh.ask(node.Address, one.kind, one.ask, one.tell)
+						if tell, is := one.tell.(*wire.InstallTell); is && tell.Stored {
+							t.Errorf("%s took %s", node.Name, name)
+						}
+						if tell, is := one.tell.(*wire.ReplicateTell); is && tell.Stored {
+							t.Errorf("%s took %s", node.Name, name)
+						}
+						if tell, is := one.tell.(*wire.AcceptTell); is && tell.Granted {
+							t.Errorf("%s granted %s", node.Name, name)
+						}
+					}
+				}
+				version++
+				if tell, _, err := mesh.raise(version, 10*postmark.Second); err != nil || tell.Serial != version {
+					t.Fatalf("version %d: %v %v", version, tell, err)
+				}
+				mesh.World.Kill(mesh.leader("postmaster"))
+				mesh.World.Run(mesh.World.Now() + 5*postmark.Second)
+				for _, node := range mesh.allCore() {
+					mesh.World.Start(node)
+				}
+				mesh.World.Run(mesh.World.Now() + 5*postmark.Second)
+			}
+			tell := &wire.DesiredReadTell{}
+			mesh.ask(mesh.leader(configstore.Group).Address, wire.Kind_desired_read, &wire.DesiredReadAsk{}, tell)
+			if !tell.Found || tell.States[0].Serial != version {
+				t.Errorf("%v, not version %d", tell, version)
+			}
+		})
+	}
+}
+
+// ask sends a message from the outside and waits for its answer, or for it to be turned down.
+func (mesh *Mesh) ask(address string, kind wire.Kind, ask, tell proto.Message) {
+	done := false
+	mesh.Outside.Go(func() {
+		_ = mesh.Outside.Call(address, kind, ask, tell, postmark.Second)
+		done = true
+	})
+	for limit := mesh.World.Now() + 3*postmark.Second; !done && mesh.World.Now() < limit; {
+		mesh.World.Run(mesh.World.Now() + 5*postmark.Millisecond)
+	}
+}
