--- a/internal/replication/propose.go
+++ b/internal/replication/propose.go
@@ -114,9 +114,15 @@
 	return member.Answering() && member.Epoch() == epoch
 }
 
-// Peek looks at this member's own copy, whoever leads, if the newest register heard of names it as one: what it shows may have been
-// overtaken since, or never have been answered. It tells whether it looked.
+// peekWithin is how lately a majority must have been seen by who shows its copy without leading.
+const peekWithin = postmark.Second
+
+// Peek looks at this member's own copy, whoever leads, if the newest register that a majority told of lately names it as a holder: it has whatever was
+// answered before that, and may have what never was. It tells whether it looked.
 func (member *Member) Peek(look func()) bool {
+	if !member.majoritySeen(peekWithin) {
+		return false
+	}
 	member.lock.Lock()
 	value, self := member.value, member.self()
 	member.lock.Unlock()
--- a/internal/replication/sightings.go
+++ b/internal/replication/sightings.go
@@ -117,6 +117,20 @@
 	return false, member.env.Beat
 }
 
+// majoritySeen tells whether this seat and those whose registers were read within a span are a quorum: what was chosen before is known here.
+func (member *Member) majoritySeen(within postmark.Micros) bool {
+	present, _ := member.configuration()
+	seen, now := []string{member.env.Name}, member.env.Place.Now()
+	member.lock.Lock()
+	for name, one := range member.seats {
+		if one.intact && now-one.at <= within {
+			seen = append(seen, name)
+		}
+	}
+	member.lock.Unlock()
+	return present.decides(seen)
+}
+
 // succeeds tells whether this member, the primary that the register names, need not leave the lead to one of its backups: none is
 // back, or a lease of this member's own earlier life stands in a backup's way.
 func (member *Member) succeeds(value *wire.RegisterValue) bool {
