--- a/internal/configstore/bounds.go
+++ b/internal/configstore/bounds.go
@@ -53,17 +53,8 @@
 	return bounds.Lease + 9*postmark.Second
 }
 
-// turnOver is how long a carrier whose poll ended with its primary may take to find the next one.
-const turnOver = 500 * postmark.Millisecond
-
-// unknown is how long a new primary doesn't know who serves: until the leases that others gave are nearly over. Where carriers serve on, their leases
-// aren't waited for, and whoever is in touch has polled the new primary by then.
-func (bounds Bounds) unknown() postmark.Micros {
-	if bounds.ServeOn {
-		return min(bounds.Lease-bounds.Slack, bounds.PollHold+turnOver)
-	}
-	return bounds.Lease - bounds.Slack
-}
+// unknown is how long a new primary doesn't know who serves: until the leases that others gave are nearly over.
+func (bounds Bounds) unknown() postmark.Micros { return bounds.Lease - bounds.Slack }
 
 // slack is what may be left of the lease of a carrier that isn't waited for.
 func (bounds Bounds) slack() postmark.Micros {
