--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -27,10 +27,12 @@
 	// handle answers one request on a connection. It returns false to close the connection.
 	handle   func(connection *backendConnection, request *http.Request, body []byte) bool
 	listener net.Listener
-	closed   chan struct{}
-	sequence int
+	closed   chan struct{} // closed by close
+	silent   chan struct{} // closed by stopHeartbeats
 
-	mu          sync.Mutex // guards connections
+	mu          sync.Mutex // guards the fields below
+	sequence    int
+	stopped     bool
 	connections map[net.Conn]bool
 }
 
@@ -68,8 +70,8 @@
 		return nil, err
 	}
 	started := &backend{
-		fleet: f, machine: machine, service: service, instance: fmt.Sprintf("i-%d", machine), slots: slots, handle: handle,
-		listener: listener, closed: make(chan struct{}), connections: map[net.Conn]bool{},
+		fleet: f, machine: machine, service: service, instance: f.newInstance(machine), slots: slots, handle: handle,
+		listener: listener, closed: make(chan struct{}), silent: make(chan struct{}), connections: map[net.Conn]bool{},
 	}
 	f.mu.Lock()
 	f.backends = append(f.backends, started)
@@ -80,11 +82,29 @@
 	return started, err
 }
 
+// newInstance returns an id for a backend on a machine: every start of a backend has a new one.
+func (f *fleet) newInstance(machine int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name := fmt.Sprintf("i-%d", machine)
+	for _, earlier := range f.backends {
+		if earlier.machine == machine {
+			name += "b"
+		}
+	}
+	return name
+}
+
+// close ends the backend. Further calls do nothing.
 func (b *backend) close() {
-	close(b.closed)
-	_ = b.listener.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return
+	}
+	b.stopped = true
+	close(b.closed)
+	_ = b.listener.Close()
 	for connection := range b.connections {
 		_ = connection.Close()
 	}
@@ -95,21 +115,38 @@
 		select {
 		case <-b.closed:
 			return
+		case <-b.silent:
+			return
 		case <-time.After(heartbeatInterval):
 			_ = b.sendHeartbeat()
 		}
 	}
 }
 
-func (b *backend) sendHeartbeat() error {
+// stopHeartbeats ends the heartbeats, as a backend that is about to deregister does.
+func (b *backend) stopHeartbeats() { close(b.silent) }
+
+// nextHeartbeat returns the body of the next heartbeat.
+func (b *backend) nextHeartbeat() (string, error) {
+	b.mu.Lock()
 	b.sequence++
-	text, err := render("heartbeat.tmpl", map[string]any{
+	sequence := b.sequence
+	b.mu.Unlock()
+	return render("heartbeat.tmpl", map[string]any{
 		"Address": b.fleet.endpoint(b.machine, 8301), "Service": b.service, "Zone": zones[b.machine%len(zones)],
-		"Slots": b.slots, "State": "in_service", "Sequence": b.sequence,
+		"Slots": b.slots, "State": "in_service", "Sequence": sequence,
 	})
+}
+
+func (b *backend) sendHeartbeat() error {
+	text, err := b.nextHeartbeat()
 	if err != nil {
 		return err
 	}
+	return b.deliverHeartbeat(text)
+}
+
+func (b *backend) deliverHeartbeat(text string) error {
 	status, err := b.fleet.call(http.MethodPut, b.fleet.endpoint(b.machine, 8306)+"/instances/"+b.instance, text)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
@@ -117,6 +154,23 @@
 	return err
 }
 
+// delayedHeartbeat sends a heartbeat now, which arrives late. The channel gets the outcome.
+func (b *backend) delayedHeartbeat(delay time.Duration) <-chan error {
+	outcome := make(chan error, 1)
+	text, err := b.nextHeartbeat()
+	if err != nil {
+		outcome <- err
+		return outcome
+	}
+	b.fleet.record.line("%s sends a heartbeat, which will arrive %v late", b.instance, delay)
+	time.AfterFunc(delay, func() {
+		err := b.deliverHeartbeat(text)
+		b.fleet.record.line("the late heartbeat of %s arrives: error %v", b.instance, err)
+		outcome <- err
+	})
+	return outcome
+}
+
 func (b *backend) accept() {
 	for {
 		connection, err := b.listener.Accept()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -110,10 +110,9 @@
 // outbound is where the clients and the backend of a machine send their requests.
 func (f *fleet) outbound(machine int) string { return f.endpoint(machine, 8304) }
 
-// start starts a program with the command of the deploy file and a settings file of its own.
-func (f *fleet) start(program string, machine int, service string, first bool) (*process, error) {
+// writeSettings writes the settings file of a program on a machine.
+func (f *fleet) writeSettings(program string, machine int, service string, first bool) error {
 	core := machine <= coreCount
-	name := fmt.Sprintf("%s-%d", program, machine)
 	values := map[string]any{
 		"Name": fmt.Sprintf("machine-%d", machine), "Role": program, "Class": "sidecar", "Serves": "sidecar",
 		"Address": f.address(machine), "Zone": zones[machine%len(zones)], "Network": f.network, "First": first, "Core": core,
@@ -124,12 +123,21 @@
 	}
 	text, err := render("settings.tmpl", values)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	path := filepath.Join(f.folder, name+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	return os.WriteFile(f.settingsPath(program, machine), []byte(text), 0o600)
+}
+
+func (f *fleet) settingsPath(program string, machine int) string {
+	return filepath.Join(f.folder, fmt.Sprintf("%s-%d.toml", program, machine))
+}
+
+// start starts a program with the command of the deploy file and a settings file of its own.
+func (f *fleet) start(program string, machine int, service string, first bool) (*process, error) {
+	if err := f.writeSettings(program, machine, service, first); err != nil {
 		return nil, err
 	}
+	name, path := fmt.Sprintf("%s-%d", program, machine), f.settingsPath(program, machine)
 	log, err := os.OpenFile(filepath.Join(f.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,9 @@
 	exitFailed = 2
 )
 
+// maxBreaksShown bounds the breaks that a record lists one by one.
+const maxBreaksShown = 20
+
 // maxRunTime bounds a run, below the 120 seconds that a case may take.
 const maxRunTime = 110 * time.Second
 
@@ -29,6 +32,7 @@
 var scenarios = map[string]scenario{
 	"surplus-answer": surplusAnswer,
 	"slow-reader":    slowReader,
+	"departure":      departure,
 }
 
 func main() {
@@ -65,7 +69,7 @@
 		record.line("could not run: %v", err)
 		return exitFailed
 	}
-	for _, text := range breaks {
+	for _, text := range breaks[:min(len(breaks), maxBreaksShown)] {
 		record.line("BROKEN %s", text)
 	}
 	record.line("the rule was broken %d times", len(breaks))
