--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,7 @@
 
 // The exit codes.
 const (
-	exitKept   = 0
+	exitPassed = 0
 	exitBroken = 1
 	exitFailed = 2
 )
@@ -76,5 +76,5 @@
 	if len(breaks) > 0 {
 		return exitBroken
 	}
-	return exitKept
+	return exitPassed
 }
