--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -202,12 +203,12 @@
 func (f *fleet) stop() {
 	f.mu.Lock()
 	f.stopping = true
-	backends := f.backends
+	backends, running := f.backends, maps.Clone(f.running)
 	f.mu.Unlock()
-	for _, stopped := range f.running {
+	for _, stopped := range running {
 		_ = stopped.command.Process.Kill()
 	}
-	for _, stopped := range f.running {
+	for _, stopped := range running {
 		<-stopped.ended
 	}
 	for _, stopped := range backends {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -64,6 +66,14 @@
 		os.Exit(exitFailed)
 	})
 	defer timer.Stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		record.line("could not run: interrupted")
+		started.stop()
+		os.Exit(exitFailed)
+	}()
 	breaks, err := scenarios[name](started, trouble)
 	if err != nil {
 		record.line("could not run: %v", err)
