Transcripts: each request has an id of its own, and backends may send surplus answers

The transcripts of upstream sent every request of a series with the id of the first one, so they couldn't tell one more attempt at a request from the next request. Now each has its own id, again=true makes them attempts at the first one, and surplus=true makes the backend send each answer once more in place of the next one on that connection. {id} is filled in when a response is sent.

--- a/internal/proxy/upstream/dialect_test.go
+++ b/internal/proxy/upstream/dialect_test.go
@@ -3,12 +3,17 @@
 import (
 	"testing"
 
+	"snowflow/internal/proxy/request"
 	"snowflow/internal/proxy/upstream"
 	"snowflow/internal/proxy/upstream/transcript"
 )
 
 func suite() *transcript.Suite {
-	return &transcript.Suite{Dialect: upstream.DefaultDialect(), OtherHeaders: "X-Snowflow-Request: other.1\r\n"}
+	return &transcript.Suite{
+		Dialect:      upstream.DefaultDialect(),
+		IDHeader:     request.RequestIDHeader,
+		OtherHeaders: "X-Snowflow-Request: other.1\r\n",
+	}
 }
 
 // TestResponses checks the transcripts of what means the same in every dialect.
--- a/internal/proxy/upstream/transcript/backend.go
+++ b/internal/proxy/upstream/transcript/backend.go
@@ -17,8 +17,10 @@
 type fakeBackend struct {
 	listener      net.Listener
 	identity      string
-	response      string
+	response      string // idMark in it stands for the id of the request that is answered
+	idHeader      string // of a request
 	keepAlive     bool
+	surplus       bool // each response is sent once more, before the next one on its connection
 	formatHeaders func(request *http.Request) string
 	lines         chan string // one for each request
 }
@@ -37,6 +39,7 @@
 func (b *fakeBackend) serveConnection(connection net.Conn, number int) {
 	defer func() { _ = connection.Close() }()
 	reader := bufio.NewReader(connection)
+	previous := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -52,10 +55,14 @@
 			line += fmt.Sprintf(" with %q", body)
 		}
 		b.lines <- line + b.formatHeaders(request)
-		_, _ = io.WriteString(connection, b.response)
+		response := strings.ReplaceAll(b.response, idMark, request.Header.Get(b.idHeader))
+		_, _ = io.WriteString(connection, previous+response)
 		if !b.keepAlive {
 			return
 		}
+		if b.surplus {
+			previous = response
+		}
 	}
 }
 
--- a/internal/proxy/upstream/transcript/transcript.go
+++ b/internal/proxy/upstream/transcript/transcript.go
@@ -24,8 +24,10 @@
 	requestTimeout = 300 * monotonic.Millisecond
 	// responseLimit bounds the body of each response, in bytes.
 	responseLimit = 64
-	// requestID is the id of the requests, to which the number of the attempt is appended. The transcripts contain it.
+	// requestID is the id of the first request, to which the number of the attempt is appended. The transcripts contain it.
 	requestID = "ask"
+	// idMark stands for the id of the request that is answered.
+	idMark = "{id}"
 	// closedCommand is the command of a transcript whose backend does not listen.
 	closedCommand = "gone"
 )
@@ -33,8 +35,10 @@
 // Suite is a dialect under test.
 type Suite struct {
 	Dialect upstream.Dialect
+	// IDHeader is the header in which a backend finds the id of a request.
+	IDHeader string
 	// ResponseHeaders are the header lines that a backend of the dialect writes into every response, each with its end of line.
-	// They replace {marks} in a transcript. In them {id} is the request's id.
+	// They replace {marks} in a transcript. In them, and in a transcript, {id} is the id of the request that is answered.
 	ResponseHeaders string
 	// OtherHeaders are the header lines of a response to another request. They replace {other} in a transcript.
 	OtherHeaders string
@@ -49,6 +53,7 @@
 	body    string
 	times   int
 	once    bool // the request needs a fresh connection
+	again   bool // each request after the first is one more attempt at it
 	leaving bool // the backend is found to be leaving before the request is sent
 	headers bool // the request's headers are shown
 	backend *fakeBackend
@@ -57,8 +62,7 @@
 // Run executes the transcripts of a file and compares their outcomes.
 func (s *Suite) Run(t *testing.T, path string) {
 	t.Helper()
-	responseHeaders := strings.ReplaceAll(s.ResponseHeaders, "{id}", requestID)
-	escapes := strings.NewReplacer(`\r`, "\r", `\n`, "\n", "\n", "", "{marks}", responseHeaders, "{other}", s.OtherHeaders)
+	escapes := strings.NewReplacer(`\r`, "\r", `\n`, "\n", "\n", "", "{marks}", s.ResponseHeaders, "{other}", s.OtherHeaders)
 	datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -78,7 +82,7 @@
 // parse reads the arguments of a transcript.
 func (s *Suite) parse(t *testing.T, data *datadriven.TestData) *exchange {
 	t.Helper()
-	backend := &fakeBackend{identity: `{"service":"forms","instance":"one"}`, lines: make(chan string, 16)}
+	backend := &fakeBackend{identity: `{"service":"forms","instance":"one"}`, idHeader: s.IDHeader, lines: make(chan string, 16)}
 	parsed := &exchange{dialect: s.Dialect, method: "GET", times: 1, backend: backend}
 	if name := ""; data.MaybeScanArgs(t, "identity", &name) {
 		backend.identity = fmt.Sprintf(`{"service":"forms","instance":%q}`, name)
@@ -87,9 +91,11 @@
 	data.MaybeScanArgs(t, "times", &parsed.times)
 	data.MaybeScanArgs(t, "leaving", &parsed.leaving)
 	data.MaybeScanArgs(t, "once", &parsed.once)
+	data.MaybeScanArgs(t, "again", &parsed.again)
 	data.MaybeScanArgs(t, "headers", &parsed.headers)
 	data.MaybeScanArgs(t, "body", &parsed.body)
 	data.MaybeScanArgs(t, "stay", &backend.keepAlive)
+	data.MaybeScanArgs(t, "surplus", &backend.surplus)
 	if reuse := ""; data.MaybeScanArgs(t, "reuse", &reuse) {
 		maxIdle, err := time.ParseDuration(reuse)
 		if err != nil {
@@ -118,7 +124,7 @@
 
 func (e *exchange) request(clock monotonic.Clock, number int) admission.BackendRequest {
 	return admission.BackendRequest{
-		ID:              fmt.Sprintf("%s.%d", requestID, number),
+		ID:              e.requestID(number),
 		Backend:         localbackends.Backend{Service: "forms", Instance: "one", Address: e.backend.listener.Addr().String()},
 		Method:          e.method,
 		Target:          "/forms/7?page=2",
@@ -136,6 +142,14 @@
 	}
 }
 
+// requestID returns the id of one of the requests, the first of which has number 1.
+func (e *exchange) requestID(number int) string {
+	if number == 1 || e.again {
+		return fmt.Sprintf("%s.%d", requestID, number)
+	}
+	return fmt.Sprintf("%s-%d.1", requestID, number)
+}
+
 func formatOutcome(response *request.Response, fault *apierror.Error) string {
 	if fault != nil {
 		return fmt.Sprintf("%d %s %s, the backend's: %v\n", fault.Status(), fault.Cause.Name(), fault.Verdict, fault.Backend)
