A surplus answer to one attempt no longer passes as the answer to the next one

Callers saw TWICE and REFUSED: a keyed request was answered 503, not run, although it ran, and its client's next try with the same key ran again.

Cause: after a backend's "not executed" the connection went back among the idle ones, and the second attempt took it. On the platform all attempts have the client's id, so when the backend sent the first answer once more, in place of the next one, its id matched, and the claim of the key was released while the second attempt ran.

Ruled out: the registry (the claim is released once, by its holder), answers between proxies (frames carry the number of their call), surplus answers on an idle connection (it is closed before its next use).

What comes late then meets another id, and is recognized by it. This covers requests of every kind, whoever repeats the id. Closing the connection instead would dial anew just where backends are full.

On the way: surplus answers still cost the other request that they meet its answer (502).

--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -37,6 +37,7 @@
 	idleFor   time.Duration     // how long it had been idle before this request; zero for a new connection
 	idleSince time.Time         // when it was last put among the idle ones
 	maxIdle   time.Duration     // how long it may be idle: the backend's Keep-Alive header, or maxIdleTime
+	history   requestHistory    // the requests that were sent on it, by the ids that the backend knows them by
 }
 
 func newBackendConn(connection net.Conn) *backendConn {
--- a/internal/proxy/upstream/dialect.go
+++ b/internal/proxy/upstream/dialect.go
@@ -17,6 +17,9 @@
 	// ChecksIdentity makes the transport request the identity page on each new connection. Without it Headers must name the
 	// instance.
 	ChecksIdentity bool
+	// RequestID returns the id by which the backend knows a request, and which its response names. Attempts at one request may have
+	// the same one. The transport sends no id twice on a connection.
+	RequestID func(req admission.BackendRequest) string
 	// Headers returns the headers of a request; remaining is the time to its deadline. A "Host" among them replaces the
 	// backend's address in that header.
 	Headers func(req admission.BackendRequest, remaining monotonic.Micros) []*wire.Header
@@ -32,9 +35,16 @@
 
 // DefaultDialect returns snowflow's own dialect.
 func DefaultDialect() Dialect {
-	return Dialect{ChecksIdentity: true, Headers: defaultHeaders, CheckResponse: checkDefaultResponse}
+	return Dialect{
+		ChecksIdentity: true,
+		RequestID:      defaultRequestID,
+		Headers:        defaultHeaders,
+		CheckResponse:  checkDefaultResponse,
+	}
 }
 
+func defaultRequestID(req admission.BackendRequest) string { return req.ID }
+
 func defaultHeaders(req admission.BackendRequest, _ monotonic.Micros) []*wire.Header {
 	own := req.Headers[:len(req.Headers):len(req.Headers)] // so that append copies them
 	return append(own, &wire.Header{Name: request.RequestIDHeader, Value: req.ID})
--- a/internal/proxy/upstream/transport.go
+++ b/internal/proxy/upstream/transport.go
@@ -5,11 +5,13 @@
 //
 // Connections are pooled. A connection is checked before each use, because unsolicited bytes on it would be read as the next
 // response, and because many backends close idle connections earlier than they announce; the transport estimates how early (see
-// idleLimits).
+// idleLimits). A backend may send a response twice, the second time in place of the next one, and only the request's id tells the two
+// apart. So one more attempt with the same id goes on a connection that has not carried that id (see requestHistory).
 package upstream
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +76,7 @@
 		defer stop()
 	}
 	_ = conn.net.SetDeadline(deadline)
+	conn.history.add(t.dialect.RequestID(req))
 	if fault := t.send(conn, req); fault != nil {
 		return nil, false, fault
 	}
@@ -139,14 +142,14 @@
 	return one
 }
 
-// reuse returns an idle connection on which a request may be sent, or nil. It closes those that are not fit for that.
+// reuse returns an idle connection on which a request may be sent, or nil. It closes those that are not fit for any request.
 func (t *Transport) reuse(req admission.BackendRequest) *backendConn {
 	maxIdleForOnce := t.dialect.MaxIdleForOnce
 	if req.FreshConnection && maxIdleForOnce <= 0 {
 		return nil
 	}
-	instance := req.Backend.Instance
-	for conn := t.takeIdle(instance); conn != nil; conn = t.takeIdle(instance) {
+	instance, id := req.Backend.Instance, t.dialect.RequestID(req)
+	for conn := t.takeIdle(instance, id); conn != nil; conn = t.takeIdle(instance, id) {
 		conn.idleFor = time.Since(conn.idleSince)
 		freshEnough := !req.FreshConnection || conn.idleFor < maxIdleForOnce
 		if conn.reusable() && freshEnough && t.mayReuse(instance, conn.idleFor) {
@@ -172,18 +175,28 @@
 	return t.idleLimits.observeClosed(time.Now(), instance, idleFor)
 }
 
-// takeIdle removes the connection that was used last from the idle ones. It returns nil if there is none.
-func (t *Transport) takeIdle(instance string) *backendConn {
+// takeIdle removes the connection that was used last from the idle ones, leaving out those that have carried the request's id. It
+// returns nil if there is none.
+func (t *Transport) takeIdle(instance, requestID string) *backendConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	idle := t.idle[instance]
+	for position := len(idle) - 1; position >= 0; position-- {
+		if conn := idle[position]; !conn.history.contains(requestID) {
+			t.setIdle(instance, slices.Delete(idle, position, position+1))
+			return conn
+		}
+	}
+	return nil
+}
+
+// setIdle replaces the idle connections of an instance. The caller holds the lock.
+func (t *Transport) setIdle(instance string, idle []*backendConn) {
 	if len(idle) == 0 {
 		delete(t.idle, instance)
-		return nil
+		return
 	}
-	last := idle[len(idle)-1]
-	t.idle[instance] = idle[:len(idle)-1]
-	return last
+	t.idle[instance] = idle
 }
 
 // putIdle adds a connection to the idle ones, and closes the oldest of those that are too many or too old.
