--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -76,6 +76,10 @@
 }
 `
 
+// exportedGo is a shell function named go in the environment, as the .ci/run that runs these tests exports one. It must not reach
+// the .ci/run under test.
+const exportedGo = "BASH_FUNC_go%%=() { echo 'the go function of another .ci/run'; return 1; }"
+
 // TestWithGo runs tests by the go command itself, through the project's own .ci/run.
 func TestWithGo(t *testing.T) {
 	script, err := os.ReadFile("../../.ci/run")
@@ -111,7 +115,9 @@
 		if list != "" {
 			write("KNOWN-RED.txt", list)
 		}
-		output, err := exec.Command(filepath.Join(root, ".ci", "run")).CombinedOutput()
+		command := exec.Command(filepath.Join(root, ".ci", "run"))
+		command.Env = append(os.Environ(), exportedGo)
+		output, err := command.CombinedOutput()
 		return err == nil, string(output)
 	}
 	bad, tree := "one.TestBad, it was never good, 7\n", "one.TestTree/bad, nor was this, 8\n"
