KNOWN-RED.txt: an entry has test, command and seed, what was seen, and issue

Fields are now separated by " | ", since commands have commas. An entry that names no Go test is printed as known and covers no failure: a step of TestWithGo lists one/TestBad.sh, and one.TestBad still fails. Examples and fuzz tests can be listed too.

--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -4,35 +4,47 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"regexp"
 	"slices"
 	"strings"
 )
 
 // Entry is one line of the list. No field is empty.
 type Entry struct {
-	Test  string // the package without its module, a dot, and the test's name
-	Cause string
-	Issue string
+	// Test is a Go test, as the package's folder, a dot and the test's name, or another check: the path of a script or a day.
+	Test    string
+	Command string // how to run it, with the seed
+	Seen    string // what was seen
+	Issue   string
 }
 
-// Parse reads the list: a test, a cause and an issue on each line, separated by commas. A cause may contain commas; empty lines are skipped. The error names
-// the first bad line.
+const (
+	// entryFields is the number of fields of an entry.
+	entryFields = 4
+	// fieldSeparator stands between them.
+	fieldSeparator = " | "
+)
+
+// goTest matches the name of a Go test. Its groups are the folder and the test's own name.
+var goTest = regexp.MustCompile(`^(\S+?)\.((?:Test|Fuzz|Example)\S*)$`)
+
+// ErrBadLine is the error of a line that is no entry.
+var ErrBadLine = errors.New("must be a test, a command with its seed, what was seen and an issue, separated by \"" + fieldSeparator + "\"")
+
+// Parse reads the list, an entry on each line. Empty lines are skipped. The error names the first bad line.
 func Parse(content string) (entries []Entry, err error) {
 	seen := map[string]bool{}
 	for number, line := range strings.Split(content, "\n") {
 		if strings.TrimSpace(line) == "" {
 			continue
 		}
-		first, last := strings.IndexByte(line, ','), strings.LastIndexByte(line, ',')
-		if first == last {
-			return nil, fmt.Errorf("line %d: must be a test, a cause and an issue, with commas between", number+1)
-		}
-		entry := Entry{strings.TrimSpace(line[:first]), strings.TrimSpace(line[first+1 : last]), strings.TrimSpace(line[last+1:])}
-		if entry.Test == "" || entry.Cause == "" || entry.Issue == "" || !strings.Contains(entry.Test, ".Test") {
-			return nil, fmt.Errorf("line %d: must be folder.TestName, a cause and an issue, with commas between", number+1)
+		entry, err := parseEntry(line)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", number+1, err)
 		}
 		if seen[entry.Test] {
 			return nil, fmt.Errorf("line %d: %s is there twice", number+1, entry.Test)
@@ -43,6 +55,35 @@
 	return entries, nil
 }
 
+func parseEntry(line string) (Entry, error) {
+	fields := strings.Split(line, fieldSeparator)
+	for index, field := range fields {
+		fields[index] = strings.TrimSpace(field)
+	}
+	if len(fields) != entryFields || slices.Contains(fields, "") {
+		return Entry{}, ErrBadLine
+	}
+	entry := Entry{Test: fields[0], Command: fields[1], Seen: fields[2], Issue: fields[3]}
+	if _, _, isGoTest := entry.goTest(); !isGoTest && (strings.ContainsAny(entry.Test, " \t") || !strings.Contains(entry.Test, "/")) {
+		return Entry{}, fmt.Errorf("%q is neither folder.TestName nor the path of a script or a day", entry.Test)
+	}
+	return entry, nil
+}
+
+// goTest returns the folder and the name of the Go test that an entry names, if it names one.
+func (e Entry) goTest() (folder, name string, isGoTest bool) {
+	groups := goTest.FindStringSubmatch(e.Test)
+	if groups == nil {
+		return "", "", false
+	}
+	return groups[1], groups[2], true
+}
+
+// String returns the entry as it stands in the list.
+func (e Entry) String() string {
+	return strings.Join([]string{e.Test, e.Command, e.Seen, e.Issue}, fieldSeparator)
+}
+
 // event is one line of the go command's -json output.
 type event struct {
 	Action  string
@@ -178,8 +219,8 @@
 // markListed reports whether a failed test, or one above it, is listed, and marks the entry in red.
 func markListed(entries []Entry, folder, test string, red map[string]bool) (listed bool) {
 	for _, entry := range entries {
-		name, inFolder := strings.CutPrefix(entry.Test, folder+".")
-		if inFolder && (name == test || strings.HasPrefix(test, name+"/")) {
+		entryFolder, name, isGoTest := entry.goTest()
+		if isGoTest && entryFolder == folder && (name == test || strings.HasPrefix(test, name+"/")) {
 			listed, red[entry.Test] = true, true
 		}
 	}
@@ -211,19 +252,23 @@
 	return below && !tests[test].ownOutput
 }
 
-// reportEntry writes how an entry's test did, if its package was run.
+// reportEntry writes how an entry's test did, if its package was run. An entry that names no Go test is known and no more.
 func (run *Run) reportEntry(report *strings.Builder, entry Entry, red map[string]bool) {
+	folder, test, isGoTest := entry.goTest()
+	if !isGoTest {
+		fmt.Fprintf(report, "known, not a Go test: %s\n", entry)
+		return
+	}
 	if red[entry.Test] {
-		fmt.Fprintf(report, "known red: %s, %s, %s\n", entry.Test, entry.Cause, entry.Issue)
+		fmt.Fprintf(report, "known red: %s\n", entry)
 		return
 	}
-	folder, test, _ := strings.Cut(entry.Test, ".Test")
 	tests := run.packages[run.module+"/"+folder]
 	if tests == nil {
 		return
 	}
 	how := "was not run"
-	if present := tests["Test"+test]; present != nil {
+	if present := tests[test]; present != nil {
 		how = map[string]string{"pass": "passes now; take it off the list", "skip": "was skipped"}[present.action]
 		if how == "" {
 			how = "did not end"
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -24,7 +24,7 @@
 			}
 			text := ""
 			for _, entry := range entries {
-				text += fmt.Sprintf("%q\n", entry)
+				text += fmt.Sprintf("%q\n", []string{entry.Test, entry.Command, entry.Seen, entry.Issue})
 			}
 			return text
 		}
@@ -82,7 +82,7 @@
 
 // TestWithGo runs tests by the go command itself, through the project's own .ci/run.
 func TestWithGo(t *testing.T) {
-	script, err := os.ReadFile("../../.ci/run")
+	ciScript, err := os.ReadFile("../../.ci/run")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,7 +104,7 @@
 		}
 		write("internal/knownred/"+name, string(content))
 	}
-	write(".ci/run", string(script))
+	write(".ci/run", string(ciScript))
 	write("go.mod", module)
 	write("README.md", "# one\n\n## Tests\n\n    go vet ./... && go test ./one/... && go test -vet=off $(go list ./... | grep -v one/)\n\n## More\n\n    false\n")
 	write("one/one_test.go", tests)
@@ -120,7 +120,8 @@
 		output, err := command.CombinedOutput()
 		return err == nil, string(output)
 	}
-	bad, tree := "one.TestBad, it was never good, 7\n", "one.TestTree/bad, nor was this, 8\n"
+	bad, tree := "one.TestBad | go test ./one | it was never good | 7\n", "one.TestTree/bad | go test ./one | nor was this | 8\n"
+	script := "one/TestBad.sh | one/TestBad.sh, seed 1 | a script | 9\n"
 	panics := func() {
 		write("one/two_test.go", "package one\n\nimport \"testing\"\n\nfunc TestPanic(t *testing.T) { panic(1) }\n")
 	}
@@ -131,11 +132,12 @@
 		expected   []string
 	}{
 		{"without a list", "", func() {}, false, []string{"--- FAIL: TestBad"}},
-		{"all are listed", bad + tree, func() {}, true, []string{"known red: one.TestBad, it was never good, 7", "known red: one.TestTree/bad, nor was this, 8", "snowflow/two"}},
+		{"all are listed", bad + tree, func() {}, true, []string{"known red: " + bad, "known red: " + tree, "snowflow/two"}},
 		{"one isn't listed", bad, func() {}, false, []string{"not known: one.TestTree", "known red: one.TestBad"}},
-		{"one passes", bad + tree + "two.TestGood, it was bad, 9\n", func() {}, true, []string{"listed as red: two.TestGood passes now"}},
-		{"a list that can't be read", "one.TestBad\n", func() {}, false, []string{"KNOWN-RED.txt: line 1"}},
-		{"a panic hides the tests behind it", bad + tree + "one.TestPanic, it panics, 9\n", panics, false, []string{"one failed otherwise than by a test"}},
+		{"a script of that name doesn't list it", script + tree, func() {}, false, []string{"not known: one.TestBad", "known, not a Go test: " + script}},
+		{"one passes", bad + tree + "two.TestGood | go test ./two | it was bad | 9\n", func() {}, true, []string{"listed as red: two.TestGood passes now"}},
+		{"a list that can't be read", bad + "\none.TestTree\n", func() {}, false, []string{"KNOWN-RED.txt: line 3: must be"}},
+		{"a panic hides the tests behind it", bad + tree + "one.TestPanic | go test ./one | it panics | 9\n", panics, false, []string{"one failed otherwise than by a test"}},
 		{"what doesn't build", bad + tree, func() { write("one/two_test.go", "package one\n\nimport \"nothing\"\n") }, false, nil},
 	} {
 		step.change()
