A surplus answer to an earlier request no longer costs another one its answer

Callers saw 502 for a request that ran and that its backend answered. Cause: one surplus answer may arrive late, in place of the next one, and an answer that names another request ended the exchange, whichever request it named.

Ruled out: the forwarder, which passed the verdict on, and the deadline.

Fix: the reader passes over one whole answer that names an earlier request of the connection, and reads on within the request's deadline. All else ends the connection as before. That no id goes twice on a connection keeps an answer to an earlier attempt from passing as one to a later one.

--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -30,8 +30,8 @@
 // backendConn is a connection to a backend. One goroutine at a time uses it.
 type backendConn struct {
 	net       net.Conn
-	limited   *io.LimitedReader // reads net, at most as many bytes as the response may have
-	readLimit int64             // limited.N before anything of the response was read
+	limited   *io.LimitedReader // reads net, at most as many bytes as the responses read for one request may have
+	readLimit int64             // the bytes that could be read for this request so far; limited.N of them are left
 	reader    *bufio.Reader     // reads limited
 	buffer    bytes.Buffer      // of the encoded request
 	idleFor   time.Duration     // how long it had been idle before this request; zero for a new connection
@@ -54,7 +54,7 @@
 	return ok && socket.IsIdle(known)
 }
 
-// anythingRead reports whether a byte of the response has arrived.
+// anythingRead reports whether a byte of a response has arrived since the request was sent.
 func (c *backendConn) anythingRead() bool { return c.limited.N != c.readLimit }
 
 type identity struct {
--- a/internal/proxy/upstream/dialect.go
+++ b/internal/proxy/upstream/dialect.go
@@ -20,6 +20,9 @@
 	// RequestID returns the id by which the backend knows a request, and which its response names. Attempts at one request may have
 	// the same one. The transport sends no id twice on a connection.
 	RequestID func(req admission.BackendRequest) string
+	// ResponseID returns the id of the request that a response names, empty if it names none. A response that names an earlier request
+	// on its connection is surplus: the transport passes it over and reads on, once for each request.
+	ResponseID func(response *http.Response) string
 	// Headers returns the headers of a request; remaining is the time to its deadline. A "Host" among them replaces the
 	// backend's address in that header.
 	Headers func(req admission.BackendRequest, remaining monotonic.Micros) []*wire.Header
@@ -38,6 +41,7 @@
 	return Dialect{
 		ChecksIdentity: true,
 		RequestID:      defaultRequestID,
+		ResponseID:     defaultResponseID,
 		Headers:        defaultHeaders,
 		CheckResponse:  checkDefaultResponse,
 	}
@@ -45,13 +49,17 @@
 
 func defaultRequestID(req admission.BackendRequest) string { return req.ID }
 
+func defaultResponseID(response *http.Response) string {
+	return response.Header.Get(request.RequestIDHeader)
+}
+
 func defaultHeaders(req admission.BackendRequest, _ monotonic.Micros) []*wire.Header {
 	own := req.Headers[:len(req.Headers):len(req.Headers)] // so that append copies them
 	return append(own, &wire.Header{Name: request.RequestIDHeader, Value: req.ID})
 }
 
 func checkDefaultResponse(req admission.BackendRequest, response *http.Response) (notRun bool, err error) {
-	if echoed := response.Header.Get(request.RequestIDHeader); echoed != "" && echoed != req.ID {
+	if echoed := defaultResponseID(response); echoed != "" && echoed != req.ID {
 		return false, fmt.Errorf("answered request %s, not %s", echoed, req.ID)
 	}
 	return response.Header.Get(request.NotExecutedHeader) != "", nil
--- a/internal/proxy/upstream/response.go
+++ b/internal/proxy/upstream/response.go
@@ -15,17 +15,21 @@
 // maxInterim bounds the interim responses (status below 200) before a response.
 const maxInterim = 4
 
-// readResponse reads the response to a request, and reports whether the connection may be used again.
+// message is one complete HTTP response.
+type message struct {
+	head     *http.Response
+	body     []byte
+	bodyless bool // it has no body, whatever its head says of one
+}
+
+// readResponse reads the response to a request, and reports whether the connection may be used again. One surplus response to an
+// earlier request is passed over.
 func (c *backendConn) readResponse(req admission.BackendRequest, dialect Dialect) (*request.Response, bool, *apierror.Error) {
-	head, fault := c.readHead(req)
-	if fault != nil {
-		return nil, false, fault
-	}
-	bodyless := req.Method == http.MethodHead || head.StatusCode == http.StatusNoContent || head.StatusCode == http.StatusNotModified
-	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 && !bodyless {
-		return nil, false, malformed(req, "the answer's end can't be told from a broken connection")
+	c.readLimit, c.limited.N = 0, 0
+	received, fault := c.readMessage(req)
+	if fault == nil && c.isSurplus(req, dialect, received.head) {
+		received, fault = c.readMessage(req)
 	}
-	body, fault := readBody(req, head)
 	if fault != nil {
 		return nil, false, fault
 	}
@@ -33,19 +37,50 @@
 	if trailing > 0 && !dialect.AllowsTrailingBytes {
 		return nil, false, malformed(req, "%d bytes after the end of the response", trailing)
 	}
+	head := received.head
 	notRun, err := dialect.CheckResponse(req, head)
 	if err != nil {
 		return nil, false, apierror.New(apierror.ResponseMismatch, apierror.MayHaveRun, "%s: %v", req.Backend.Instance, err)
 	}
 	c.applyKeepAlive(head.Header)
-	response := &request.Response{Status: uint32(head.StatusCode), Headers: EndToEndHeaders(head.Header), Body: body, NotRun: notRun}
-	return response, !head.Close && !bodyless && trailing == 0, nil
+	response := &request.Response{
+		Status:  uint32(head.StatusCode),
+		Headers: EndToEndHeaders(head.Header),
+		Body:    received.body,
+		NotRun:  notRun,
+	}
+	return response, !head.Close && !received.bodyless && trailing == 0, nil
+}
+
+// isSurplus reports whether a response is one to an earlier request on this connection, after which the one that is due may still
+// come. The response to a HEAD request is read without a body, so the end of another one in its place can't be told.
+func (c *backendConn) isSurplus(req admission.BackendRequest, dialect Dialect, head *http.Response) bool {
+	id := dialect.ResponseID(head)
+	return id != "" && id != dialect.RequestID(req) && !head.Close && req.Method != http.MethodHead && c.history.contains(id)
+}
+
+// readMessage reads a response to its end.
+func (c *backendConn) readMessage(req admission.BackendRequest) (message, *apierror.Error) {
+	head, fault := c.readHead(req)
+	if fault != nil {
+		return message{}, fault
+	}
+	bodyless := req.Method == http.MethodHead || head.StatusCode == http.StatusNoContent || head.StatusCode == http.StatusNotModified
+	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 && !bodyless {
+		return message{}, malformed(req, "the answer's end can't be told from a broken connection")
+	}
+	body, fault := readBody(req, head)
+	if fault != nil {
+		return message{}, fault
+	}
+	return message{head: head, body: body, bodyless: bodyless}, nil
 }
 
 // readHead reads the status and the headers of a response, past any interim ones.
 func (c *backendConn) readHead(req admission.BackendRequest) (*http.Response, *apierror.Error) {
-	c.readLimit = int64(req.ResponseLimit) + maxHeaderBytes
-	c.limited.N = c.readLimit
+	limit := int64(req.ResponseLimit) + maxHeaderBytes
+	c.readLimit += limit
+	c.limited.N += limit
 	httpRequest := &http.Request{Method: req.Method}
 	for interim := 0; ; interim++ {
 		head, err := http.ReadResponse(c.reader, httpRequest)
--- a/internal/proxy/upstream/transcript/backend.go
+++ b/internal/proxy/upstream/transcript/backend.go
@@ -20,7 +20,7 @@
 	response      string // idMark in it stands for the id of the request that is answered
 	idHeader      string // of a request
 	keepAlive     bool
-	surplus       bool // each response is sent once more, before the next one on its connection
+	surplus       int // how many times each response is sent once more, before the next one on its connection
 	formatHeaders func(request *http.Request) string
 	lines         chan string // one for each request
 }
@@ -60,9 +60,7 @@
 		if !b.keepAlive {
 			return
 		}
-		if b.surplus {
-			previous = response
-		}
+		previous = strings.Repeat(response, b.surplus)
 	}
 }
 
