A new core machine asks the newest primary that it knows to let it vote

Cause, the first of two: a successor sent its request to vote to the primary that its resolver had heard of. That one was gone with the machine lost before. The registers that it had read named the new primary, but weren't used while the resolver knew any. What the resolver knows spreads by one question a second, to dead addresses too, so it took longer with each machine ever replaced. The group ran on two of three voters until the next loss.

Evidence: TestReplacementsInSeries is new: 5 to 10 replacements of the oldest machine, 8 to 15 s apart, with changes and a later loss. In a log of what processes knew, the successor asked a primary of two losses ago for over eight seconds. Ruled out here: missing addresses, it knew them all.

Fix: candidates are the resolver's primary and the register's, the one of the newer epoch first, for joining and for leaving. Its dial timeout is the real one of 300 ms, which the simulator now takes as a field; other scenarios keep 100 ms.

--- a/internal/discovery/resolver.go
+++ b/internal/discovery/resolver.go
@@ -184,13 +184,13 @@
 }
 
 // Leader returns the name of a group's primary, or an empty string if none is known.
-func (r *Resolver) Leader(group string) string {
+func (r *Resolver) Leader(group string) string { return r.Primary(group).GetName() }
+
+// Primary returns a group's primary with its epoch, or nil if none is known. It is shared and must not be changed.
+func (r *Resolver) Primary(group string) *wire.Primary {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	if primary := r.primaries[group]; primary != nil {
-		return primary.Name
-	}
-	return ""
+	return r.primaries[group]
 }
 
 // Peers returns every known address, sorted by name, and within a name in the order in which they are tried.
--- a/internal/replication/join.go
+++ b/internal/replication/join.go
@@ -86,20 +86,40 @@
 // requestJoin asks the primary to add this process to the voters. A process without a register begins with the primary's: no
 // configuration that may decide names it, so nothing that an earlier process of its name has forgotten counts.
 func (m *Member) requestJoin(hasRegister bool) {
-	primary := m.resolver.Leader(m.config.Group)
-	if primary == "" {
-		primary = m.knownRegister().GetPrimary().GetName()
-	}
-	if primary == "" || primary == m.config.Name {
-		return
+	for _, primary := range m.primaryCandidates() {
+		response := &wire.JoinResponse{}
+		request := &wire.JoinRequest{To: primary, Name: m.config.Name, HasRegister: hasRegister}
+		if m.call(primary, wire.Kind_join, request, response) != nil {
+			continue // the election loop tries again
+		}
+		m.observeRegister(response.Proposal, response.Value)
+		if response.Accepted {
+			m.enrol(hasRegister, primary, response)
+			return
+		}
 	}
-	response := &wire.JoinResponse{}
-	request := &wire.JoinRequest{To: primary, Name: m.config.Name, HasRegister: hasRegister}
-	if m.call(primary, wire.Kind_join, request, response) != nil {
-		return // the election loop tries again
+}
+
+// primaryCandidates returns who may be the primary, the likeliest first.
+func (m *Member) primaryCandidates() []string {
+	candidates := newestPrimaryFirst(m.resolver.Primary(m.config.Group), m.knownRegister())
+	return slices.DeleteFunc(candidates, func(name string) bool { return name == m.config.Name })
+}
+
+// newestPrimaryFirst returns the primary that the resolver knows and the one that the newest register seen names, that of the later
+// epoch first. The resolver's is certain but may be long out of date, since it spreads from process to process; the register's may
+// never have been chosen. Either may be nil.
+func newestPrimaryFirst(known *wire.Primary, value *wire.RegisterValue) (names []string) {
+	names = []string{known.GetName(), value.GetPrimary().GetName()}
+	if value.GetEpoch() > known.GetEpoch() {
+		slices.Reverse(names)
 	}
-	m.observeRegister(response.Proposal, response.Value)
-	if hasRegister || !response.Accepted || response.Value == nil || m.configOf(response.Value).Contains(m.config.Name) {
+	return slices.DeleteFunc(slices.Compact(names), func(name string) bool { return name == "" })
+}
+
+// enrol begins with the register of the primary that has accepted this process as a standby, unless it has a register or votes already.
+func (m *Member) enrol(hasRegister bool, primary string, response *wire.JoinResponse) {
+	if hasRegister || response.Value == nil || m.configOf(response.Value).Contains(m.config.Name) {
 		return
 	}
 	m.voterExecutor.Run(func() {
--- a/internal/replication/leave.go
+++ b/internal/replication/leave.go
@@ -37,15 +37,18 @@
 
 // requestLeave asks the primary whether this member may go.
 func (m *Member) requestLeave(timeout monotonic.Micros) bool {
-	primary := m.resolver.Leader(m.config.Group)
-	if primary == "" || primary == m.config.Name {
+	candidates := m.primaryCandidates()
+	if len(candidates) == 0 {
 		m.resolver.Refresh()
-		return false
 	}
-	response := &wire.JoinResponse{}
-	request := &wire.JoinRequest{To: primary, Name: m.config.Name, Leaving: true}
-	err := m.resolver.Call(primary, wire.Kind_join, request, response, min(timeout, m.config.CallTimeout))
-	return err == nil && response.Released
+	for _, primary := range candidates {
+		response := &wire.JoinResponse{}
+		request := &wire.JoinRequest{To: primary, Name: m.config.Name, Leaving: true}
+		if m.resolver.Call(primary, wire.Kind_join, request, response, min(timeout, m.config.CallTimeout)) == nil && response.Released {
+			return true
+		}
+	}
+	return false
 }
 
 // handleLeave records that a process is shutting down, and returns whether it may go: its replica isn't a backup, and no
--- a/internal/simulation/scenario/core.go
+++ b/internal/simulation/scenario/core.go
@@ -53,6 +53,7 @@
 			own.Domain = m.topology.Domains[index]
 		}
 		process := coreProcess{host: h, name: name, voters: m.initialVoters[group], resolver: discovery.New(h, own, m.currentSeeds(seeds)), handlers: host.Handlers{}}
+		m.resolvers[name] = process.resolver
 		process.resolver.Persist(h.Disk())
 		if m.topology.DiscoverVoters && m.startedBefore[name] {
 			process.voters = nil
--- a/internal/simulation/scenario/mesh.go
+++ b/internal/simulation/scenario/mesh.go
@@ -47,6 +47,7 @@
 	registries    map[string]*registry.Registry  // the newest incarnation of each process, by node
 	configStores  map[string]*configstore.Server // the newest incarnation of each process, by node
 	operatorAPIs  map[string]api.Store           // the operators' API on each configuration store process
+	resolvers     map[string]*discovery.Resolver // of the newest incarnation of each core process
 	syncDuration  monotonic.Micros               // how long a sync of a core disk takes without faults
 	// nextLossAt is the earliest time at which the next disk may be lost, so that at most as many replicas are lost together as
 	// the core tolerates.
@@ -147,6 +148,7 @@
 		registries:      map[string]*registry.Registry{},
 		configStores:    map[string]*configstore.Server{},
 		operatorAPIs:    map[string]api.Store{},
+		resolvers:       map[string]*discovery.Resolver{},
 		proxies:         map[string]*proxy.Proxy{},
 		startedAt:       map[string]monotonic.Micros{},
 		draining:        map[string]bool{},
--- /dev/null
+++ b/internal/simulation/scenario/replacement_series_test.go
@@ -0,0 +1,158 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"snowflow/internal/monotonic"
+	"snowflow/internal/replication"
+)
+
+const (
+	// seriesLease and seriesVoterTimeout are those of the users' platform.
+	seriesLease        = 600 * monotonic.Millisecond
+	seriesVoterTimeout = 2 * monotonic.Second
+	// successorDelay is how long after a loss an empty machine starts in place of the lost one.
+	successorDelay = monotonic.Second
+	// quietTime is how long after that start the core is quiet again: the users' platform takes 3 s and 4 s for it.
+	quietTime = 7 * monotonic.Second
+	// acknowledgementLimit is how long the users' platform waits until a quiet core acknowledges a change.
+	acknowledgementLimit = 4 * monotonic.Second
+	// seedCount is how many addresses of core machines a new machine is told.
+	seedCount = 3
+)
+
+// replacementSeries is a core whose machines are lost for good one after another, each with an empty successor at another address.
+type replacementSeries struct {
+	t       *testing.T
+	seed    uint64
+	mesh    *Mesh
+	version uint64 // the newest acknowledged one
+}
+
+// TestReplacementsInSeries guards against the fault by which the acknowledged configuration didn't come back after the oldest core
+// machine was replaced five times and more, 8 to 15 s apart: a new machine asked a primary that was gone to let it vote.
+func TestReplacementsInSeries(t *testing.T) {
+	for _, cores := range []int{5} {
+		for _, seed := range seeds(t, 1, 12, 23) {
+			t.Run(fmt.Sprintf("%d/%d", cores, seed), func(t *testing.T) {
+				t.Parallel()
+				series := newReplacementSeries(t, cores, seed)
+				random := series.mesh.World.Rand()
+				count := 5 + random.IntN(6)
+				interval := 8*monotonic.Second + monotonic.Micros(random.Int64N(int64(7*monotonic.Second)))
+				for range count {
+					series.replaceOldest(interval)
+				}
+				series.mesh.runFor(quietTime)
+				series.checkReachable()
+				series.apply()
+				series.replaceOldest(quietTime + successorDelay)
+				series.apply()
+			})
+		}
+	}
+}
+
+func newReplacementSeries(t *testing.T, cores int, seed uint64) *replacementSeries {
+	t.Helper()
+	topology := discoveredTopology
+	topology.Cores, topology.Replicas, topology.RemoveAfter = cores, (cores+1)/2, seriesVoterTimeout
+	mesh := Build(seed, topology, Defects{})
+	t.Cleanup(mesh.World.Close)
+	mesh.World.DialTimeout = 300 * monotonic.Millisecond
+	mesh.adjustReplication = func(config *replication.Config) { config.LeaseDuration = seriesLease }
+	for _, node := range mesh.allCoreNodes() {
+		mesh.World.Kill(node)
+		mesh.World.Start(node)
+	}
+	series := &replacementSeries{t: t, seed: seed, mesh: mesh, version: 100}
+	mesh.runFor(quietTime)
+	series.apply()
+	return series
+}
+
+// replaceOldest loses the oldest machine for good, starts its successor, and lets an interval pass in all.
+func (s *replacementSeries) replaceOldest(interval monotonic.Micros) {
+	s.t.Helper()
+	oldest := s.mesh.coreMachines[0]
+	seeds := s.currentAddresses()
+	s.mesh.retire(oldest)
+	s.mesh.runFor(successorDelay)
+	for _, node := range s.mesh.coreNodes(s.mesh.addMachine(seeds)) {
+		s.mesh.World.Start(node)
+	}
+	if interval >= quietTime+successorDelay {
+		s.mesh.runFor(quietTime)
+		s.checkReachable()
+		s.mesh.runFor(interval - quietTime - successorDelay)
+		return
+	}
+	s.mesh.runFor(interval - successorDelay)
+}
+
+// currentAddresses returns addresses of configuration stores on some machines, as the platform names them to a new one. The oldest
+// machine is among them: the platform's list lags.
+func (s *replacementSeries) currentAddresses() (addresses []string) {
+	for _, machine := range s.mesh.coreMachines[:min(seedCount, len(s.mesh.coreMachines))] {
+		for _, node := range s.mesh.coreNodes(machine) {
+			if s.mesh.configStores[node.Name] != nil {
+				addresses = append(addresses, node.Address)
+			}
+		}
+	}
+	return addresses
+}
+
+// checkReachable checks that each group has a primary, and that each current replica knows an address of a running quorum of the
+// current voters, so that it could be elected.
+func (s *replacementSeries) checkReachable() {
+	s.t.Helper()
+	for _, group := range coreGroups {
+		primary := s.mesh.primary(group)
+		if primary == nil {
+			s.t.Errorf("seed %d: %s has no primary", s.seed, group)
+			continue
+		}
+		member := s.mesh.replicationMember(primary.Name)
+		for _, replica := range append(member.Backups(), primary.Name) {
+			s.checkReplica(replica, member.Voters())
+		}
+	}
+}
+
+func (s *replacementSeries) checkReplica(replica string, voters []string) {
+	s.t.Helper()
+	var reachable []string
+	for _, voter := range voters {
+		node := s.mesh.World.Node(voter)
+		if node.Up() && slices.Contains(knownAddresses(s.mesh, replica, voter), node.Address) {
+			reachable = append(reachable, voter)
+		}
+	}
+	if !replication.HasQuorum(voters, reachable) {
+		s.t.Errorf("seed %d: replica %s can reach the voters %v of %v, which are no quorum", s.seed, replica, reachable, voters)
+	}
+}
+
+// knownAddresses returns the addresses of a process that a core process knows.
+func knownAddresses(mesh *Mesh, process, name string) (addresses []string) {
+	for _, known := range mesh.resolvers[process].Peers() {
+		if known.Name == name {
+			addresses = append(addresses, known.Address)
+		}
+	}
+	return addresses
+}
+
+// apply changes the configuration, which must be acknowledged in time, and checks that the version before it is still there.
+func (s *replacementSeries) apply() {
+	s.t.Helper()
+	response, took, err := s.mesh.applyVersion(s.version+1, acknowledgementLimit)
+	if err != nil || response.Version != s.version+1 {
+		s.t.Errorf("seed %d: version %d is not acknowledged after %d ms: %v %v", s.seed, s.version+1, took/monotonic.Millisecond, response, err)
+		return
+	}
+	s.version++
+}
--- a/internal/simulation/world/call.go
+++ b/internal/simulation/world/call.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// dialTimeout is how long a dial to a machine that is down takes at the most.
-	dialTimeout = 100 * monotonic.Millisecond
 	// undialedOdds: across a partition, one call in so many finds no connection established.
 	undialedOdds = 2
 	// bootPollInterval is how often a request that arrives during the start of a process looks for its handlers.
@@ -130,7 +128,7 @@
 		if w.machineIsUp(address) {
 			w.sleep(w.current, w.messageLatency(from)+w.messageLatency(from))
 		} else {
-			w.sleep(w.current, min(timeout, dialTimeout))
+			w.sleep(w.current, min(timeout, w.DialTimeout))
 		}
 		return nil, apierror.Unreachable.New("no process listens at %s", address)
 	}
--- a/internal/simulation/world/world.go
+++ b/internal/simulation/world/world.go
@@ -12,6 +12,8 @@
 type World struct {
 	// MaxLatency bounds the ordinary latency of a message.
 	MaxLatency monotonic.Micros
+	// DialTimeout is how long a dial to a machine that is down takes at the most.
+	DialTimeout monotonic.Micros
 	// Trace is called with every event that a node reports, if set.
 	Trace func(at monotonic.Micros, node string, number int, fields map[string]any)
 	// OnStop is called when a process has ended itself, if set.
@@ -46,6 +48,7 @@
 func New(seed uint64) *World {
 	return &World{
 		MaxLatency:  2 * monotonic.Millisecond,
+		DialTimeout: 100 * monotonic.Millisecond,
 		Calls:       map[string]map[wire.Kind]int{},
 		Bytes:       map[string]int{},
 		now:         monotonic.Minute,
