Discovery: addresses that no longer answer delay nobody

What operators and callers saw: the more core machines had ever been replaced, the longer a process took to find the primary, or to announce itself. Cause: Refresh asks one known address at a time, in turn, also those of machines that are gone, and waits for each up to half a second. No address is forgotten.

Ruled out: forgetting names, since a machine that was cut off for long must be found, and the others would bring the names back.

Fix: targets that didn't answer their last request have a turn of their own, in the background; each refresh asks one that answers. If none does, a silent one is asked as before.

--- a/internal/discovery/refresh.go
+++ b/internal/discovery/refresh.go
@@ -1,8 +1,6 @@
 package discovery
 
 import (
-	"slices"
-
 	"snowflow/internal/host"
 	"snowflow/internal/monotonic"
 	"snowflow/internal/transport/wire"
@@ -40,21 +38,36 @@
 }
 
 // Refresh requests the addresses and primaries that the next seed or known process knows. It returns at once if the last request
-// was sent within refreshInterval, or if every target has a request in flight.
+// was sent within refreshInterval, or if every target has a request in flight. Targets that did not answer their last request are
+// asked too, in a turn of their own and in the background: however many they are, they delay nobody.
 func (r *Resolver) Refresh() {
 	if !r.beginQuery() {
 		return
 	}
-	target := r.takeTarget(r.targets())
+	targets := r.targets()
+	responsive, silent := r.takeTarget(targets, false), r.takeTarget(targets, true)
+	if responsive == "" {
+		r.query(silent)
+		return
+	}
+	if silent != "" {
+		r.host.Go(func() { r.query(silent) })
+	}
+	r.query(responsive)
+}
+
+// query requests what a target knows, and releases the target. It does nothing for an empty target.
+func (r *Resolver) query(target string) {
 	if target == "" {
 		return
 	}
-	defer r.releaseTarget(target)
 	request, response := &wire.DiscoverRequest{}, &wire.DiscoverResponse{}
 	if r.self != nil {
 		request.Known = []*wire.PeerAddress{r.self}
 	}
-	if r.host.Call(target, wire.Kind_discover, request, response, refreshTimeout) == nil {
+	err := r.host.Call(target, wire.Kind_discover, request, response, refreshTimeout)
+	r.releaseTarget(target, err == nil)
+	if err == nil {
 		r.AddPeers(response.Known)
 		r.ObservePrimaries(response.Primaries)
 	}
@@ -71,40 +84,3 @@
 	r.lastQuery = now
 	return true
 }
-
-// targets returns the addresses to send discover requests to: the seeds, then the other known addresses.
-func (r *Resolver) targets() []string {
-	r.lock.Lock()
-	targets := slices.Clone(r.seeds)
-	r.lock.Unlock()
-	for _, known := range r.Peers() {
-		isSelf := r.self != nil && known.Name == r.self.Name
-		if !isSelf && !slices.Contains(targets, known.Address) {
-			targets = append(targets, known.Address)
-		}
-	}
-	return targets
-}
-
-// takeTarget chooses the next target in turn and marks it pending. It skips those that are pending, since others may answer, and
-// returns an empty string if there is no target or all are pending.
-func (r *Resolver) takeTarget(targets []string) string {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	for range targets {
-		target := targets[r.nextTarget%len(targets)]
-		r.nextTarget++
-		if !r.pending[target] {
-			r.pending[target] = true
-			return target
-		}
-	}
-	return ""
-}
-
-// releaseTarget marks a target as not pending, so that it may be chosen again.
-func (r *Resolver) releaseTarget(target string) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	delete(r.pending, target)
-}
--- a/internal/discovery/resolver.go
+++ b/internal/discovery/resolver.go
@@ -39,13 +39,12 @@
 	host host.Host
 	self *wire.PeerAddress // nil for a process outside the control plane
 
-	lock       sync.Mutex // guards the fields below
-	peers      map[string]*peer
-	primaries  map[string]*wire.Primary // by group
-	seeds      []string
-	nextTarget int              // counts the targets that Refresh chose
-	lastQuery  monotonic.Micros // when Refresh last sent a request; zero if it never did
-	pending    map[string]bool  // targets that have not answered yet
+	lock      sync.Mutex // guards the fields below
+	peers     map[string]*peer
+	primaries map[string]*wire.Primary // by group
+	seeds     []string
+	lastQuery monotonic.Micros // when Refresh last sent a request; zero if it never did
+	turns     targetTurns      // whom Refresh asks next
 
 	store store // used by Persist and then by Run alone
 }
@@ -60,7 +59,7 @@
 // New returns a resolver that knows the seeds and, unless nil, the process itself.
 func New(h host.Host, self *wire.PeerAddress, seeds []string) *Resolver {
 	resolver := &Resolver{
-		host: h, self: self, seeds: seeds, peers: map[string]*peer{}, primaries: map[string]*wire.Primary{}, pending: map[string]bool{},
+		host: h, self: self, seeds: seeds, peers: map[string]*peer{}, primaries: map[string]*wire.Primary{}, turns: newTargetTurns(),
 	}
 	resolver.addSelf()
 	return resolver
--- a/internal/discovery/resolver_test.go
+++ b/internal/discovery/resolver_test.go
@@ -100,7 +100,8 @@
 	}
 }
 
-// TestTargetsInTurn checks that Refresh sends requests to its targets in turn and skips those that have not responded yet.
+// TestTargetsInTurn checks that Refresh sends requests to its targets in turn and skips those that have not responded yet. Those that
+// did not answer have a turn of their own.
 func TestTargetsInTurn(t *testing.T) {
 	resolver := New(nil, nil, []string{"a", "b"})
 	resolver.AddPeers([]*wire.PeerAddress{{Name: "one", Address: "c"}, {Name: "two", Address: "a"}})
@@ -109,14 +110,25 @@
 		t.Fatalf("targets %v", targets)
 	}
 	for _, want := range []string{"a", "b", "c", ""} {
-		if target := resolver.takeTarget(targets); target != want {
+		if target := resolver.takeTarget(targets, false); target != want {
 			t.Errorf("target %q, want %q", target, want)
 		}
 	}
-	resolver.releaseTarget("b")
+	resolver.releaseTarget("b", true)
 	for _, want := range []string{"b", ""} {
-		if target := resolver.takeTarget(targets); target != want {
+		if target := resolver.takeTarget(targets, false); target != want {
 			t.Errorf("after b has answered: target %q, want %q", target, want)
 		}
 	}
+	resolver.releaseTarget("a", false)
+	resolver.releaseTarget("b", true)
+	resolver.releaseTarget("c", false)
+	for _, step := range []struct {
+		silent bool
+		want   string
+	}{{false, "b"}, {false, ""}, {true, "a"}, {true, "c"}, {true, ""}} {
+		if target := resolver.takeTarget(targets, step.silent); target != step.want {
+			t.Errorf("after a and c were silent: target %q, want %q (silent: %v)", target, step.want, step.silent)
+		}
+	}
 }
--- /dev/null
+++ b/internal/discovery/silent_targets_test.go
@@ -0,0 +1,75 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+
+	"snowflow/internal/host"
+	"snowflow/internal/monotonic"
+	"snowflow/internal/simulation/world"
+	"snowflow/internal/transport/wire"
+)
+
+const (
+	liveTargets = 3
+	goneTargets = 24 // the processes of as many core machines as are replaced in weeks
+	targetSeeds = 30
+)
+
+// TestGoneTargetsDelayNobody guards against the fault by which a process took the longer to find the primary the more machines had ever
+// been replaced: it asked their addresses in turn with those that respond, and waited for each.
+func TestGoneTargetsDelayNobody(t *testing.T) {
+	for seed := range uint64(targetSeeds) {
+		answered := answersPerRefresh(t, seed)
+		// Once each target has been asked, every refresh asks one that responds.
+		for number, count := range answered[liveTargets+goneTargets:] {
+			if count != 1 {
+				t.Errorf("seed %d: refresh %d got %d answers, not one", seed, liveTargets+goneTargets+number, count)
+				break
+			}
+		}
+	}
+}
+
+// answersPerRefresh returns how many live processes answered during each of a series of refreshes of a process that also knows the
+// addresses of processes that are gone.
+func answersPerRefresh(t *testing.T, seed uint64) (answered []int) {
+	t.Helper()
+	simulated := world.New(seed)
+	defer simulated.Close()
+	asked := 0
+	var known []*wire.PeerAddress
+	for number := range liveTargets + goneTargets {
+		name := fmt.Sprintf("process-%d", number)
+		known = append(known, &wire.PeerAddress{Name: name, Address: name, Group: RegistryGroup})
+	}
+	simulated.Rand().Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	for _, live := range known[:liveTargets] {
+		simulated.Start(simulated.Add(live.Name, live.Address, live.Name, func(h *world.Host) (host.Handlers, error) {
+			handlers := host.Handlers{}
+			host.Handle(handlers, wire.Kind_discover, func(*wire.DiscoverRequest) (*wire.DiscoverResponse, error) {
+				asked++
+				return &wire.DiscoverResponse{}, nil
+			})
+			return handlers, nil
+		}))
+	}
+	simulated.Start(simulated.Add("client", "client", "client", func(h *world.Host) (host.Handlers, error) {
+		h.Go(func() {
+			resolver := New(h, nil, []string{known[0].Address, known[liveTargets].Address})
+			resolver.AddPeers(known)
+			for range 4 * (liveTargets + goneTargets) {
+				before := asked
+				resolver.Refresh()
+				answered = append(answered, asked-before)
+				h.Sleep(refreshInterval)
+			}
+		})
+		return host.Handlers{}, nil
+	}))
+	simulated.Run(simulated.Now() + monotonic.Minute)
+	if simulated.Panicked != nil {
+		t.Fatal(simulated.Panicked)
+	}
+	return answered
+}
