--- a/internal/discovery/silent_targets_test.go
+++ b/internal/discovery/silent_targets_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	simulated := world.New(seed)
 	defer simulated.Close()
-	asked := 0
+	requests := 0
 	var known []*wire.PeerAddress
 	for number := range liveTargets + goneTargets {
 		name := fmt.Sprintf("process-%d", number)
@@ -48,7 +48,7 @@
 		simulated.Start(simulated.Add(live.Name, live.Address, live.Name, func(h *world.Host) (host.Handlers, error) {
 			handlers := host.Handlers{}
 			host.Handle(handlers, wire.Kind_discover, func(*wire.DiscoverRequest) (*wire.DiscoverResponse, error) {
-				asked++
+				requests++
 				return &wire.DiscoverResponse{}, nil
 			})
 			return handlers, nil
@@ -59,9 +59,9 @@
 			resolver := New(h, nil, []string{known[0].Address, known[liveTargets].Address})
 			resolver.AddPeers(known)
 			for range 4 * (liveTargets + goneTargets) {
-				before := asked
+				before := requests
 				resolver.Refresh()
-				answered = append(answered, asked-before)
+				answered = append(answered, requests-before)
 				h.Sleep(refreshInterval)
 			}
 		})
