An acknowledged departure outlives the proxy that acknowledged it

Callers saw DRAIN: a backend said that it leaves, its proxy acknowledged it, was killed and started again, and took a late heartbeat from before the departure for that of a backend in service. All proxies sent requests to it again.

Cause: the departure was known to that process alone, in memory, when it was acknowledged, and nobody else kept it. A process takes the first report of an instance that it doesn't know as its registration.

Ruled out: sequence numbers, of which the new process has none, and the balancers, which follow the directory.

Fix: a drain or deregistration is acknowledged once the registry has answered a poll that announces it, and answered 503 after 0.7 s otherwise, so that the backend says it again; other heartbeats don't wait. The registry remembers departed instances for a minute, publishes them as leaving whatever their proxy says, and tells the other registries so in the sessions that they exchange. That is longer than heartbeats are late and backends serve on.

--- a/internal/proxy/backendapi/backendapi.go
+++ b/internal/proxy/backendapi/backendapi.go
@@ -54,7 +54,7 @@
 		body.Instance = localbackends.NewInstanceID(a.host)
 	}
 	backend := localbackends.Backend{Service: body.Service, Instance: body.Instance, Address: body.Address}
-	if err := a.proxy.LocalBackends.Register(backend, body.Condition); err != nil {
+	if err := a.proxy.RegisterBackend(backend, body.Condition); err != nil {
 		WriteError(writer, err)
 		return
 	}
@@ -69,11 +69,11 @@
 			return
 		}
 	}
-	writeNoted(writer, a.proxy.LocalBackends.Heartbeat(chi.URLParam(incoming, "instance"), body.Condition))
+	writeNoted(writer, a.proxy.Heartbeat(chi.URLParam(incoming, "instance"), body.Condition))
 }
 
 func (a *api) leave(writer http.ResponseWriter, incoming *http.Request) {
-	writeNoted(writer, a.proxy.LocalBackends.Heartbeat(chi.URLParam(incoming, "instance"), localbackends.Leaving))
+	writeNoted(writer, a.proxy.Heartbeat(chi.URLParam(incoming, "instance"), localbackends.Leaving))
 }
 
 func (a *api) acquireRole(writer http.ResponseWriter, incoming *http.Request) {
--- a/internal/proxy/localbackends/set.go
+++ b/internal/proxy/localbackends/set.go
@@ -19,7 +19,7 @@
 const (
 	Alive   = "alive"
 	Working = "working"
-	Leaving = "leaving"
+	Leaving = wire.BackendLeaving
 	// conditionOverdue is announced in place of the last condition of a backend without heartbeats.
 	conditionOverdue = "overdue"
 )
@@ -96,11 +96,16 @@
 // sortedInstances returns the instance ids in order. mu is held.
 func (s *Set) sortedInstances() []string { return slices.Sorted(maps.Keys(s.entries)) }
 
-// Backends lists the backends as this proxy's session announces them.
+// Backends lists the backends as this proxy's session announces them, and the instances without an entry that have departed.
 func (s *Set) Backends() []*wire.Backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var backends []*wire.Backend
+	for _, instance := range slices.Sorted(maps.Keys(s.tombstones)) {
+		if s.tombstones[instance].departed {
+			backends = append(backends, &wire.Backend{Instance: instance, Condition: Leaving})
+		}
+	}
 	for _, instance := range s.sortedInstances() {
 		state := s.entries[instance]
 		condition := state.condition
--- a/internal/proxy/session/client.go
+++ b/internal/proxy/session/client.go
@@ -58,6 +58,7 @@
 	complete  bool // the directory is, or once was, that of a server whose directory was complete
 	updates   UpdateCounts
 	heartbeat uint64 // sequence number of the last poll
+	announced announcements
 	// live is the largest number of live proxies reported within liveCountWindow. Servers differ for a moment after a
 	// change, and a quota share must not grow because of the one that knows fewer proxies.
 	live      uint32
--- a/internal/proxy/session/poll.go
+++ b/internal/proxy/session/poll.go
@@ -100,6 +100,7 @@
 
 // pollServer sends one poll to one server.
 func (c *Client) pollServer(name string) (*wire.RegistryPollResponse, error) {
+	announcement := c.beginAnnouncement()
 	session := c.currentSession()
 	c.mu.Lock()
 	c.heartbeat++
@@ -116,7 +117,11 @@
 	c.mu.Unlock()
 	request.Activity = c.Activity()
 	response := &wire.RegistryPollResponse{}
-	return response, c.resolver.Call(name, wire.Kind_registry_poll, request, response, pollTimeout)
+	if err := c.resolver.Call(name, wire.Kind_registry_poll, request, response, pollTimeout); err != nil {
+		return nil, err
+	}
+	c.endAnnouncement(announcement)
+	return response, nil
 }
 
 // apply applies an answer to a poll. It returns an error if the answer's delta of the directory was rejected; the rest of the
--- a/internal/registry/directory/directory.go
+++ b/internal/registry/directory/directory.go
@@ -33,7 +33,9 @@
 	activity  activityTable // calls that ended
 	demand    activityTable // attempts that wanted admission, granted or not
 	published *resource.Set // of public sessions, by proxy
-	history   history
+	// departures are those of all sessions, also of ended ones. A departed instance is published as leaving whatever its proxy says.
+	departures departures
+	history    history
 }
 
 type sessionEntry struct {
@@ -50,7 +52,7 @@
 func New(clock monotonic.Clock, source uint64) *Directory {
 	return &Directory{
 		clock: clock, source: source, createdAt: clock.Now(), sessions: map[string]*sessionEntry{},
-		activity: activityTable{}, demand: activityTable{},
+		activity: activityTable{}, demand: activityTable{}, departures: departures{},
 		published: resource.Empty, history: newHistory(resource.Empty.Sum().Short()),
 	}
 }
@@ -71,6 +73,7 @@
 	stored.Age = 0
 	updated := &sessionEntry{session: stored, receivedAt: receivedAt, direct: direct, ended: now-receivedAt >= SessionTimeout}
 	d.sessions[session.Proxy] = updated
+	d.departures.observe(stored, now)
 	d.publish(session.Proxy)
 	return isNew && !updated.ended
 }
@@ -101,6 +104,7 @@
 	d.lock.Lock()
 	defer d.lock.Unlock()
 	now := d.clock.Now()
+	d.departures.expire(now)
 	for _, name := range d.names() {
 		present := d.sessions[name]
 		if !present.ended && now-present.receivedAt >= SessionTimeout {
@@ -141,6 +145,9 @@
 		}
 		copied := proto.CloneOf(present.session)
 		copied.Age = int64(now - present.receivedAt)
+		for _, backend := range copied.Backends {
+			backend.Condition = d.departures.condition(backend, now)
+		}
 		sessions = append(sessions, copied)
 	}
 	return sessions
--- a/internal/registry/directory/publish.go
+++ b/internal/registry/directory/publish.go
@@ -22,7 +22,7 @@
 	case !listed:
 		next, err = d.published.With(nil, []string{proxy}, d.published.Len()-1)
 	default:
-		visible := publicSession(present.session)
+		visible := d.publicSession(present.session)
 		if previous != nil && proto.Equal(previous.Message, visible) {
 			return
 		}
@@ -49,13 +49,14 @@
 }
 
 // publicSession returns the part of a session that other proxies are sent. It leaves out what changes with every heartbeat; of
-// a slow start it only has whether one is in progress.
-func publicSession(session *wire.Session) *wire.Session {
+// a slow start it only has whether one is in progress. The lock is held.
+func (d *Directory) publicSession(session *wire.Session) *wire.Session {
+	now := d.clock.Now()
 	public := &wire.Session{Proxy: session.Proxy, Incarnation: session.Incarnation, Address: session.Address,
 		Domain: session.Domain, Leaving: session.Leaving}
 	for _, backend := range session.Backends {
 		public.Backends = append(public.Backends, &wire.Backend{Service: backend.Service, Instance: backend.Instance,
-			Address: backend.Address, Condition: backend.Condition, Slots: backend.Slots, SlowStart: min(backend.SlowStart, 1)})
+			Address: backend.Address, Condition: d.departures.condition(backend, now), Slots: backend.Slots, SlowStart: min(backend.SlowStart, 1)})
 	}
 	return public
 }
--- a/internal/simulation/scenario/backends.go
+++ b/internal/simulation/scenario/backends.go
@@ -88,18 +88,17 @@
 
 // sendHeartbeat registers a backend, or reports its condition, at the proxy beside it. It runs in the proxy's process.
 func (m *Mesh) sendHeartbeat(backend *simulatedBackend, registered bool) error {
-	local := m.proxies[backend.proxy].LocalBackends
+	local := m.proxies[backend.proxy]
 	condition := localbackends.Working
 	if backend.draining && !m.defects.IgnoreDraining {
 		condition = localbackends.Leaving
 	}
 	if m.topology.Slots > 0 {
 		backend.reportCount++
-		_, err := local.ApplyReport(localbackends.Report{Backend: backend.identity(), Slots: m.topology.Slots, Condition: condition, Sequence: backend.reportCount})
-		return err
+		return local.ApplyReport(localbackends.Report{Backend: backend.identity(), Slots: m.topology.Slots, Condition: condition, Sequence: backend.reportCount})
 	}
 	if !registered {
-		return local.Register(backend.identity(), condition)
+		return local.RegisterBackend(backend.identity(), condition)
 	}
 	return local.Heartbeat(backend.instance, condition)
 }
@@ -113,7 +112,7 @@
 			if m.defects.IgnoreDraining {
 				return nil, nil
 			}
-			return nil, m.proxies[backend.proxy].LocalBackends.Heartbeat(backend.instance, localbackends.Leaving)
+			return nil, m.proxies[backend.proxy].Heartbeat(backend.instance, localbackends.Leaving)
 		})
 		if err == nil {
 			m.History.RecordDeparture(backend.instance, m.World.Now())
