A planned stop waits until answers are written, within its grace period

Callers saw LOST: a client that reads slowly downloaded a large answer through a proxy that was stopped as planned, and got 200, a part of the body and the end of the connection, with over half of the grace period left.

Cause: a request counted as in flight until its response had come from the backend, not until it was written, so a drain found nothing in flight and all connections were closed 0.25 s later. Replies to other proxies got 0.2 s.

Ruled out: the backends, which had sent everything, and the listener, which alone is closed before the last wait.

--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -30,6 +30,7 @@
 		CrossDomainPenalty: monotonic.Micros(program.Settings.Int("far-penalty")),
 		Upstream:           upstream.New(program.Host, upstream.DefaultDialect()),
 		OnFinished:         metrics.CountRequest,
+		WaitForReplies:     program.Host.WaitForReplies,
 	})
 	sidecar.Register(program.Handlers)
 	program.AddGauges(gauges(sidecar))
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -26,7 +26,8 @@
 )
 
 // Drain shuts the proxy down gracefully within a grace period: it stops accepting requests and answers everything that was read,
-// with a rejection if need be. It reports whether every request was answered.
+// with a rejection if need be. It returns once the responses are written to callers, which may read slowly, or at the end of the grace
+// period. It reports whether every request was answered.
 //
 //  1. Linger: the readiness check fails, but requests are still accepted. Other proxies go on choosing the backends of this
 //     host, which still serve.
@@ -36,6 +37,7 @@
 //  5. Wait for the requests in flight, and abort those that are left at the end of the grace period less finalReplyTime: each
 //     is answered at once, with a verdict that says whether it may have run.
 //  6. Release the lease on the configuration, and send the breakers' last reports.
+//  7. Wait until the responses are written to callers and to other proxies.
 func (p *Proxy) Drain(grace monotonic.Micros, closeListener func()) bool {
 	h := p.options.Host
 	deadline := h.Now() + grace
@@ -58,6 +60,10 @@
 	answered = p.Admission.Drain(deadline-h.Now()) && answered
 	p.ConfigClient.Release(min(max(deadline-h.Now(), minLeaseReleaseTime), maxLeaseReleaseTime))
 	p.Breakers.Close(min(max(deadline-h.Now(), 0), maxBreakerCloseTime))
+	answered = p.Callers.Drain(deadline-h.Now()) && answered
+	if p.options.WaitForReplies != nil {
+		p.options.WaitForReplies(max(deadline-h.Now(), 0))
+	}
 	h.Report(eventlog.ProcessDrained, eventlog.Attributes{"answered": answered, "whole": complete})
 	return answered
 }
--- a/internal/proxy/ingress/handler.go
+++ b/internal/proxy/ingress/handler.go
@@ -14,6 +14,7 @@
 	"snowflow/internal/monotonic"
 	"snowflow/internal/proxy"
 	"snowflow/internal/proxy/request"
+	"snowflow/internal/proxy/shutdown"
 	"snowflow/internal/proxy/upstream"
 	"snowflow/internal/transport/wire"
 )
@@ -42,11 +43,12 @@
 	// leaderClock returns a time of the registry leader's clock that has certainly passed.
 	leaderClock func() *wire.LeaderTimestamp
 	clock       monotonic.Clock
+	inFlight    *shutdown.InFlight
 }
 
 // New returns the handler of a proxy's callers. The clock is that of the proxy's deadlines.
 func New(sidecar *proxy.Proxy, clock monotonic.Clock) http.Handler {
-	return newHandler(&Handler{forwarder: sidecar.Forwarder, leaderClock: sidecar.LeaderClock, clock: clock})
+	return newHandler(&Handler{forwarder: sidecar.Forwarder, leaderClock: sidecar.LeaderClock, clock: clock, inFlight: sidecar.Callers})
 }
 
 func newHandler(h *Handler) http.Handler {
@@ -70,7 +72,11 @@
 // serve forwards one request.
 func (h *Handler) serve(writer http.ResponseWriter, incoming *http.Request) {
 	req := newRequest(incoming)
-	if fault := h.read(req, writer, incoming); fault != nil {
+	fault := h.read(req, writer, incoming)
+	h.inFlight.Begin()
+	defer h.inFlight.End()
+	defer Flush(writer)
+	if fault != nil {
 		WriteError(writer, req.ID, fault)
 		return
 	}
@@ -158,6 +164,9 @@
 	_, _ = writer.Write(response.Body) // fails only if the caller has disconnected
 }
 
+// Flush writes what the server still buffers of a response, so that the response is written when the handler's request ends.
+func Flush(writer http.ResponseWriter) { _ = http.NewResponseController(writer).Flush() } // fails only if the caller has disconnected
+
 // hasBody reports whether a response to a method may have a body.
 func hasBody(method string, status uint32) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
--- a/internal/proxy/ingress/handler_test.go
+++ b/internal/proxy/ingress/handler_test.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
 	"snowflow/internal/apierror"
+	"snowflow/internal/host/machine"
 	"snowflow/internal/monotonic"
 	"snowflow/internal/proxy/request"
+	"snowflow/internal/proxy/shutdown"
 	"snowflow/internal/transport/wire"
 )
 
@@ -30,12 +33,65 @@
 }
 
 func serve(forwarder *fakeForwarder, incoming *http.Request) *httptest.ResponseRecorder {
-	handler := newHandler(&Handler{forwarder: forwarder, clock: fakeClock{}, leaderClock: func() *wire.LeaderTimestamp { return &wire.LeaderTimestamp{Epoch: 3, Time: 7} }})
 	recorder := httptest.NewRecorder()
-	handler.ServeHTTP(recorder, incoming)
+	serveTo(recorder, forwarder, incoming, shutdown.NewInFlight(machine.New(nil, nil, nil)))
 	return recorder
 }
 
+func serveTo(writer http.ResponseWriter, forwarder *fakeForwarder, incoming *http.Request, inFlight *shutdown.InFlight) {
+	newHandler(&Handler{
+		forwarder:   forwarder,
+		clock:       fakeClock{},
+		leaderClock: func() *wire.LeaderTimestamp { return &wire.LeaderTimestamp{Epoch: 3, Time: 7} },
+		inFlight:    inFlight,
+	}).ServeHTTP(writer, incoming)
+}
+
+// countingWriter records how many requests were in flight during each write and flush of a response.
+type countingWriter struct {
+	*httptest.ResponseRecorder
+	inFlight *shutdown.InFlight
+	counts   []int64
+}
+
+func (w *countingWriter) Write(content []byte) (int, error) {
+	w.counts = append(w.counts, w.inFlight.Count())
+	return w.ResponseRecorder.Write(content)
+}
+
+func (w *countingWriter) Flush() { w.counts = append(w.counts, w.inFlight.Count()) }
+
+// TestInFlightUntilWritten guards against the fault by which a planned stop cut responses that were still being written to callers: a
+// request was counted until its response was there, not until it was written.
+func TestInFlightUntilWritten(t *testing.T) {
+	for name, test := range map[string]struct {
+		forwarder *fakeForwarder
+		incoming  *http.Request
+	}{
+		"a response": {
+			&fakeForwarder{response: &request.Response{Status: 200, Body: []byte("done")}},
+			httptest.NewRequest(http.MethodGet, "/forms/1", nil),
+		},
+		"a rejection": {
+			&fakeForwarder{fault: apierror.New(apierror.Overloaded, apierror.NotRun, "full")},
+			httptest.NewRequest(http.MethodGet, "/forms/1", nil),
+		},
+		"a body that is too long": {
+			&fakeForwarder{},
+			httptest.NewRequest(http.MethodPost, "/forms/1", strings.NewReader(strings.Repeat("a", maxBodyBytes+1))),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFlight := shutdown.NewInFlight(machine.New(nil, nil, nil))
+			writer := &countingWriter{ResponseRecorder: httptest.NewRecorder(), inFlight: inFlight}
+			serveTo(writer, test.forwarder, test.incoming, inFlight)
+			if len(writer.counts) < 2 || slices.Min(writer.counts) != 1 || inFlight.Count() != 0 {
+				t.Errorf("in flight during writes and flushes: %v, then %d", writer.counts, inFlight.Count())
+			}
+		})
+	}
+}
+
 func TestRequestIsRead(t *testing.T) {
 	forwarder := &fakeForwarder{response: &request.Response{Status: 201, Body: []byte("done"), Headers: []*wire.Header{{Name: "X-Own", Value: "1"}}, ConfigVersion: 9}}
 	incoming := httptest.NewRequest(http.MethodPost, "/forms/1?q=2", strings.NewReader("body"))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"snowflow/internal/proxy/request"
 	"snowflow/internal/proxy/retry"
 	"snowflow/internal/proxy/session"
+	"snowflow/internal/proxy/shutdown"
 	"snowflow/internal/proxy/singleton"
 	"snowflow/internal/release"
 	"snowflow/internal/transport/wire"
@@ -58,6 +59,8 @@
 	// SilenceTimeout is the time without a response from a proxy with requests in flight after which it is sent a health check.
 	// Zero means 700 ms.
 	SilenceTimeout monotonic.Micros
+	// WaitForReplies, unless nil, waits at most for a timeout until the replies to other processes are written.
+	WaitForReplies func(timeout monotonic.Micros)
 }
 
 // Proxy is one sidecar proxy.
@@ -72,14 +75,21 @@
 	Singleton     *singleton.Client
 	Admission     *admission.Controller
 	Forwarder     *forward.Forwarder
-	draining      atomic.Bool         // Ready reports false, so that the platform sends callers elsewhere
-	leaving       atomic.Bool         // the session announces it, so that other proxies stop choosing the backends of this host
-	clockWatch    *clockwatch.Watcher // detects jumps of this process's clock
+	// Callers counts the callers' requests from when they were read until their responses are written. The handlers of callers count.
+	Callers    *shutdown.InFlight
+	draining   atomic.Bool         // Ready reports false, so that the platform sends callers elsewhere
+	leaving    atomic.Bool         // the session announces it, so that other proxies stop choosing the backends of this host
+	clockWatch *clockwatch.Watcher // detects jumps of this process's clock
 }
 
 // New returns a proxy that is not started.
 func New(options Options) *Proxy {
-	p := &Proxy{options: options, incarnation: options.Host.Random() | 1, clockWatch: clockwatch.New(options.Host)}
+	p := &Proxy{
+		options:     options,
+		incarnation: options.Host.Random() | 1,
+		clockWatch:  clockwatch.New(options.Host),
+		Callers:     shutdown.NewInFlight(options.Host),
+	}
 	p.ConfigClient = configclient.New(configclient.Options{
 		Host:        options.Host,
 		Resolver:    options.Resolver,
--- a/internal/simulation/scenario/proxies.go
+++ b/internal/simulation/scenario/proxies.go
@@ -41,6 +41,11 @@
 			Upstream:   &simulatedUpstream{mesh: m, host: h},
 			ServeStale: m.topology.Timeouts.ServeStale,
 			Linger:     m.topology.DrainLinger,
+			WaitForReplies: func(timeout monotonic.Micros) {
+				if m.waitForReplies != nil {
+					m.waitForReplies(timeout)
+				}
+			},
 		})
 		m.defects.applyTo(instance)
 		instance.Register(handlers)
