--- a/internal/proxy/upstream/dialect.go
+++ b/internal/proxy/upstream/dialect.go
@@ -18,7 +18,7 @@
 	// instance.
 	ChecksIdentity bool
 	// RequestID returns the id by which the backend knows a request, and which its response names. Attempts at one request may have
-	// the same one. The transport sends no id twice on a connection.
+	// the same one. The transport sends no id on a connection that has it in its requestHistory.
 	RequestID func(req admission.BackendRequest) string
 	// ResponseID returns the id of the request that a response names, empty if it names none. A response that names an earlier request
 	// on its connection is surplus: the transport passes it over and reads on, once for each request.
--- /dev/null
+++ b/internal/registry/directory/departures_test.go
@@ -0,0 +1,71 @@
+package directory_test
+
+import (
+	"testing"
+
+	"snowflow/internal/monotonic"
+	"snowflow/internal/registry/directory"
+	"snowflow/internal/transport/wire"
+)
+
+// departureFleet is two registries, of which the second only gets sessions from the first.
+type departureFleet struct {
+	time          *clock
+	first, second *directory.Directory
+	heartbeat     uint64
+}
+
+// announce has a proxy announce one backend to the first registry.
+func (f *departureFleet) announce(incarnation uint64, instance, condition string) {
+	f.heartbeat++
+	f.time.now += monotonic.Second
+	f.first.Observe(&wire.Session{
+		Proxy: "one", Incarnation: incarnation, Heartbeat: f.heartbeat,
+		Backends: []*wire.Backend{{Service: "forms", Instance: instance, Condition: condition}},
+	}, true)
+}
+
+// published returns the condition of the proxy's backend as a registry publishes it.
+func published(t *testing.T, registry *directory.Directory) string {
+	t.Helper()
+	sessions := registry.UpdateSince(directory.Base{}).Sessions
+	if len(sessions) != 1 || len(sessions[0].Backends) != 1 {
+		t.Fatalf("published %v", sessions)
+	}
+	return sessions[0].Backends[0].Condition
+}
+
+// TestDeparturesOutliveIncarnations: an instance that has departed is published as leaving although its proxy's next incarnation says
+// otherwise, also by a registry that only knows that incarnation, and for a minute. Other instances aren't affected.
+func TestDeparturesOutliveIncarnations(t *testing.T) {
+	const next = 2 // incarnation
+	for _, test := range []struct {
+		name     string
+		instance string
+		wait     monotonic.Micros // from the departure to the next incarnation
+		expected string
+	}{
+		{"the departed instance", "first", monotonic.Second, wire.BackendLeaving},
+		{"just within the minute", "first", 58 * monotonic.Second, wire.BackendLeaving},
+		{"after the minute", "first", 61 * monotonic.Second, "working"},
+		{"another instance", "second", monotonic.Second, "working"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			time := &clock{now: monotonic.Minute}
+			fleet := &departureFleet{time: time, first: directory.New(time, 1), second: directory.New(time, 2)}
+			fleet.announce(1, "first", "working")
+			fleet.announce(1, "first", wire.BackendLeaving)
+			time.now += test.wait
+			fleet.first.ExpireSessions()
+			fleet.announce(next, test.instance, "working")
+			for _, session := range fleet.first.DirectSessions() {
+				fleet.second.Observe(session, false)
+			}
+			for name, registry := range map[string]*directory.Directory{"first": fleet.first, "second": fleet.second} {
+				if condition := published(t, registry); condition != test.expected {
+					t.Errorf("the %s registry publishes %s, not %s", name, condition, test.expected)
+				}
+			}
+		})
+	}
+}
