knownred: a file for the list, the run and the verdict, and a checkout type in its test

The package's one file had three concerns, and TestWithGo built its checkout by nested functions over a hundred lines. Nothing else changes: the same steps with the same expectations pass, and TestJudge's approved verdicts are as before.

--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -80,68 +80,92 @@
 // the .ci/run under test.
 const exportedGo = "BASH_FUNC_go%%=() { echo 'the go function of another .ci/run'; return 1; }"
 
-// TestWithGo runs tests by the go command itself, through the project's own .ci/run.
-func TestWithGo(t *testing.T) {
-	ciScript, err := os.ReadFile("../../.ci/run")
+// checkout is a small module with the project's own .ci/run, the package that judges, and tests that pass and fail.
+type checkout struct {
+	t    *testing.T
+	root string
+}
+
+func newCheckout(t *testing.T) *checkout {
+	t.Helper()
+	c := &checkout{t: t, root: t.TempDir()}
+	sources, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	root := t.TempDir()
-	write := func(name, content string) {
-		t.Helper()
-		path := filepath.Join(root, name)
-		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(content), 0o700); err != nil {
-			t.Fatal(err)
+	for _, name := range append(sources, "ci/main.go") {
+		if !strings.HasSuffix(name, "_test.go") {
+			c.write("internal/knownred/"+name, readFile(t, name))
 		}
 	}
-	for _, name := range []string{"knownred.go", "ci/main.go"} {
-		content, err := os.ReadFile(name)
-		if err != nil {
-			t.Fatal(err)
-		}
-		write("internal/knownred/"+name, string(content))
+	c.write(".ci/run", readFile(t, "../../.ci/run"))
+	c.write("go.mod", module)
+	c.write("README.md", "# one\n\n## Tests\n\n    go vet ./... && go test ./one/... && go test -vet=off $(go list ./... | grep -v one/)\n\n## More\n\n    false\n")
+	c.write("one/one_test.go", tests)
+	c.write("two/two_test.go", strings.ReplaceAll(strings.Split(tests, "func TestBad")[0], "package one", "package two"))
+	return c
+}
+
+func readFile(t *testing.T, path string) string {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
 	}
-	write(".ci/run", string(ciScript))
-	write("go.mod", module)
-	write("README.md", "# one\n\n## Tests\n\n    go vet ./... && go test ./one/... && go test -vet=off $(go list ./... | grep -v one/)\n\n## More\n\n    false\n")
-	write("one/one_test.go", tests)
-	write("two/two_test.go", strings.ReplaceAll(strings.Split(tests, "func TestBad")[0], "package one", "package two"))
-	ci := func(list string) (bool, string) {
-		t.Helper()
-		_ = os.Remove(filepath.Join(root, "KNOWN-RED.txt"))
-		if list != "" {
-			write("KNOWN-RED.txt", list)
-		}
-		command := exec.Command(filepath.Join(root, ".ci", "run"))
-		command.Env = append(os.Environ(), exportedGo)
-		output, err := command.CombinedOutput()
-		return err == nil, string(output)
+	return string(content)
+}
+
+func (c *checkout) write(name, content string) {
+	c.t.Helper()
+	path := filepath.Join(c.root, name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(content), 0o700); err != nil {
+		c.t.Fatal(err)
 	}
+}
+
+// ci runs .ci/run with a list, or without one if it is empty.
+func (c *checkout) ci(list string) (passed bool, output string) {
+	c.t.Helper()
+	_ = os.Remove(filepath.Join(c.root, "KNOWN-RED.txt"))
+	if list != "" {
+		c.write("KNOWN-RED.txt", list)
+	}
+	command := exec.Command(filepath.Join(c.root, ".ci", "run"))
+	command.Env = append(os.Environ(), exportedGo)
+	content, err := command.CombinedOutput()
+	return err == nil, string(content)
+}
+
+// TestWithGo runs tests by the go command itself, through the project's own .ci/run. The steps build on each other.
+func TestWithGo(t *testing.T) {
+	checkout := newCheckout(t)
 	bad, tree := "one.TestBad | go test ./one | it was never good | 7\n", "one.TestTree/bad | go test ./one | nor was this | 8\n"
 	script := "one/TestBad.sh | one/TestBad.sh, seed 1 | a script | 9\n"
+	same := func() {}
 	panics := func() {
-		write("one/two_test.go", "package one\n\nimport \"testing\"\n\nfunc TestPanic(t *testing.T) { panic(1) }\n")
+		checkout.write("one/two_test.go", "package one\n\nimport \"testing\"\n\nfunc TestPanic(t *testing.T) { panic(1) }\n")
 	}
+	doesNotBuild := func() { checkout.write("one/two_test.go", "package one\n\nimport \"nothing\"\n") }
 	for _, step := range []struct {
 		what, list string
 		change     func()
 		passed     bool
 		expected   []string
 	}{
-		{"without a list", "", func() {}, false, []string{"--- FAIL: TestBad"}},
-		{"all are listed", bad + tree, func() {}, true, []string{"known red: " + bad, "known red: " + tree, "snowflow/two"}},
-		{"one isn't listed", bad, func() {}, false, []string{"not known: one.TestTree", "known red: one.TestBad"}},
-		{"a script of that name doesn't list it", script + tree, func() {}, false, []string{"not known: one.TestBad", "known, not a Go test: " + script}},
-		{"one passes", bad + tree + "two.TestGood | go test ./two | it was bad | 9\n", func() {}, true, []string{"listed as red: two.TestGood passes now"}},
-		{"a list that can't be read", bad + "\none.TestTree\n", func() {}, false, []string{"KNOWN-RED.txt: line 3: must be"}},
+		{"without a list", "", same, false, []string{"--- FAIL: TestBad"}},
+		{"all are listed", bad + tree, same, true, []string{"known red: " + bad, "known red: " + tree, "snowflow/two"}},
+		{"one isn't listed", bad, same, false, []string{"not known: one.TestTree", "known red: one.TestBad"}},
+		{"a script of that name doesn't list it", script + tree, same, false, []string{"not known: one.TestBad", "known, not a Go test: " + script}},
+		{"one passes", bad + tree + "two.TestGood | go test ./two | it was bad | 9\n", same, true, []string{"listed as red: two.TestGood passes now"}},
+		{"a list that can't be read", bad + "\none.TestTree\n", same, false, []string{"KNOWN-RED.txt: line 3: must be"}},
 		{"a panic hides the tests behind it", bad + tree + "one.TestPanic | go test ./one | it panics | 9\n", panics, false, []string{"one failed otherwise than by a test"}},
-		{"what doesn't build", bad + tree, func() { write("one/two_test.go", "package one\n\nimport \"nothing\"\n") }, false, nil},
+		{"what doesn't build", bad + tree, doesNotBuild, false, nil},
 	} {
 		step.change()
-		passed, output := ci(step.list)
+		passed, output := checkout.ci(step.list)
 		if passed != step.passed {
 			t.Errorf("%s: pass %v\n%s", step.what, passed, output)
 		}
