Replacements in series: changes in between, read back, and checked at each step

The test said that it checked that the version before is still there, and didn't: now each change first reads back the newest acknowledged version.

--- a/internal/simulation/scenario/replacement_series_test.go
+++ b/internal/simulation/scenario/replacement_series_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"snowflow/internal/configstore/api"
 	"snowflow/internal/monotonic"
 	"snowflow/internal/replication"
 )
@@ -19,6 +20,8 @@
 	quietTime = 7 * monotonic.Second
 	// acknowledgementLimit is how long the users' platform waits until a quiet core acknowledges a change.
 	acknowledgementLimit = 4 * monotonic.Second
+	// checkInterval is the time between two checks of a quiet core.
+	checkInterval = 100 * monotonic.Millisecond
 	// seedCount is how many addresses of core machines a new machine is told.
 	seedCount = 3
 )
@@ -47,10 +50,7 @@
 					series.replaceOldest(interval)
 				}
 				series.mesh.runFor(quietTime)
-				series.checkReachable()
-				series.apply()
 				series.replaceOldest(quietTime + successorDelay)
-				series.apply()
 			})
 		}
 	}
@@ -68,15 +68,17 @@
 		mesh.World.Kill(node)
 		mesh.World.Start(node)
 	}
-	series := &replacementSeries{t: t, seed: seed, mesh: mesh, version: 100}
+	series := &replacementSeries{t: t, seed: seed, mesh: mesh}
 	mesh.runFor(quietTime)
 	series.apply()
 	return series
 }
 
-// replaceOldest loses the oldest machine for good, starts its successor, and lets an interval pass in all.
+// replaceOldest loses the oldest machine for good, starts its successor, and lets an interval pass in all. Once the core is quiet it
+// changes the configuration, and checks at each step what holds then.
 func (s *replacementSeries) replaceOldest(interval monotonic.Micros) {
 	s.t.Helper()
+	next := s.mesh.World.Now() + interval
 	oldest := s.mesh.coreMachines[0]
 	seeds := s.currentAddresses()
 	s.mesh.retire(oldest)
@@ -84,13 +86,13 @@
 	for _, node := range s.mesh.coreNodes(s.mesh.addMachine(seeds)) {
 		s.mesh.World.Start(node)
 	}
-	if interval >= quietTime+successorDelay {
-		s.mesh.runFor(quietTime)
+	s.mesh.runFor(quietTime)
+	s.apply()
+	s.checkReachable()
+	for s.mesh.World.Now() < next && !s.t.Failed() {
+		s.mesh.runFor(min(checkInterval, next-s.mesh.World.Now()))
 		s.checkReachable()
-		s.mesh.runFor(interval - quietTime - successorDelay)
-		return
 	}
-	s.mesh.runFor(interval - successorDelay)
 }
 
 // currentAddresses returns addresses of configuration stores on some machines, as the platform names them to a new one. The oldest
@@ -151,9 +153,12 @@
 	return addresses
 }
 
-// apply changes the configuration, which must be acknowledged in time, and checks that the version before it is still there.
+// apply checks that the newest acknowledged version is still there, and changes the configuration, which must be acknowledged in time.
 func (s *replacementSeries) apply() {
 	s.t.Helper()
+	if newest := s.readBack(); newest != s.version {
+		s.t.Errorf("seed %d: version %d is read back, not %d", s.seed, newest, s.version)
+	}
 	response, took, err := s.mesh.applyVersion(s.version+1, acknowledgementLimit)
 	if err != nil || response.Version != s.version+1 {
 		s.t.Errorf("seed %d: version %d is not acknowledged after %d ms: %v %v", s.seed, s.version+1, took/monotonic.Millisecond, response, err)
@@ -161,3 +166,19 @@
 	}
 	s.version++
 }
+
+// readBack returns the newest version that the core has, zero if it has none or doesn't answer in time.
+func (s *replacementSeries) readBack() (version uint64) {
+	ended := false
+	s.mesh.External.Go(func() {
+		newest, err := api.NewStore(s.mesh.External, s.mesh.resolver).Latest(acknowledgementLimit)
+		if err == nil {
+			version = newest.GetVersion()
+		}
+		ended = true
+	})
+	for !ended {
+		s.mesh.runFor(monotonic.Millisecond)
+	}
+	return version
+}
