Tenants: keys are judged by the proxy, and backends are told the tenant

Cause: tenants were never built. The key passed to the backend as an ordinary header, the tenant's name that a client made up was passed on, and every key was good.

A difference of a build that leaves tenants out is refused, so that no proxy takes up a version without its tenants.

--- a/internal/apierror/causes.go
+++ b/internal/apierror/causes.go
@@ -12,10 +12,12 @@
 	BodyTooLarge            Cause = 103 // the body exceeds the limit
 	BodyMismatch            Cause = 104 // the idempotency key was used with a different body
 	MalformedRequest        Cause = 105 // the request cannot be read
+	Unauthenticated         Cause = 106 // the request bears no key of a tenant, an unknown one, or several
 	NotReady                Cause = 201 // the proxy has no configuration or directory yet
 	ConfigLeaseExpired      Cause = 202 // the lease on the configuration expired
 	Draining                Cause = 203 // the proxy is shutting down
 	StoppedInFlight         Cause = 204 // the proxy stopped while the request was in flight
+	KeyLeaseExpired         Cause = 205 // the proxy can't tell whether a tenant's key is still in force
 	BreakerOpen             Cause = 301 // the service's breaker is open
 	NoProbeLeft             Cause = 302 // the service's breaker is half open and no probe is left
 	NoBackend               Cause = 303 // no backend is available
@@ -61,10 +63,12 @@
 	BodyTooLarge:            {"body_too_large", 413, 0, false},
 	BodyMismatch:            {"key_used_with_another_body", 409, 0, false},
 	MalformedRequest:        {"unreadable_request", 400, 0, false},
+	Unauthenticated:         {"unauthenticated", 401, 0, false},
 	NotReady:                {"not_ready", 503, retrySoon, false},
 	ConfigLeaseExpired:      {"desired_state_tenure_ended", 503, 2 * retrySoon, false},
 	Draining:                {"draining", 503, retrySoon, false},
 	StoppedInFlight:         {"stopped_under_way", 503, retrySoon, false},
+	KeyLeaseExpired:         {"key_lease_expired", 503, retrySoon, false},
 	BreakerOpen:             {"guard_open", 503, 5 * retrySoon, false},
 	NoProbeLeft:             {"no_probe_left", 503, retrySoon, false},
 	NoBackend:               {"no_backend", 503, 2 * retrySoon, false},
--- a/internal/config/changes/changes.go
+++ b/internal/config/changes/changes.go
@@ -16,6 +16,7 @@
 // Errors for a difference that can't be applied. No part of it is applied then.
 var (
 	ErrMalformed      = errors.New("changes: the difference can't be decoded")
+	ErrNoTenants      = errors.New("changes: the difference is of a build that leaves tenants out")
 	ErrBaseMismatch   = errors.New("changes: the difference is from another base")
 	ErrDigestMismatch = errors.New("changes: the result doesn't match the difference's digest")
 )
@@ -65,6 +66,8 @@
 		change.Paths = append(change.Paths, message)
 	case *wire.ServiceInForce:
 		change.Services = append(change.Services, message)
+	case *wire.TenantInForce:
+		change.Tenants = append(change.Tenants, message)
 	}
 }
 
@@ -75,6 +78,8 @@
 		change.RemovedRoutes = append(change.RemovedRoutes, message)
 	case *wire.ServicePath:
 		change.RemovedPaths = append(change.RemovedPaths, message)
+	case *wire.TenantInForce:
+		change.RemovedTenants = append(change.RemovedTenants, message)
 	}
 }
 
@@ -103,6 +108,8 @@
 		Routes:        change.Routes,
 		Services:      change.Services,
 		Paths:         change.Paths,
+		Tenants:       change.Tenants,
+		CoversTenants: true,
 	}
 	for _, one := range difference.Removed {
 		encoded.Removed = append(encoded.Removed, one.Key)
@@ -122,13 +129,16 @@
 	Change *config.Change
 }
 
-// Apply returns the version that an encoded difference leads to from its base. Errors are ErrMalformed, ErrBaseMismatch,
+// Apply returns the version that an encoded difference leads to from its base. Errors are ErrMalformed, ErrNoTenants, ErrBaseMismatch,
 // ErrDigestMismatch, or that of a resource that can't be encoded.
 func Apply(base *Set, content []byte) (*ApplyResult, error) {
 	encoded := &wire.Difference{}
 	if err := proto.Unmarshal(content, encoded); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	if !encoded.CoversTenants {
+		return nil, ErrNoTenants
+	}
 	if !bytes.Equal(encoded.Base, base.Digest()) {
 		return nil, ErrBaseMismatch
 	}
@@ -175,6 +185,9 @@
 	for _, path := range encoded.Paths {
 		b.add(newPathResource(path))
 	}
+	for _, tenant := range encoded.Tenants {
+		b.add(newTenantResource(tenant))
+	}
 	return b.resources, errors.Join(b.problems...)
 }
 
--- a/internal/config/changes/set.go
+++ b/internal/config/changes/set.go
@@ -12,7 +12,7 @@
 type (
 	// Digest is the digest of a set.
 	Digest = resource.Digest
-	// Resource is a route, a service or a path of a version.
+	// Resource is a route, a service, a path or a tenant of a version.
 	Resource = resource.Resource
 	// Set is a version as a set of resources.
 	Set = resource.Set
@@ -23,6 +23,7 @@
 	KindRoute   = "route"
 	KindService = "service"
 	KindPath    = "path"
+	KindTenant  = "tenant"
 )
 
 // anyMethod is how a route is keyed that leaves its method out.
@@ -35,7 +36,7 @@
 // NewSet returns the resources of a configuration, which must not be changed afterwards. An error that is ErrInvalidSet lists all
 // that is wrong.
 func NewSet(state *wire.DesiredState) (*Set, error) {
-	b := &setBuilder{services: map[string]bool{}, matches: map[string]bool{}}
+	b := &setBuilder{services: map[string]bool{}, matches: map[string]bool{}, keyOwners: map[string]string{}}
 	for _, group := range state.Groups {
 		for _, service := range group.Services {
 			b.addService(group, service)
@@ -44,6 +45,9 @@
 	for _, route := range state.Routes {
 		b.addRoute(route)
 	}
+	for _, tenant := range state.Tenants {
+		b.addTenant(config.TenantInForce(tenant))
+	}
 	if err := errors.Join(b.problems...); err != nil {
 		return nil, err
 	}
@@ -58,6 +62,8 @@
 	services map[string]bool
 	// matches are the requests that a path or route matches already.
 	matches map[string]bool
+	// keyOwners are the tenants' names by the digests of their keys.
+	keyOwners map[string]string
 }
 
 func (b *setBuilder) add(one *Resource, err error) {
@@ -102,6 +108,16 @@
 	b.add(newRouteResource(route))
 }
 
+func (b *setBuilder) addTenant(tenant *wire.TenantInForce) {
+	for _, digest := range tenant.KeyDigests {
+		if owner, taken := b.keyOwners[string(digest)]; taken {
+			b.invalidf("tenants %q and %q share a key", owner, tenant.Name)
+		}
+		b.keyOwners[string(digest)] = tenant.Name
+	}
+	b.add(newTenantResource(tenant))
+}
+
 func (b *setBuilder) claimMatch(host, method, prefix string) {
 	if method == "" {
 		method = anyMethod
@@ -124,3 +140,7 @@
 func newPathResource(path *wire.ServicePath) (*Resource, error) {
 	return resource.New(KindPath+"/"+path.GetPath().GetMethod()+" "+path.GetPath().GetPrefix(), path)
 }
+
+func newTenantResource(tenant *wire.TenantInForce) (*Resource, error) {
+	return resource.New(KindTenant+"/"+tenant.Name, tenant)
+}
--- a/internal/config/route.go
+++ b/internal/config/route.go
@@ -41,8 +41,10 @@
 	Priority uint32
 	// MaxAttempts is the most attempts of a request, zero to leave it to the service.
 	MaxAttempts uint32
-	Service     *Service
-	Split       []WeightedService
+	// Anonymous is set if requests need no tenant's key.
+	Anonymous bool
+	Service   *Service
+	Split     []WeightedService
 }
 
 // PickService picks a service of the split in proportion to its weight, by a uniformly distributed random number.
@@ -123,6 +125,7 @@
 		LatencyTarget: monotonic.Micros(route.GetAimMicros()),
 		Priority:      route.GetPriority(),
 		MaxAttempts:   route.GetMostTries(),
+		Anonymous:     route.GetAnonymous(),
 	}
 	sum := uint64(0)
 	for _, share := range route.Split {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -18,12 +18,13 @@
 	Digest   string
 	Services map[string]*Service
 	table    routeTable
+	tenants  tenantTable
 }
 
 // Compile makes a snapshot of a configuration that was accepted. Of two routes that match the same requests the first wins;
 // Validate rejects such a configuration.
 func Compile(state *wire.DesiredState, version uint64, digest string) *Snapshot {
-	snapshot := &Snapshot{Version: version, Digest: digest, Services: map[string]*Service{}}
+	snapshot := &Snapshot{Version: version, Digest: digest, Services: map[string]*Service{}, tenants: newTenantTable(state.Tenants)}
 	builder := tableBuilder{}
 	for _, group := range state.Groups {
 		for _, service := range group.Services {
@@ -69,15 +70,16 @@
 	return nil
 }
 
-// Fingerprint returns a digest over a snapshot's behavior: the policies of its services, and the route of each request. Two
+// Fingerprint returns a digest over a snapshot's behavior: the policies of its services, the route of each request, and the keys of
+// tenants. Two
 // snapshots with the same fingerprint behave alike, whether they were compiled or made by With. It's slow, for tests and checks.
 func (s *Snapshot) Fingerprint() string {
-	var lines []string
+	lines := s.fingerprintTenants()
 	for _, service := range s.Services {
 		lines = append(lines, fmt.Sprintf("service %s %s %v %v %v", service.Name, service.Group, deterministic(service.Breaker), deterministic(service.Retry), deterministic(service.Limits)))
 	}
 	for key, route := range s.table.all {
-		line := fmt.Sprintf("path %q %q %q %q %v %v %d %d %d %d", key.host, key.method, key.prefix, route.Name, route.Once, route.Single, route.Timeout, route.LatencyTarget, route.Priority, route.MaxAttempts)
+		line := fmt.Sprintf("path %q %q %q %q %v %v %v %d %d %d %d", key.host, key.method, key.prefix, route.Name, route.Once, route.Single, route.Anonymous, route.Timeout, route.LatencyTarget, route.Priority, route.MaxAttempts)
 		for _, share := range route.Split {
 			line += fmt.Sprintf(" %s %d", share.Service.Name, share.CumulativeWeight)
 		}
--- /dev/null
+++ b/internal/config/tenant.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+
+	"snowflow/internal/config/shared"
+	"snowflow/internal/transport/wire"
+)
+
+// Limits on tenants, in bytes.
+const (
+	maxTenantName = 200
+	// MaxTenantKey is the longest key of a tenant.
+	MaxTenantKey = 256
+)
+
+// Tenant is a customer of the mesh, known by its keys. It must not be changed.
+type Tenant struct {
+	Name string
+	// Priority ranks a tenant's requests for admission under load, before the priority of their routes: the lowest number goes first.
+	Priority uint32
+}
+
+// KeyDigest identifies a tenant's key without telling it.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key. A key that is longer than MaxTenantKey bytes has none.
+func DigestKey(key string) (digest KeyDigest, valid bool) {
+	if len(key) > MaxTenantKey {
+		return KeyDigest{}, false
+	}
+	var buffer [MaxTenantKey]byte
+	length := copy(buffer[:], key)
+	return sha256.Sum256(buffer[:length]), true
+}
+
+// TenantInForce returns a tenant with the digests of its keys, sorted, in place of the keys. Keys without a digest are left out.
+func TenantInForce(tenant *wire.Tenant) *wire.TenantInForce {
+	inForce := &wire.TenantInForce{Name: tenant.Name, Priority: tenant.GetPriority()}
+	for _, key := range tenant.Keys {
+		if digest, valid := DigestKey(key); valid {
+			inForce.KeyDigests = append(inForce.KeyDigests, digest[:])
+		}
+	}
+	slices.SortFunc(inForce.KeyDigests, bytes.Compare)
+	return inForce
+}
+
+// tenantTable finds tenants by the digests of their keys. It's immutable, and versions share what they have in common. The zero
+// tenantTable has no tenants.
+type tenantTable struct {
+	byDigest *shared.Map[*Tenant]
+	// count is the number of tenants, also of those without a key.
+	count int
+}
+
+// newTenantTable returns the table of a configuration's tenants.
+func newTenantTable(tenants []*wire.Tenant) tenantTable {
+	if len(tenants) == 0 {
+		return tenantTable{}
+	}
+	byDigest := map[string]*Tenant{}
+	for _, tenant := range tenants {
+		addKeys(byDigest, TenantInForce(tenant))
+	}
+	return tenantTable{byDigest: shared.New(byDigest), count: len(tenants)}
+}
+
+func addKeys(byDigest map[string]*Tenant, inForce *wire.TenantInForce) {
+	tenant := &Tenant{Name: inForce.Name, Priority: inForce.Priority}
+	for _, digest := range inForce.KeyDigests {
+		byDigest[string(digest)] = tenant
+	}
+}
+
+// with returns the table in which some tenants are removed and others added. A changed tenant is in both lists.
+func (t tenantTable) with(added, removed []*wire.TenantInForce) tenantTable {
+	if len(added)+len(removed) == 0 {
+		return t
+	}
+	var withdrawn []string
+	for _, tenant := range removed {
+		for _, digest := range tenant.KeyDigests {
+			withdrawn = append(withdrawn, string(digest))
+		}
+	}
+	byDigest := map[string]*Tenant{}
+	for _, tenant := range added {
+		addKeys(byDigest, tenant)
+	}
+	return tenantTable{byDigest: t.byDigest.With(byDigest, withdrawn), count: t.count + len(added) - len(removed)}
+}
+
+// HasTenants reports whether the configuration has tenants, so that requests need a key.
+func (s *Snapshot) HasTenants() bool { return s.tenants.count > 0 }
+
+// FindTenant returns the tenant that has a key in this version, nil if there is none. The time that it takes doesn't depend on how much
+// of a key is right.
+func (s *Snapshot) FindTenant(key string) *Tenant {
+	digest, valid := DigestKey(key)
+	if !valid {
+		return nil
+	}
+	tenant, _ := s.tenants.byDigest.Get(string(digest[:]))
+	return tenant
+}
+
+// TenantFault is one error in a configuration's tenants. Its message never holds a key.
+type TenantFault struct {
+	// Index is the tenant's position in the list.
+	Index   int
+	Message string
+}
+
+// CheckTenants returns all errors of a configuration's tenants: their names must be unique, and each key must be of one tenant alone.
+func CheckTenants(tenants []*wire.Tenant) (faults []TenantFault) {
+	names, owners := map[string]bool{}, map[string]string{}
+	for index, tenant := range tenants {
+		report := func(message string) { faults = append(faults, TenantFault{Index: index, Message: message}) }
+		if !isToken(tenant.Name, maxTenantName) {
+			report("the name must be of 1 to 200 visible ASCII characters")
+		}
+		if names[tenant.Name] {
+			report("tenant " + tenant.Name + " is there twice")
+		}
+		names[tenant.Name] = true
+		for _, key := range tenant.Keys {
+			owner, taken := owners[key]
+			switch {
+			case !isToken(key, MaxTenantKey):
+				report("a key of tenant " + tenant.Name + " isn't of 1 to 256 visible ASCII characters")
+			case taken && owner == tenant.Name:
+				report("a key of tenant " + tenant.Name + " is given twice")
+			case taken:
+				report("tenants " + owner + " and " + tenant.Name + " share a key")
+			}
+			owners[key] = tenant.Name
+		}
+	}
+	return faults
+}
+
+// isToken reports whether a text can stand in a header and be compared byte by byte: visible ASCII without spaces.
+func isToken(text string, maxLength int) bool {
+	for index := range len(text) {
+		if text[index] <= ' ' || text[index] > '~' {
+			return false
+		}
+	}
+	return text != "" && len(text) <= maxLength
+}
+
+// fingerprintTenants returns lines that describe the tenants and their keys, for Fingerprint.
+func (s *Snapshot) fingerprintTenants() []string {
+	lines := []string{fmt.Sprintf("tenants %d", s.tenants.count)}
+	for digest, tenant := range s.tenants.byDigest.All {
+		lines = append(lines, fmt.Sprintf("key %x of %q %d", digest, tenant.Name, tenant.Priority))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/config/tenant_test.go
@@ -0,0 +1,190 @@
+package config_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"snowflow/internal/config"
+	"snowflow/internal/transport/wire"
+)
+
+// tenantState is a configuration with one service and some tenants.
+func tenantState(tenants ...*wire.Tenant) *wire.DesiredState {
+	return &wire.DesiredState{Groups: []*wire.Group{{Name: "field", Services: []*wire.Service{{Name: "one"}}}}, Tenants: tenants}
+}
+
+func TestTenantFaults(t *testing.T) {
+	longKey := strings.Repeat("k", config.MaxTenantKey+1)
+	for name, test := range map[string]struct {
+		tenants []*wire.Tenant
+		fault   string
+	}{
+		"valid":                {[]*wire.Tenant{{Name: "north", Keys: []string{"k1", "k2"}}, {Name: "south", Keys: []string{"k3"}}}, ""},
+		"no keys left":         {[]*wire.Tenant{{Name: "north"}}, ""},
+		"no name":              {[]*wire.Tenant{{Keys: []string{"k1"}}}, "name must be"},
+		"a name with a break":  {[]*wire.Tenant{{Name: "north\r\nHost: x"}}, "name must be"},
+		"a name twice":         {[]*wire.Tenant{{Name: "north"}, {Name: "north"}}, "north is there twice"},
+		"a shared key":         {[]*wire.Tenant{{Name: "north", Keys: []string{"secret"}}, {Name: "south", Keys: []string{"secret"}}}, "north and south share a key"},
+		"a key twice":          {[]*wire.Tenant{{Name: "north", Keys: []string{"secret", "secret"}}}, "given twice"},
+		"an empty key":         {[]*wire.Tenant{{Name: "north", Keys: []string{""}}}, "visible ASCII"},
+		"a long key":           {[]*wire.Tenant{{Name: "north", Keys: []string{longKey}}}, "visible ASCII"},
+		"a key with a break":   {[]*wire.Tenant{{Name: "north", Keys: []string{"secret\n"}}}, "visible ASCII"},
+		"a key with a space":   {[]*wire.Tenant{{Name: "north", Keys: []string{"secret key"}}}, "visible ASCII"},
+		"a key beyond ASCII":   {[]*wire.Tenant{{Name: "north", Keys: []string{"secreté"}}}, "visible ASCII"},
+		"the longest key of 1": {[]*wire.Tenant{{Name: "north", Keys: []string{longKey[1:]}}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faults := config.CheckTenants(test.tenants)
+			if (len(faults) > 0) != (test.fault != "") || len(faults) > 0 && !strings.Contains(faults[0].Message, test.fault) {
+				t.Errorf("faults %v, wanted %q", faults, test.fault)
+			}
+			for _, fault := range faults {
+				if strings.Contains(fault.Message, "secret") || strings.Contains(fault.Message, longKey) {
+					t.Errorf("%q tells a key", fault.Message)
+				}
+			}
+			if validated := config.Validate(withPath(test.tenants)); len(validated) != len(faults) {
+				t.Errorf("Validate reports %v", validated)
+			}
+		})
+	}
+}
+
+// withPath is a configuration that is valid but for its tenants.
+func withPath(tenants []*wire.Tenant) *wire.DesiredState {
+	state := tenantState(tenants...)
+	state.Groups[0].Services[0].Paths = []*wire.Path{{Method: "GET", Prefix: "/a", Class: wire.Path_read}}
+	return state
+}
+
+func TestFindTenant(t *testing.T) {
+	snapshot := config.Compile(tenantState(&wire.Tenant{Name: "north", Keys: []string{"k1", "k2"}, Priority: proto.Uint32(3)}, &wire.Tenant{Name: "south", Keys: []string{"k3"}}), 1, "")
+	for key, name := range map[string]string{"k1": "north", "k2": "north", "k3": "south", "k": "", "k11": "", "": "", strings.Repeat("k", 9999): ""} {
+		found := snapshot.FindTenant(key)
+		if (found != nil) != (name != "") || found != nil && found.Name != name {
+			t.Errorf("%.20q is of %v, wanted %q", key, found, name)
+		}
+	}
+	if found := snapshot.FindTenant("k1"); found.Priority != 3 {
+		t.Errorf("priority %d", found.Priority)
+	}
+	if open := config.Compile(tenantState(), 1, ""); open.HasTenants() || open.FindTenant("k1") != nil {
+		t.Error("a configuration without tenants has some")
+	}
+	if closed := config.Compile(tenantState(&wire.Tenant{Name: "north"}), 1, ""); !closed.HasTenants() {
+		t.Error("a tenant without keys isn't counted")
+	}
+}
+
+// TestTenantVersions compares tenants that are changed version by version with a plain map: keys come, go, and pass from tenant to tenant.
+func TestTenantVersions(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		snapshot, present := config.Compile(tenantState(), 1, ""), map[string]*wire.TenantInForce{}
+		for version := range uint64(30) {
+			owners, next := map[string]string{}, map[string]*wire.TenantInForce{}
+			for number := range 40 {
+				if owner := random.IntN(9); owner < 6 {
+					owners[fmt.Sprintf("key-%d", number)] = fmt.Sprintf("tenant-%d", owner)
+				}
+			}
+			for number := range 6 {
+				if random.IntN(4) > 0 {
+					tenant := &wire.Tenant{Name: fmt.Sprintf("tenant-%d", number)}
+					for key, owner := range owners {
+						if owner == tenant.Name {
+							tenant.Keys = append(tenant.Keys, key)
+						}
+					}
+					next[tenant.Name] = config.TenantInForce(tenant)
+				}
+			}
+			change := &config.Change{}
+			for name, tenant := range next {
+				if former := present[name]; former == nil || !proto.Equal(former, tenant) {
+					change.Tenants = append(change.Tenants, tenant)
+					if former != nil {
+						change.RemovedTenants = append(change.RemovedTenants, former)
+					}
+				}
+			}
+			for name, former := range present {
+				if next[name] == nil {
+					change.RemovedTenants = append(change.RemovedTenants, former)
+				}
+			}
+			var err error
+			if snapshot, err = snapshot.With(change, version+2, ""); err != nil {
+				t.Fatal(err)
+			}
+			present = next
+			if snapshot.HasTenants() != (len(next) > 0) {
+				t.Fatalf("seed %d: has tenants: %v of %d", seed, snapshot.HasTenants(), len(next))
+			}
+			for number := range 40 {
+				key := fmt.Sprintf("key-%d", number)
+				wanted := owners[key]
+				if next[wanted] == nil {
+					wanted = ""
+				}
+				if found := snapshot.FindTenant(key); found == nil && wanted != "" || found != nil && found.Name != wanted {
+					t.Fatalf("seed %d version %d: %s is of %v, wanted %q", seed, version, key, found, wanted)
+				}
+			}
+		}
+	}
+}
+
+// TestFindTenantAllocatesNothing holds the cost of a look-up, which each request pays.
+func TestFindTenantAllocatesNothing(t *testing.T) {
+	snapshot := config.Compile(manyTenants(1000), 1, "")
+	key := "key-of-a-customer-500"
+	if allocations := testing.AllocsPerRun(100, func() { snapshot.FindTenant(key) }); allocations > 0 || snapshot.FindTenant(key) == nil {
+		t.Errorf("%.1f allocations", allocations)
+	}
+}
+
+func manyTenants(count int) *wire.DesiredState {
+	state := tenantState()
+	for number := range count {
+		state.Tenants = append(state.Tenants, &wire.Tenant{Name: fmt.Sprintf("tenant-%d", number), Keys: []string{fmt.Sprintf("key-of-a-customer-%d", number)}})
+	}
+	return state
+}
+
+// BenchmarkFindTenant measures a look-up among 100,000 keys.
+func BenchmarkFindTenant(b *testing.B) {
+	snapshot := config.Compile(manyTenants(100_000), 1, "")
+	b.ReportAllocs()
+	for b.Loop() {
+		if snapshot.FindTenant("key-of-a-customer-99999") == nil {
+			b.Fatal("not found")
+		}
+	}
+}
+
+// FuzzParseTenants checks that no configuration with tenants is accepted whose keys can't be told apart, and that no error tells a key.
+func FuzzParseTenants(f *testing.F) {
+	f.Add("north", "k1", "k2", "south", "k3")
+	f.Add("north", "k1", "k1", "north", "")
+	f.Add("n\r\n", " ", "k2", "south", "k2")
+	f.Fuzz(func(t *testing.T, one, first, second, other, third string) {
+		state := withPath([]*wire.Tenant{{Name: one, Keys: []string{first, second}}, {Name: other, Keys: []string{third}}})
+		if len(config.Validate(state)) > 0 {
+			return
+		}
+		if first == second || first == third || second == third || one == other {
+			t.Fatal("two keys or names are the same")
+		}
+		snapshot := config.Compile(state, 1, "")
+		for key, name := range map[string]string{first: one, second: one, third: other} {
+			if found := snapshot.FindTenant(key); found == nil || found.Name != name || strings.ContainsAny(name, "\r\n ") {
+				t.Fatalf("%q is of %v, wanted %q", key, found, name)
+			}
+		}
+	})
+}
--- a/internal/config/update.go
+++ b/internal/config/update.go
@@ -11,8 +11,8 @@
 // ErrChange means that a change doesn't fit the snapshot that it was applied to.
 var ErrChange = errors.New("config: the change doesn't fit the snapshot")
 
-// Change turns a snapshot into the next one. RemovedPaths and RemovedRoutes include the former versions of paths and routes that
-// changed. RemovedServices doesn't include services that changed, because the snapshot finds them by name.
+// Change turns a snapshot into the next one. RemovedPaths, RemovedRoutes and RemovedTenants include the former versions of
+// what changed. RemovedServices doesn't include services that changed, because the snapshot finds them by name.
 type Change struct {
 	Services        []*wire.ServiceInForce // added or changed
 	RemovedServices []string
@@ -20,6 +20,8 @@
 	RemovedPaths    []*wire.ServicePath
 	Routes          []*wire.Route // added or changed
 	RemovedRoutes   []*wire.Route
+	Tenants         []*wire.TenantInForce // added or changed
+	RemovedTenants  []*wire.TenantInForce
 }
 
 // With returns the snapshot after a change. Services, routes and hosts that the change doesn't touch are the same objects; a
@@ -39,7 +41,10 @@
 	if err := u.addRoutes(change); err != nil {
 		return nil, err
 	}
-	return &Snapshot{Version: version, Digest: digest, Services: services, table: s.table.withUpdates(u.updates)}, nil
+	next := &Snapshot{Version: version, Digest: digest, Services: services}
+	next.table = s.table.withUpdates(u.updates)
+	next.tenants = s.tenants.with(change.Tenants, change.RemovedTenants)
+	return next, nil
 }
 
 // withServices returns the services after a change, and the names of those that were changed or removed.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -33,6 +33,9 @@
 	}
 	v.checkGroups(state)
 	v.checkRoutes(state.Routes)
+	for _, fault := range CheckTenants(state.Tenants) {
+		v.addf(fmt.Sprintf("tenants[%d]", fault.Index), "%s", fault.Message)
+	}
 	return v.fieldErrors
 }
 
--- a/internal/proxy/admission/admission.go
+++ b/internal/proxy/admission/admission.go
@@ -19,6 +19,7 @@
 // BackendRequest is one request for a backend.
 type BackendRequest struct {
 	ID      string
+	Tenant  string // whose key the request bears; empty for none
 	Backend localbackends.Backend
 	Method  string
 	Target  string // path and query
--- a/internal/proxy/admission/claim.go
+++ b/internal/proxy/admission/claim.go
@@ -79,6 +79,7 @@
 		Proxy:       c.options.Proxy,
 		Incarnation: c.options.Incarnation,
 		ReadAt:      req.ReadAt,
+		FormerScope: req.FormerScope,
 	}
 	reply := &wire.ClaimResponse{}
 	return reply, c.options.CallLeader(wire.Kind_claim, claim, reply, timeout)
--- a/internal/proxy/admission/recall.go
+++ b/internal/proxy/admission/recall.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	"snowflow/internal/apierror"
 	"snowflow/internal/monotonic"
 	"snowflow/internal/proxy/request"
@@ -35,6 +37,10 @@
 	req *wire.ForwardRequest, existing *wire.ClaimResponse, deadline monotonic.Micros,
 ) (*request.Response, apierror.Cause) {
 	until := min(deadline, c.options.Host.Now()+recallTimeout)
+	if existing.Scope != "" {
+		req = proto.CloneOf(req)
+		req.Scope = existing.Scope
+	}
 	response, cause := c.recallFrom(existing.Owner, req, existing.Attempt, until-c.options.Host.Now())
 	if response != nil || cause == apierror.KeyPending {
 		return response, cause
--- a/internal/proxy/admission/serve.go
+++ b/internal/proxy/admission/serve.go
@@ -38,7 +38,8 @@
 
 // serve admits a request, executes it and returns the reply. Reservations are released in the reverse order.
 func (c *Controller) serve(req *wire.ForwardRequest, task *shutdown.Task) (reply *wire.ForwardResponse) {
-	deadline := c.options.Host.Now() + monotonic.Micros(req.Remaining)
+	received := c.options.Host.Now()
+	deadline := received + monotonic.Micros(req.Remaining)
 	if c.claimPerService {
 		req = proto.CloneOf(req)
 		req.Scope = req.Service + "\n" + req.Scope
@@ -76,6 +77,7 @@
 	response, fault := c.execute(&execution{
 		req:          req,
 		deadline:     deadline,
+		keyExpiry:    keyExpiry(req, received),
 		permit:       permit,
 		observation:  observation,
 		cancellation: cancellation,
@@ -91,12 +93,22 @@
 type execution struct {
 	req          *wire.ForwardRequest
 	deadline     monotonic.Micros
+	keyExpiry    monotonic.Micros // when the sender's lease on the tenants' keys ends; 0 if it needs none
 	permit       *permit
 	observation  *localbackends.Observation
 	cancellation *cancellation // nil for a run-once request
 	task         *shutdown.Task
 }
 
+// keyExpiry returns when the sender's lease on the tenants' keys ends, for a request that was received at a time; 0 if the request needs
+// no lease.
+func keyExpiry(req *wire.ForwardRequest, received monotonic.Micros) monotonic.Micros {
+	if req.KeyLease == 0 {
+		return 0
+	}
+	return received + monotonic.Micros(req.KeyLease)
+}
+
 // cancellable reports whether the request may be aborted while its backend works on it. Only a request that may be repeated is:
 // neither a run-once request nor one that may run at most once and has no idempotency key.
 func (e *execution) cancellable() bool { return !e.req.RunOnce && !e.req.AtMostOnce }
@@ -134,6 +146,7 @@
 func (c *Controller) backendRequest(e *execution) BackendRequest {
 	backendRequest := BackendRequest{
 		ID:              e.req.Id,
+		Tenant:          e.req.Tenant,
 		Backend:         e.permit.Backend,
 		Method:          e.req.Method,
 		Target:          e.req.Target,
@@ -158,6 +171,9 @@
 	if c.options.Host.Now() >= e.permit.startBy {
 		return apierror.New(apierror.ClaimTimeout, apierror.NotRun, "too late to start")
 	}
+	if e.keyExpiry > 0 && c.options.Host.Now() >= e.keyExpiry {
+		return apierror.New(apierror.KeyLeaseExpired, apierror.NotRun, "whether the tenant's key is still in force isn't known")
+	}
 	if fault := c.checkLease(); fault != nil {
 		return fault
 	}
--- a/internal/proxy/configclient/adopt.go
+++ b/internal/proxy/configclient/adopt.go
@@ -19,9 +19,9 @@
 	changed int
 }
 
-// adopt adopts the version of a response, if it's newer, and takes the lease. It returns false if the response can't be used: its
+// adopt adopts the version of a response to a poll that was sent at requestedAt, if it's newer, and takes the lease. It returns false if the response can't be used: its
 // version is older than the adopted one or can't be parsed.
-func (c *Client) adopt(response *wire.ConfigPollResponse, leaseExpiry monotonic.Micros) bool {
+func (c *Client) adopt(response *wire.ConfigPollResponse, requestedAt monotonic.Micros) bool {
 	version, _ := c.Version()
 	if response.Primary && c.unconfirmedSince > 0 {
 		version = 0 // the unconfirmed version may never have been acknowledged, so that a lower one may be right
@@ -30,7 +30,7 @@
 		return false
 	}
 	if response.Version == version {
-		c.renewLease(response, leaseExpiry)
+		c.renewLease(response, requestedAt)
 		return true
 	}
 	if len(response.Difference) == 0 {
@@ -38,7 +38,7 @@
 		if next == nil {
 			return false
 		}
-		c.install(next, response, leaseExpiry)
+		c.install(next, response, requestedAt)
 		return true
 	}
 	next, err := c.applyDifference(response)
@@ -47,7 +47,7 @@
 		c.rejectDifference(response, version, err)
 		return true
 	}
-	c.install(next, response, leaseExpiry)
+	c.install(next, response, requestedAt)
 	return true
 }
 
@@ -112,7 +112,7 @@
 }
 
 // install makes a candidate the adopted version, takes the lease, and wakes the tasks in WaitForVersion.
-func (c *Client) install(next *candidate, response *wire.ConfigPollResponse, leaseExpiry monotonic.Micros) {
+func (c *Client) install(next *candidate, response *wire.ConfigPollResponse, requestedAt monotonic.Micros) {
 	isDifference := len(response.Difference) > 0
 	c.requestFull = false
 	c.mu.Lock()
@@ -128,7 +128,7 @@
 		c.stats.FullStates++
 	}
 	c.stats.Resources += uint64(next.changed)
-	c.extendLease(response, leaseExpiry)
+	c.extendLease(response, requestedAt)
 	waiters := c.waiters
 	c.waiters = nil
 	c.mu.Unlock()
@@ -144,17 +144,18 @@
 }
 
 // renewLease takes the lease of a response that brings no newer version.
-func (c *Client) renewLease(response *wire.ConfigPollResponse, leaseExpiry monotonic.Micros) {
+func (c *Client) renewLease(response *wire.ConfigPollResponse, requestedAt monotonic.Micros) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.extendLease(response, leaseExpiry)
+	c.extendLease(response, requestedAt)
 }
 
-// extendLease takes the lease and the poll time of a response. It must be called with mu held.
-func (c *Client) extendLease(response *wire.ConfigPollResponse, leaseExpiry monotonic.Micros) {
+// extendLease takes the lease and the poll time of a response; a process that isn't the primary grants no lease. It must be called with mu held.
+func (c *Client) extendLease(response *wire.ConfigPollResponse, requestedAt monotonic.Micros) {
 	c.longPoll = monotonic.Micros(response.LongPoll)
-	if c.snapshot != nil && !c.released {
-		c.leaseExpiry = max(c.leaseExpiry, leaseExpiry)
+	if response.Primary && c.snapshot != nil && !c.released {
+		c.leaseExpiry = max(c.leaseExpiry, requestedAt+monotonic.Micros(response.Lease))
+		c.confirmedAt = max(c.confirmedAt, requestedAt)
 		c.lapseReported = false
 	}
 }
--- a/internal/proxy/configclient/client.go
+++ b/internal/proxy/configclient/client.go
@@ -29,6 +29,9 @@
 	// ServeStale lets the proxy serve without a lease until it receives a newer version. The configuration stores must
 	// be configured alike (configstore.Timeouts.ServeStale).
 	ServeStale bool
+	// KeyLease is how long tenants' keys are in force after the last poll by which a primary confirmed the adopted version as the
+	// newest, counted from before that poll was sent. Zero: as long as the version itself.
+	KeyLease monotonic.Micros
 }
 
 // Client follows the configuration stores. All methods but Run are safe for concurrent use.
@@ -58,6 +61,8 @@
 	unconfirmedSince monotonic.Micros
 	// leaseExpiry is the end of the lease, counted from before the poll that granted it.
 	leaseExpiry monotonic.Micros
+	// confirmedAt is when the last poll was sent by which a primary confirmed the adopted version as the newest.
+	confirmedAt monotonic.Micros
 	// lapseReported is set once the expiry of the present lease has been reported.
 	lapseReported bool
 	// released is set once the proxy has stopped serving for good and takes no more leases.
@@ -115,6 +120,27 @@
 	return c.unconfirmedSince > 0 && c.host.Now()-c.unconfirmedSince < unconfirmedTimeout
 }
 
+// KeyLease returns how much longer the adopted version's keys of tenants may be relied on, zero if no longer. Limited is false if they
+// need no lease.
+func (c *Client) KeyLease() (remaining monotonic.Micros, limited bool) {
+	if c.options.KeyLease == 0 {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmedAt == 0 || c.released || c.options.ClockWatch.WentBack() {
+		return 0, true
+	}
+	return max(0, c.confirmedAt+c.options.KeyLease-c.host.Now()), true
+}
+
+// InContact reports whether a primary has lately confirmed the adopted version, so that a key which isn't in it is of no tenant.
+func (c *Client) InContact() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.host.Now() < c.leaseExpiry && !c.options.ClockWatch.WentBack()
+}
+
 // Version returns the adopted version and the time since its adoption, zeros before the first.
 func (c *Client) Version() (version uint64, age monotonic.Micros) {
 	c.mu.Lock()
--- a/internal/proxy/configclient/client_test.go
+++ b/internal/proxy/configclient/client_test.go
@@ -34,6 +34,12 @@
 
 // newFixture starts a store that is primary and has a version, and a proxy.
 func newFixture(t *testing.T, version uint64, serveStale bool) *fixture {
+	t.Helper()
+	return newLeasedFixture(t, version, serveStale, 0)
+}
+
+// newLeasedFixture is newFixture with a lease on tenants' keys.
+func newLeasedFixture(t *testing.T, version uint64, serveStale bool, keyLease monotonic.Micros) *fixture {
 	t.Helper()
 	f := &fixture{t: t, world: world.New(1)}
 	t.Cleanup(f.world.Close)
@@ -43,7 +49,7 @@
 	f.world.Start(f.world.Add("proxy", "proxy", "proxy", func(h *world.Host) (host.Handlers, error) {
 		resolver := discovery.New(h, nil, []string{storeAddress})
 		f.proxy = h
-		f.client = configclient.New(configclient.Options{Host: h, Resolver: resolver, Proxy: "proxy", Incarnation: 7, ClockWatch: clockwatch.New(h), ServeStale: serveStale})
+		f.client = configclient.New(configclient.Options{Host: h, Resolver: resolver, Proxy: "proxy", Incarnation: 7, ClockWatch: clockwatch.New(h), ServeStale: serveStale, KeyLease: keyLease})
 		h.Go(f.client.Run)
 		return host.Handlers{}, nil
 	}))
@@ -111,6 +117,52 @@
 	}
 }
 
+// TestKeyLease guards against keys that are relied on without contact: the lease on them counts from before the poll that a primary
+// answered with the adopted version, whatever else is answered meanwhile.
+func TestKeyLease(t *testing.T) {
+	const keyLease = 4 * monotonic.Second
+	for name, test := range map[string]struct {
+		answer func(request *wire.ConfigPollRequest) *wire.ConfigPollResponse // nil: the store is killed
+	}{
+		"no answer": {},
+		"not the primary": {func(*wire.ConfigPollRequest) *wire.ConfigPollResponse {
+			return &wire.ConfigPollResponse{Version: 9, Content: contentOf(9), Lease: int64(lease), LongPoll: int64(longPoll)}
+		}},
+		"an older version": {func(*wire.ConfigPollRequest) *wire.ConfigPollResponse { return primaryWith(4) }},
+		"a newer one that can't be read": {func(*wire.ConfigPollRequest) *wire.ConfigPollResponse {
+			response := primaryWith(6)
+			response.Content = []byte("{")
+			return response
+		}},
+		"a difference that doesn't apply": {func(*wire.ConfigPollRequest) *wire.ConfigPollResponse {
+			response := primaryWith(6)
+			response.Content, response.Difference = nil, []byte("no difference")
+			return response
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLeasedFixture(t, 5, true, keyLease)
+			f.run(2 * monotonic.Second)
+			f.check("in contact", 5, true)
+			if remaining, limited := f.client.KeyLease(); !limited || remaining <= keyLease-2*longPoll || remaining > keyLease {
+				t.Fatalf("%d us are left in contact", remaining)
+			}
+			if f.answer = test.answer; test.answer == nil {
+				f.world.Kill(f.store)
+			}
+			f.run(keyLease - 2*longPoll)
+			if remaining, _ := f.client.KeyLease(); remaining <= 0 || remaining > 2*longPoll {
+				t.Errorf("%d us are left shortly before the end", remaining)
+			}
+			f.run(2 * longPoll)
+			if remaining, limited := f.client.KeyLease(); remaining != 0 || !limited {
+				t.Errorf("%d us are left after the end", remaining)
+			}
+			f.check("out of contact", 5, true)
+		})
+	}
+}
+
 // TestVersionsNeverFall checks that an older version of the primary isn't adopted.
 func TestVersionsNeverFall(t *testing.T) {
 	f := newFixture(t, 5, false)
--- a/internal/proxy/configclient/poll.go
+++ b/internal/proxy/configclient/poll.go
@@ -66,7 +66,7 @@
 		c.resolver.Refresh()
 		return false
 	}
-	return c.adopt(response, requestedAt+monotonic.Micros(response.Lease))
+	return c.adopt(response, requestedAt)
 }
 
 // confirmedVersion returns the adopted version, zero if there is none or it is unconfirmed: the primary then sends its own version.
--- a/internal/proxy/forward/attempt.go
+++ b/internal/proxy/forward/attempt.go
@@ -58,6 +58,9 @@
 	if snapshot.Version != exchange.Snapshot.Version {
 		f.resolveAgain(exchange)
 	}
+	if fault := f.authenticateAgain(exchange, snapshot); fault != nil {
+		return notAttempted(fault)
+	}
 	permit, fault := f.config.Breakers.Admit(exchange.Service)
 	if fault != nil {
 		return notAttempted(fault)
@@ -130,7 +133,10 @@
 		From:          f.config.Proxy,
 		ToIncarnation: a.candidate.Incarnation,
 		AnswerLimit:   exchange.Service.Limits.GetAnswerBytes(),
-		Priority:      exchange.Route.Priority,
+		Priority:      exchange.rank(),
+		Tenant:        tenantName(exchange.Tenant),
+		KeyLease:      int64(f.keyLease(exchange)),
+		FormerScope:   exchange.FormerScope,
 		LatencyTarget: exchange.remainingLatencyTarget(f.config.Host.Now()),
 		AtMostOnce:    exchange.AtMostOnce,
 		MayQueue:      a.lastBackend,
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -27,12 +27,15 @@
 	Snapshot  *config.Snapshot // nil until resolved
 	Route     config.Route
 	Service   *config.Service // nil until resolved
+	Tenant    *config.Tenant  // whose key the request bears; nil if it needs none
 	// RunOnce is true if the request runs once per idempotency key, which a backend's proxy claims from the registry.
 	RunOnce bool
 	// AtMostOnce is true if the request may run at most once and has no claim. It is retried only if it has certainly not run.
 	AtMostOnce bool
 	// IdempotencyScope names what may run once; empty if the request has no key.
 	IdempotencyScope string
+	// FormerScope is the scope by which a build that doesn't know tenants claims the key; empty if it's the same.
+	FormerScope string
 	// Digest is the hash of a RunOnce request, nil for others.
 	Digest []byte
 	// Attempts is the number of attempts so far. Redispatches don't count.
@@ -40,9 +43,11 @@
 	// MayHaveRun is set once some attempt may have run. From then on no fault may have the verdict NotRun.
 	MayHaveRun bool
 
-	task         *shutdown.Task
-	retries      retry.State
-	cancellation *cancellation.Tracker
+	// authenticatedBy is the version by which the tenant's key was judged last.
+	authenticatedBy *config.Snapshot
+	task            *shutdown.Task
+	retries         retry.State
+	cancellation    *cancellation.Tracker
 }
 
 // maxAttempts is the route's own limit if it has one, else the service's.
--- a/internal/proxy/forward/forwarder.go
+++ b/internal/proxy/forward/forwarder.go
@@ -27,6 +27,10 @@
 	Current() (snapshot *config.Snapshot, live bool)
 	// WaitForVersion waits for a version to be adopted and reports whether it was.
 	WaitForVersion(version uint64, timeout monotonic.Micros) bool
+	// KeyLease returns how much longer the newest version's keys of tenants may be relied on, and whether they need a lease at all.
+	KeyLease() (remaining monotonic.Micros, limited bool)
+	// InContact reports whether the newest version was lately confirmed as such.
+	InContact() bool
 }
 
 // Session gives access to the registry's information on the mesh.
--- a/internal/proxy/forward/forwarder_test.go
+++ b/internal/proxy/forward/forwarder_test.go
@@ -36,9 +36,16 @@
 type staticConfig struct {
 	snapshot *config.Snapshot
 	expired  bool
+	// keyLease is what is left of the lease on tenants' keys; limited is set if they need one.
+	keyLease monotonic.Micros
+	limited  bool
+	// stale is set while the proxy serves without contact.
+	stale bool
 }
 
 func (c *staticConfig) Current() (*config.Snapshot, bool)            { return c.snapshot, !c.expired }
+func (c *staticConfig) KeyLease() (monotonic.Micros, bool)           { return c.keyLease, c.limited }
+func (c *staticConfig) InContact() bool                              { return !c.expired && !c.stale }
 func (c *staticConfig) WaitForVersion(uint64, monotonic.Micros) bool { return false }
 
 // staticSession is a directory that stays as it is, and the leader's clock as it was last observed.
--- a/internal/proxy/forward/policies.go
+++ b/internal/proxy/forward/policies.go
@@ -26,6 +26,7 @@
 	return []policy{
 		{enter: f.rejectWhileDraining},
 		{enter: f.resolve},
+		{enter: f.authenticate},
 		{enter: requireIdempotencyKey},
 		{enter: limitBodySize},
 		{enter: f.limitInFlight, leave: f.releaseInFlight},
--- a/internal/proxy/forward/verdict.go
+++ b/internal/proxy/forward/verdict.go
@@ -104,6 +104,9 @@
 	if exchange.IdempotencyScope == "" || exchange.Request.VerdictPerRequest || !fault.NotRun() {
 		return fault
 	}
+	if len(exchange.Request.TenantKeys) > 0 && exchange.Snapshot == nil {
+		return asMayHaveRun(fault) // whose idempotency key it is wasn't found out
+	}
 	if f.voidAttempt(exchange, "", true) != idempotency.Voided {
 		return asMayHaveRun(fault)
 	}
--- a/internal/proxy/ingress/handler.go
+++ b/internal/proxy/ingress/handler.go
@@ -100,6 +100,7 @@
 		Host:           incoming.Host,
 		Target:         incoming.URL.RequestURI(),
 		IdempotencyKey: incoming.Header.Get(request.IdempotencyKeyHeader),
+		TenantKeys:     incoming.Header.Values(request.TenantKeyHeader),
 		OnCallerLeft: func(callback func()) (stop func() bool) {
 			return context.AfterFunc(incoming.Context(), callback)
 		},
@@ -143,7 +144,9 @@
 // withoutMeshHeaders is a copy of the headers without those that are for the mesh alone.
 func withoutMeshHeaders(headers http.Header) http.Header {
 	forwarded := headers.Clone()
-	forwarded.Del(request.RequestIDHeader)
+	for _, name := range []string{request.RequestIDHeader, request.TenantKeyHeader, request.TenantHeader} {
+		forwarded.Del(name)
+	}
 	return forwarded
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -46,6 +46,9 @@
 	// ServeStale makes this proxy go on serving with its last known configuration while it can't reach the configuration store.
 	// The store must have the same setting.
 	ServeStale bool
+	// KeyLease is how long tenants' keys are in force without contact to the configuration store's primary; see
+	// configclient.Options.KeyLease.
+	KeyLease monotonic.Micros
 	// OnFinished is called with the outcome of each request of a caller: either response or fault is nil. Nil for no calls.
 	OnFinished func(exchange *forward.Exchange, response *request.Response, fault *apierror.Error)
 	// IdempotencyTTL is how long the responses to idempotency keys are recorded. It must be as long as the registry keeps the
@@ -98,6 +101,7 @@
 		ClockWatch:  p.clockWatch,
 		Parse:       options.ReadConfig,
 		ServeStale:  options.ServeStale,
+		KeyLease:    options.KeyLease,
 	})
 	p.Session = session.New(options.Host, options.Resolver, p.currentSession, p.clockWatch)
 	p.LocalBackends = localbackends.New(options.Host, p.Session.PollNow)
--- a/internal/proxy/request/request.go
+++ b/internal/proxy/request/request.go
@@ -16,6 +16,10 @@
 	DeadlineHeader = "X-Snowflow-Cutoff-Micros"
 	// NotExecutedHeader is set in a response if the request has certainly not run.
 	NotExecutedHeader = "X-Snowflow-Not-Executed"
+	// TenantKeyHeader holds the key of the tenant that a request is of. Backends aren't shown it.
+	TenantKeyHeader = "X-Snowflow-Caller-Key"
+	// TenantHeader holds, in a request to a backend, the name of the tenant whose key the request bears.
+	TenantHeader = "X-Snowflow-Caller-Tenant"
 	// RequestIDHeader holds the request's ID, in the request and in its response.
 	RequestIDHeader = "X-Snowflow-Request"
 	// ConfigVersionHeader holds, in a response, the version of the configuration by which the request was forwarded.
@@ -31,6 +35,8 @@
 	Headers        []*wire.Header
 	Body           []byte
 	IdempotencyKey string // empty if it has none
+	// TenantKeys are the tenants' keys that the request bears. Headers has none of them.
+	TenantKeys []string
 	// Deadline is when the caller gives up, on the clock of this process in microseconds; 0 leaves it to the service's
 	// configuration.
 	Deadline monotonic.Micros
--- a/internal/proxy/upstream/dialect.go
+++ b/internal/proxy/upstream/dialect.go
@@ -55,6 +55,9 @@
 
 func defaultHeaders(req admission.BackendRequest, _ monotonic.Micros) []*wire.Header {
 	own := req.Headers[:len(req.Headers):len(req.Headers)] // so that append copies them
+	if req.Tenant != "" {
+		own = append(own, &wire.Header{Name: request.TenantHeader, Value: req.Tenant})
+	}
 	return append(own, &wire.Header{Name: request.RequestIDHeader, Value: req.ID})
 }
 
--- a/internal/proxy/upstream/transcript/transcript.go
+++ b/internal/proxy/upstream/transcript/transcript.go
@@ -56,6 +56,7 @@
 	again   bool // each request after the first is one more attempt at it
 	leaving bool // the backend is found to be leaving before the request is sent
 	headers bool // the request's headers are shown
+	tenant  string
 	backend *fakeBackend
 }
 
@@ -93,6 +94,7 @@
 	data.MaybeScanArgs(t, "once", &parsed.once)
 	data.MaybeScanArgs(t, "again", &parsed.again)
 	data.MaybeScanArgs(t, "headers", &parsed.headers)
+	data.MaybeScanArgs(t, "tenant", &parsed.tenant)
 	data.MaybeScanArgs(t, "body", &parsed.body)
 	data.MaybeScanArgs(t, "stay", &backend.keepAlive)
 	data.MaybeScanArgs(t, "surplus", &backend.surplus)
@@ -124,6 +126,7 @@
 
 func (e *exchange) request(clock monotonic.Clock, number int) admission.BackendRequest {
 	return admission.BackendRequest{
+		Tenant:          e.tenant,
 		ID:              e.requestID(number),
 		Backend:         localbackends.Backend{Service: "forms", Instance: "one", Address: e.backend.listener.Addr().String()},
 		Method:          e.method,
--- a/internal/registry/idempotency/table.go
+++ b/internal/registry/idempotency/table.go
@@ -101,6 +101,11 @@
 			return &wire.ClaimResponse{Outcome: Fenced}
 		}
 	}
+	if former := t.findFormer(request); former != nil {
+		response := t.claimPending(former, request)
+		response.Scope = former.Scope
+		return response
+	}
 	record := t.recordFor(request.Scope, now)
 	record.State, record.Digest, record.Attempt = statePending, request.Digest, request.Attempt
 	record.Proxy, record.Incarnation = request.Proxy, request.Incarnation
@@ -167,6 +172,17 @@
 	}
 }
 
+// findFormer returns the pending record of a claim that a build without tenants made for the request's key, nil if there is none.
+func (t *Table) findFormer(request *wire.ClaimRequest) *wire.ClaimRecord {
+	if request.FormerScope == "" {
+		return nil
+	}
+	if record := t.find(request.FormerScope); record != nil && record.State == statePending {
+		return record
+	}
+	return nil
+}
+
 // find decodes the record of a scope. It returns nil if there is none.
 func (t *Table) find(scope string) *wire.ClaimRecord {
 	if present := t.records.byScope[scope]; present != nil {
--- a/internal/registry/idempotency/table_test.go
+++ b/internal/registry/idempotency/table_test.go
@@ -200,3 +200,31 @@
 		t.Errorf("%d claims, and a second attempt is %s", table.Len(), got)
 	}
 }
+
+// TestFormerScope guards against a key that runs twice when tenants are introduced: a claim of a build without tenants holds for the
+// tenants' requests with that key until its lifetime ends, and no new one is made under its scope.
+func TestFormerScope(t *testing.T) {
+	table, start := idempotency.New(), 10*monotonic.Second
+	claim := func(scope, former, attempt, digest string, now monotonic.Micros) *wire.ClaimResponse {
+		table.Sweep(now)
+		return table.Claim(&wire.ClaimRequest{Scope: scope, FormerScope: former, Attempt: attempt, Digest: []byte(digest), Proxy: "proxy"}, now)
+	}
+	if got := claim("k", "", "old-1", "a", start); got.Outcome != idempotency.Granted {
+		t.Fatal(got)
+	}
+	if got := claim("north k", "k", "new-1", "a", start+1); got.Outcome != idempotency.Pending || got.Scope != "k" || got.Attempt != "old-1" {
+		t.Errorf("the repeat is %v", got)
+	}
+	if got := claim("north k", "k", "new-2", "b", start+1); got.Outcome != idempotency.BodyMismatch {
+		t.Errorf("another body is %v", got)
+	}
+	if got := claim("north j", "j", "new-3", "a", start+2); got.Outcome != idempotency.Granted {
+		t.Errorf("another key is %v", got)
+	}
+	if got := claim("south j", "j", "new-4", "a", start+2); got.Outcome != idempotency.Granted {
+		t.Errorf("the key of another tenant is %v", got)
+	}
+	if got := claim("north k", "k", "new-5", "a", start+idempotency.DefaultLifetime); got.Outcome != idempotency.Granted {
+		t.Errorf("after the lifetime of the former claim: %v", got)
+	}
+}
