Tenants: a rush of one tenant no longer pushes others out of a backend's queue

What callers would see: under overload a tenant that sends 120 times as much as another takes all slots. Rule of the users: none is served under a quarter as often as all.

Cause: the queue knows priority and due time alone, so that a tenant's share is its share of arrivals. Now the request that would be rejected takes the place of the last waiting one of the tenant that occupies most, if that one has the same priority and occupies more than it. The order of the queue stays, so that what is due first goes first, and the total served stays too. The state is a count for each tenant that has requests at the backend; others cost nothing.

Considered: virtual finish times in the order of the queue, which lose the order by due time.

--- a/internal/proxy/admission/permit.go
+++ b/internal/proxy/admission/permit.go
@@ -46,6 +46,7 @@
 		RunOnce:  req.RunOnce,
 		Request: slots.Request{
 			Priority:      req.Priority,
+			Tenant:        req.Tenant,
 			LatencyTarget: latencyTarget,
 			Deadline:      deadline,
 			StartBy:       min(deadline, now+monotonic.Micros(service.Breaker.GetWaitOpenMicros())/breakerWaitDivisor),
--- a/internal/proxy/admission/slots/limits.go
+++ b/internal/proxy/admission/slots/limits.go
@@ -56,6 +56,7 @@
 	Deadline      monotonic.Micros
 	StartBy       monotonic.Micros // by when it must have its slot; zero if only the deadline bounds that
 	Patient       bool             // no other backend can take it
+	Tenant        string           // whose request it is; empty if it's of no tenant
 	Kind          string           // such as a route; requests of one kind have similar service times
 }
 
--- a/internal/proxy/admission/slots/pool.go
+++ b/internal/proxy/admission/slots/pool.go
@@ -21,12 +21,14 @@
 	lingering     []monotonic.Micros
 	queue         []*Ticket
 	lingerWatcher *Ticket
-	measured      serviceTimes
+	// tenants counts the requests that run or wait.
+	tenants  occupancy
+	measured serviceTimes
 }
 
 // New returns the pool of a backend whose number of slots and service time are not known yet.
 func New(limits Limits) *Pool {
-	return &Pool{limits: limits, measured: serviceTimes{byKind: map[string]*mean{}}}
+	return &Pool{limits: limits, tenants: occupancy{}, measured: serviceTimes{byKind: map[string]*mean{}}}
 }
 
 // SetCount sets the number of slots that the backend reports; zero if it reports none.
@@ -47,6 +49,9 @@
 // Waiting returns the length of the queue.
 func (p *Pool) Waiting() int { return len(p.queue) }
 
+// Tenants returns the number of tenants with running or waiting requests.
+func (p *Pool) Tenants() int { return len(p.tenants) }
+
 func (p *Pool) hasFree() bool { return p.count == 0 || p.Taken() < p.count }
 
 // Enter adds a request. Its ticket is running, waiting or rejected.
@@ -54,6 +59,7 @@
 	p.Advance(now)
 	ticket := &Ticket{request: request, dueAt: request.LatencyTarget, serviceTime: p.expectedServiceTime(request.Kind)}
 	if p.hasFree() {
+		p.tenants.add(request.Tenant)
 		p.start(now, ticket)
 		return ticket
 	}
@@ -68,6 +74,7 @@
 func (p *Pool) Force(now monotonic.Micros, request Request) *Ticket {
 	p.Advance(now)
 	ticket := &Ticket{request: request, serviceTime: p.expectedServiceTime(request.Kind)}
+	p.tenants.add(request.Tenant)
 	p.start(now, ticket)
 	return ticket
 }
@@ -84,6 +91,7 @@
 	}
 	ticket.state = Ended
 	p.running--
+	p.tenants.remove(ticket.request.Tenant)
 	if outcome == Completed {
 		p.measured.add(ticket.request.Kind, now-ticket.startedAt)
 	}
@@ -124,7 +132,7 @@
 	flushed := p.queue
 	p.queue = nil
 	for position, ticket := range flushed {
-		ticket.reject(p.expectedWait(now, totalWork(flushed[:position])))
+		p.rejectWaiting(ticket, p.expectedWait(now, totalWork(flushed[:position])))
 	}
 	p.assignLingerWatcher()
 }
--- a/internal/proxy/admission/slots/queue.go
+++ b/internal/proxy/admission/slots/queue.go
@@ -6,30 +6,60 @@
 	"snowflow/internal/monotonic"
 )
 
-// enqueue puts a ticket into the queue or rejects it. A full queue rejects its last ticket instead if that has a lower priority.
+// enqueue puts a ticket into the queue or rejects it. A full queue rejects its last ticket instead if that has a lower priority. Among
+// tenants of one priority, a ticket of one that occupies more gives its place to one that occupies less.
 func (p *Pool) enqueue(now monotonic.Micros, ticket *Ticket) {
+	wait, allowed := p.tryEnqueue(now, ticket)
+	if allowed {
+		return
+	}
+	victim := p.fairVictim(ticket.request)
+	if victim < 0 {
+		ticket.reject(wait)
+		return
+	}
+	before, displaced := p.queue, p.queue[victim]
+	p.queue = without(before, victim)
+	ticket.queuedLate = false
+	if _, allowed = p.tryEnqueue(now, ticket); !allowed {
+		p.queue = before
+		ticket.reject(wait)
+		return
+	}
+	p.rejectWaiting(displaced, wait)
+	p.assignLingerWatcher()
+}
+
+// tryEnqueue puts a ticket into the queue, if it may wait there, and reports whether it did. Wait is its expected wait.
+func (p *Pool) tryEnqueue(now monotonic.Micros, ticket *Ticket) (wait monotonic.Micros, allowed bool) {
 	request := ticket.request
 	position := len(p.queue)
 	for position > 0 && ticket.less(p.queue[position-1]) {
 		position--
 	}
-	wait, allowed := p.mayQueue(now, ticket, position)
+	wait, allowed = p.mayQueue(now, ticket, position)
 	if !allowed || request.StartBy > 0 && wait > request.StartBy-now {
-		ticket.reject(wait)
-		return
+		return wait, false
 	}
 	if last := len(p.queue) - 1; len(p.queue) >= max(1, p.count*p.limits.QueuePerSlot) {
 		if p.queue[last].request.Priority <= request.Priority {
-			ticket.reject(wait)
-			return
+			return wait, false
 		}
 		displaced := p.queue[last]
 		p.queue[last] = nil
 		p.queue = p.queue[:last]
-		displaced.reject(p.expectedWait(now, totalWork(p.queue)))
+		p.rejectWaiting(displaced, p.expectedWait(now, totalWork(p.queue)))
 	}
 	p.queue = slices.Insert(p.queue, position, ticket)
+	p.tenants.add(request.Tenant)
 	p.assignLingerWatcher()
+	return wait, true
+}
+
+// rejectWaiting rejects a ticket that was taken out of the queue, and tells its expected wait.
+func (p *Pool) rejectWaiting(ticket *Ticket, wait monotonic.Micros) {
+	p.tenants.remove(ticket.request.Tenant)
+	ticket.reject(wait)
 }
 
 // mayQueue reports whether a ticket may wait at a position of the queue, and its expected wait. It may if it is expected to be
@@ -104,7 +134,7 @@
 	remaining := p.queue[:0]
 	for _, ticket := range p.queue {
 		if now >= p.latestStart(ticket) {
-			ticket.reject(p.expectedWait(now, totalWork(remaining)))
+			p.rejectWaiting(ticket, p.expectedWait(now, totalWork(remaining)))
 			continue
 		}
 		remaining = append(remaining, ticket)
