Registry: a clock below zero no longer makes every backend a departed one

What callers would see: 503 from all proxies, no backend known, until the registry's clock has passed zero.

Cause: an instance that isn't in the table of departures has zero as the end of its departure, and a clock below zero is before it.

Now only an instance in the table can have departed. Two cases more in TestDeparturesOutliveIncarnations: the clock below zero failed before; a real departure below zero still counts.

--- a/internal/registry/directory/departures.go
+++ b/internal/registry/directory/departures.go
@@ -27,7 +27,7 @@
 
 // condition returns the condition of a backend: leaving if its instance has departed, whatever its proxy says.
 func (d departures) condition(backend *wire.Backend, now monotonic.Micros) string {
-	if now < d[backend.Instance] {
+	if until, departed := d[backend.Instance]; departed && now < until {
 		return wire.BackendLeaving
 	}
 	return backend.Condition
--- a/internal/registry/directory/departures_test.go
+++ b/internal/registry/directory/departures_test.go
@@ -42,16 +42,19 @@
 	for _, test := range []struct {
 		name     string
 		instance string
+		start    monotonic.Micros
 		wait     monotonic.Micros // from the departure to the next incarnation
 		expected string
 	}{
-		{"the departed instance", "first", monotonic.Second, wire.BackendLeaving},
-		{"just within the minute", "first", 58 * monotonic.Second, wire.BackendLeaving},
-		{"after the minute", "first", 61 * monotonic.Second, "working"},
-		{"another instance", "second", monotonic.Second, "working"},
+		{"the departed instance", "first", monotonic.Minute, monotonic.Second, wire.BackendLeaving},
+		{"just within the minute", "first", monotonic.Minute, 58 * monotonic.Second, wire.BackendLeaving},
+		{"after the minute", "first", monotonic.Minute, 61 * monotonic.Second, "working"},
+		{"another instance", "second", monotonic.Minute, monotonic.Second, "working"},
+		{"a clock below zero", "second", -monotonic.Minute * 9, monotonic.Second, "working"},
+		{"a departure below zero", "first", -monotonic.Minute * 9, monotonic.Second, wire.BackendLeaving},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			time := &clock{now: monotonic.Minute}
+			time := &clock{now: test.start}
 			fleet := &departureFleet{time: time, first: directory.New(time, 1), second: directory.New(time, 2)}
 			fleet.announce(1, "first", "working")
 			fleet.announce(1, "first", wire.BackendLeaving)
