Tenants: keys stay out of diffs, of the archive, and of other users' reach

What was wrong: with tenants in a configuration its keys stood in plain text in the archive that people read, and record files could be read by the group of the process.

diff, the preview of an apply and the changes in the operators' API name the keys that came and went by the first four bytes of their digests. The archive has the same in place of each key, and all else as it was written. Data folders get mode 0700 and files 0600, files of earlier builds too. Reading a version back gives what was applied, since operators apply it again.

The proxy's lease on keys no longer takes a clock reading of zero for none: simulated clocks start at any value.

--- a/internal/config/changes/changes_test.go
+++ b/internal/config/changes/changes_test.go
@@ -49,8 +49,19 @@
 		if random.IntN(4) == 0 { // the same match under another name in another state: a renamed route
 			route.Name = fmt.Sprint("s-", random.IntN(4)*100+number)
 		}
+		if random.IntN(5) == 0 {
+			route.Anonymous = proto.Bool(true)
+		}
 		state.Routes = append(state.Routes, route)
 	}
+	for number := range random.IntN(5) {
+		state.Tenants = append(state.Tenants, &wire.Tenant{Name: fmt.Sprint("t-", number), Priority: proto.Uint32(uint32(random.IntN(2)))})
+	}
+	for number := range 12 {
+		if owner := random.IntN(6); owner < len(state.Tenants) {
+			state.Tenants[owner].Keys = append(state.Tenants[owner].Keys, fmt.Sprint("key-", number))
+		}
+	}
 	return state
 }
 
@@ -65,6 +76,14 @@
 		func(at int) { next.Routes = slices.Delete(next.Routes, at, at+1) },
 		func(at int) { next.Routes[at].Host = "y" },
 		func(int) { next.Groups[0].Services[0].Retry = &wire.Retry{MostTries: proto.Uint32(2)} },
+		func(at int) { next.Tenants = append(next.Tenants, &wire.Tenant{Name: fmt.Sprint("new-", at, len(next.Tenants)), Keys: []string{fmt.Sprint("new-", at, len(next.Tenants))}}) },
+		func(int) {
+			if len(next.Tenants) > 1 { // its keys pass to another tenant
+				last := len(next.Tenants) - 1
+				next.Tenants[0].Keys = append(next.Tenants[0].Keys, next.Tenants[last].Keys...)
+				next.Tenants = next.Tenants[:last]
+			}
+		},
 	}
 	for range 1 + random.IntN(4) {
 		steps[random.IntN(len(steps))](random.IntN(len(next.Routes)))
@@ -260,6 +279,46 @@
 }
 
 // TestInvalidStates checks that a configuration that validation refuses isn't a set, so that it's only sent in full.
+// TestDifferenceOfEarlierBuild guards against a proxy that takes up a version without its tenants: a build that doesn't know them leaves
+// them out of its differences.
+func TestDifferenceOfEarlierBuild(t *testing.T) {
+	random := rand.New(rand.NewPCG(13, 14))
+	base, wanted := read(t, randomState(random)), read(t, randomState(random))
+	difference := &wire.Difference{}
+	if err := proto.Unmarshal(encode(t, base, wanted), difference); err != nil {
+		t.Fatal(err)
+	}
+	difference.CoversTenants = false
+	content, err := proto.Marshal(difference)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := changes.Apply(base, content); !errors.Is(err, changes.ErrNoTenants) {
+		t.Error(err)
+	}
+}
+
+// TestSummaryOfTenants: operators see which keys came and went by the beginnings of their digests.
+func TestSummaryOfTenants(t *testing.T) {
+	shown := func(key string) string {
+		digest, _ := config.DigestKey(key)
+		return config.ShowDigest(digest[:])
+	}
+	state := func(tenants ...*wire.Tenant) *changes.Set {
+		return read(t, &wire.DesiredState{Groups: []*wire.Group{{Name: "field", Services: []*wire.Service{{Name: "one"}}}}, Tenants: tenants})
+	}
+	base := state(&wire.Tenant{Name: "north", Keys: []string{"k1"}}, &wire.Tenant{Name: "south", Keys: []string{"k2"}})
+	next := state(&wire.Tenant{Name: "north", Keys: []string{"k2"}}, &wire.Tenant{Name: "west", Keys: []string{"k3"}})
+	wanted := changes.Summary{
+		Added:   []changes.ResourceChange{{Kind: "tenant", Name: "west", KeysAdded: []string{shown("k3")}}},
+		Changed: []changes.ResourceChange{{Kind: "tenant", Name: "north", Fields: []string{"keyDigests"}, KeysAdded: []string{shown("k2")}, KeysRemoved: []string{shown("k1")}}},
+		Removed: []changes.ResourceChange{{Kind: "tenant", Name: "south", KeysRemoved: []string{shown("k2")}}},
+	}
+	if summary := changes.Summarize(base, changes.Diff(base, next)); !reflect.DeepEqual(summary, wanted) {
+		t.Errorf("%+v", summary)
+	}
+}
+
 func TestInvalidStates(t *testing.T) {
 	split := []*wire.Share{{Service: "one", Weight: 1}}
 	for name, routes := range map[string][]*wire.Route{
--- a/internal/configstore/archive/archive.go
+++ b/internal/configstore/archive/archive.go
@@ -1,6 +1,8 @@
 // Package archive writes the accepted configuration versions to a bare Git repository, one commit a version, for people who want
 // to read them with the tools they know.
 //
+// Keys of tenants are archived as the beginnings of their digests.
+//
 // The archive is a copy: what is stored and acknowledged never depends on it. If it's lost, corrupt or of another mesh, it's
 // removed and written again from the stored versions. The commits of the main branch are stored versions in their order, from
 // the oldest that was stored when the repository was begun, none left out in between.
@@ -16,6 +18,7 @@
 	"github.com/go-git/go-git/v5"
 	"github.com/go-git/go-git/v5/plumbing"
 
+	"snowflow/internal/config"
 	"snowflow/internal/transport/wire"
 )
 
@@ -110,7 +113,7 @@
 	if !found {
 		return nil, 0, fmt.Errorf("version %d of the newest commit isn't stored", latest.version)
 	}
-	if latest.content != string(versions[index].Content) {
+	if latest.content != string(config.Redact(versions[index].Content)) {
 		return nil, 0, fmt.Errorf("version %d differs from the stored one", latest.version)
 	}
 	return repository, index + 1, nil
--- a/internal/configstore/archive/archive_test.go
+++ b/internal/configstore/archive/archive_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/go-git/go-git/v5"
@@ -100,3 +101,27 @@
 		}
 	}
 }
+
+// TestArchivedKeysAreRedacted guards against keys of tenants in the repository that people read, and against a repository that is written
+// anew each time because it differs from what is stored.
+func TestArchivedKeysAreRedacted(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "desired.git")
+	all := states(3)
+	for _, stored := range all {
+		stored.Content = fmt.Appendf(nil, `{"note":"%d","tenants":[{"name":"north","keys":["secret"]}]}`, stored.Version)
+	}
+	for count := range all {
+		if err := Write(folder, all[:count+1]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	repository, committed, err := openRepository(folder, all)
+	if err != nil || repository == nil || committed != len(all) {
+		t.Errorf("%d versions are found again: %v", committed, err)
+	}
+	for _, content := range history(t, folder) {
+		if strings.Contains(content, "secret") || !strings.Contains(content, `"keys":["sha256:`) {
+			t.Error(content)
+		}
+	}
+}
--- a/internal/configstore/archive/commit.go
+++ b/internal/configstore/archive/commit.go
@@ -10,6 +10,7 @@
 	"github.com/go-git/go-git/v5/plumbing/filemode"
 	"github.com/go-git/go-git/v5/plumbing/object"
 
+	"snowflow/internal/config"
 	"snowflow/internal/transport/wire"
 )
 
@@ -50,7 +51,9 @@
 // appendCommit adds a version to the main branch. The commit's time is derived from the version number, because no wall-clock time is
 // stored with it: the same versions give the same commits.
 func appendCommit(repository *git.Repository, stored *wire.StoredConfig) error {
-	blob, err := storeObject(repository, plumbing.BlobObject, func(encoded plumbing.EncodedObject) error { return writeContent(encoded, stored.Content) })
+	blob, err := storeObject(repository, plumbing.BlobObject, func(encoded plumbing.EncodedObject) error {
+		return writeContent(encoded, config.Redact(stored.Content))
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/configclient/adopt.go
+++ b/internal/proxy/configclient/adopt.go
@@ -155,7 +155,9 @@
 	c.longPoll = monotonic.Micros(response.LongPoll)
 	if response.Primary && c.snapshot != nil && !c.released {
 		c.leaseExpiry = max(c.leaseExpiry, requestedAt+monotonic.Micros(response.Lease))
-		c.confirmedAt = max(c.confirmedAt, requestedAt)
+		if !c.confirmed || c.confirmedAt < requestedAt {
+			c.confirmed, c.confirmedAt = true, requestedAt
+		}
 		c.lapseReported = false
 	}
 }
--- a/internal/proxy/configclient/client.go
+++ b/internal/proxy/configclient/client.go
@@ -61,8 +61,10 @@
 	unconfirmedSince monotonic.Micros
 	// leaseExpiry is the end of the lease, counted from before the poll that granted it.
 	leaseExpiry monotonic.Micros
-	// confirmedAt is when the last poll was sent by which a primary confirmed the adopted version as the newest.
+	// confirmedAt is when the last poll was sent by which a primary confirmed the adopted version as the newest. It counts once
+	// confirmed is set.
 	confirmedAt monotonic.Micros
+	confirmed   bool
 	// lapseReported is set once the expiry of the present lease has been reported.
 	lapseReported bool
 	// released is set once the proxy has stopped serving for good and takes no more leases.
@@ -128,7 +130,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.confirmedAt == 0 || c.released || c.options.ClockWatch.WentBack() {
+	if !c.confirmed || c.released || c.options.ClockWatch.WentBack() {
 		return 0, true
 	}
 	return max(0, c.confirmedAt+c.options.KeyLease-c.host.Now()), true
@@ -138,7 +140,7 @@
 func (c *Client) InContact() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.host.Now() < c.leaseExpiry && !c.options.ClockWatch.WentBack()
+	return c.confirmed && c.host.Now() < c.leaseExpiry && !c.options.ClockWatch.WentBack()
 }
 
 // Version returns the adopted version and the time since its adoption, zeros before the first.
--- a/internal/snowctl/diff.go
+++ b/internal/snowctl/diff.go
@@ -118,6 +118,12 @@
 		if len(resource.Fields) > 0 {
 			line += ": " + strings.Join(resource.Fields, ", ")
 		}
+		for _, key := range resource.KeysAdded {
+			line += " +" + key
+		}
+		for _, key := range resource.KeysRemoved {
+			line += " -" + key
+		}
 		fmt.Println(line)
 	}
 }
--- a/internal/wal/folder/folder.go
+++ b/internal/wal/folder/folder.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	directoryMode = 0o750
-	fileMode      = 0o640
+	directoryMode = 0o700
+	fileMode      = 0o600 // records hold the keys of tenants
 	lockFile      = "lock"
 )
 
@@ -66,9 +66,17 @@
 	if err != nil {
 		return nil, wrapDiskFull(err)
 	}
+	restrict(opened)
 	return &file{File: opened, syncDelay: f.syncDelay}, nil
 }
 
+// restrict takes a file of an earlier build away from other users, on file systems that can.
+func restrict(opened *os.File) {
+	if info, err := opened.Stat(); err == nil && info.Mode().Perm() != fileMode {
+		_ = opened.Chmod(fileMode)
+	}
+}
+
 // Rename moves a file, and replaces a file of the new name.
 func (f *Folder) Rename(from, to string) error {
 	return os.Rename(f.filePath(from), f.filePath(to))
--- a/internal/wal/folder/folder_test.go
+++ b/internal/wal/folder/folder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"snowflow/internal/wal/folder"
@@ -64,3 +66,25 @@
 	requireContent(t, one, "")
 	requireContent(t, other, "of the other")
 }
+
+// TestFilesAreForTheirOwner guards against keys of tenants that other users of the machine can read, also in files of earlier builds.
+func TestFilesAreForTheirOwner(t *testing.T) {
+	path := t.TempDir()
+	former := filepath.Join(path, "one-former")
+	if err := os.WriteFile(former, []byte("record"), 0o640); err != nil {
+		t.Fatal(err)
+	}
+	opened := openShared(t, path, "one")
+	for _, name := range []string{"former", "new"} {
+		if _, err := opened.Open(name); err != nil {
+			t.Fatal(err)
+		}
+		info, err := os.Stat(filepath.Join(path, "one-"+name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if info.Mode().Perm() != 0o600 {
+			t.Errorf("%s has mode %v", name, info.Mode())
+		}
+	}
+}
