Tenants: simulated scenarios of revoked keys, with their checker and a broken variant

revocations and revocations-4, with cores of three and four: an operator adds keys, takes them away and gives them to other tenants, on any core machine, while proxies are cut off and frozen for longer than a revocation takes, killed, their clocks stepped, and the core is cut, halved, frozen, replaced, and loses all power. The checker finds requests that ran without a tenant's key, as another tenant's, or sent more than 5 s after the acknowledgement of the version that took their key away, and rejections of keys that each version has.

--- a/internal/invariants/history.go
+++ b/internal/invariants/history.go
@@ -24,6 +24,7 @@
 	PlannedChanges   []*PlannedChange
 	CallCounts       []CallCounts
 	OperatorCalls    []OperatorCall
+	KeyPeriods       []*KeyPeriod
 	// RetainedVersions is how many configurations the store retains; older ones need not be readable. Zero: all of them.
 	RetainedVersions int
 	// AllowedRoutes maps a kind of traffic and a service to the earliest time at which a configuration that routes the kind to
--- a/internal/invariants/records.go
+++ b/internal/invariants/records.go
@@ -29,6 +29,9 @@
 	// Read is true if the proxy has certainly read the request and was ended by nothing but a planned stop. Such a request
 	// must be answered.
 	Read bool
+	// TenantKey is the tenant's key that the request bears, empty for none. Anonymous is set if its route needs none.
+	TenantKey string
+	Anonymous bool
 }
 
 // succeeded reports whether a backend's response with a status of 2xx reached the caller.
@@ -44,6 +47,7 @@
 	Method        string
 	Path          string
 	At            monotonic.Micros
+	Tenant        string // whose the request is, as the backend is told; empty for nobody's
 	Executed      bool   // false if the backend stated that it did not execute the request
 	Sum           string // the checksum of the response's body; empty if no complete response was sent
 }
--- a/internal/simulation/scenario/callers.go
+++ b/internal/simulation/scenario/callers.go
@@ -150,6 +150,9 @@
 			ReadAt:         instance.LeaderClock(),
 			Headers:        []*wire.Header{{Name: request.IdempotencyKeyHeader, Value: attempt.Key}},
 		}
+		if attempt.TenantKey != "" {
+			incoming.TenantKeys = []string{attempt.TenantKey}
+		}
 		if m.degraded[attempt.Caller] == shortDeadlines {
 			incoming.Deadline = instance.Now() + shortDeadline
 		}
--- a/internal/simulation/scenario/defects_test.go
+++ b/internal/simulation/scenario/defects_test.go
@@ -53,3 +53,17 @@
 		})
 	}
 }
+
+// TestRevocationChecksDetectDefects: without the lease on keys a proxy that is cut off goes on serving by keys that were taken away, and
+// the check finds it.
+func TestRevocationChecksDetectDefects(t *testing.T) {
+	for seed := range uint64(12) {
+		for _, finding := range Run(Scenarios["revocations"], seed+1, Defects{NoKeyLease: true}).Findings {
+			if finding.Check == "tenant keys" && !finding.NothingExamined {
+				t.Logf("seed %d: %s", seed+1, finding)
+				return
+			}
+		}
+	}
+	t.Error("not detected in 12 seeds")
+}
--- a/internal/simulation/scenario/proxies.go
+++ b/internal/simulation/scenario/proxies.go
@@ -32,6 +32,10 @@
 		handlers := host.Handlers{}
 		resolver.Register(handlers)
 		h.Go(func() { resolver.Run(monotonic.Second) })
+		keyLease := m.topology.KeyLease
+		if m.defects.NoKeyLease {
+			keyLease = 0
+		}
 		instance := proxy.New(proxy.Options{
 			Host:       h,
 			Resolver:   resolver,
@@ -41,6 +45,7 @@
 			Upstream:   &simulatedUpstream{mesh: m, host: h},
 			ServeStale: m.topology.Timeouts.ServeStale,
 			Linger:     m.topology.DrainLinger,
+			KeyLease:   keyLease,
 			WaitForReplies: func(timeout monotonic.Micros) {
 				if m.waitForReplies != nil {
 					m.waitForReplies(timeout)
--- a/internal/simulation/scenario/scenario_test.go
+++ b/internal/simulation/scenario/scenario_test.go
@@ -36,6 +36,12 @@
 
 func TestClosing(t *testing.T) { runScenario(t, "closing", 1) }
 
+// TestRevocations guards against requests that run by a key that was taken away from its tenant.
+func TestRevocations(t *testing.T) {
+	runScenario(t, "revocations", 1, 2, 3, 4)
+	runScenario(t, "revocations-4", 1, 2)
+}
+
 func TestGuards(t *testing.T) { runScenario(t, "guards", 1) }
 
 // TestReplay: the same seed gives the same run. The second scenario loses power with several files unsynced, which once drew random
--- a/internal/simulation/scenario/scenarios.go
+++ b/internal/simulation/scenario/scenarios.go
@@ -19,7 +19,7 @@
 var allInitialFaults = []fault{failService, replaceBackend, applyConfig, reuseAddress}
 
 func init() {
-	for _, scenario := range slices.Concat(combinedScenarios(), coreScenarios(), outageScenarios(), proxyScenarios(), callerScenarios(), controlPlaneScenarios()) {
+	for _, scenario := range slices.Concat(combinedScenarios(), coreScenarios(), outageScenarios(), proxyScenarios(), callerScenarios(), controlPlaneScenarios(), tenantScenarios()) {
 		register(scenario)
 	}
 	register(peakTrafficScenario())
--- a/internal/simulation/scenario/topology.go
+++ b/internal/simulation/scenario/topology.go
@@ -35,6 +35,8 @@
 	RetainedVersions int
 	// DrainLinger is how long a proxy that stops as planned goes on accepting requests.
 	DrainLinger monotonic.Micros
+	// KeyLease is how long proxies rely on tenants' keys without contact; zero for good.
+	KeyLease monotonic.Micros
 }
 
 var (
@@ -68,5 +70,6 @@
 	AnySuccessor            bool   // any voter may become primary, whatever its replica holds
 	KeepVoterOnStop         bool   // a core process that stops as planned leaves its replica and its vote behind
 	AllowContentConflicts   bool   // a configuration version may stand for several contents
+	NoKeyLease              bool   // tenants' keys are relied on without contact to the core
 	ClaimPerService         bool   // idempotency keys are claimed for one service only
 }
--- a/internal/simulation/scenario/upstream.go
+++ b/internal/simulation/scenario/upstream.go
@@ -145,6 +145,7 @@
 		Attempt:       attempt,
 		AttemptNumber: number,
 		Key:           request.HeaderValue(order.Headers, request.IdempotencyKeyHeader),
+		Tenant:        order.Tenant,
 		Service:       backend.service,
 		Instance:      backend.instance,
 		Method:        order.Method,
