Tenants: requests by tenant, refusals by reason and the lease on keys in metrics, status and events

Operators couldn't see which tenant sends how much, why requests are refused for their keys, nor how long a proxy that is cut off will still rely on the keys it knows. Now the status page and the metrics have the 20 largest tenants and all others together, refusals by four reasons, and what is left of the lease on keys; event 407 tells once that it has ended.

--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -34,6 +34,7 @@
 	})
 	sidecar.Register(program.Handlers)
 	program.AddGauges(gauges(sidecar))
+	program.MetricsRegistry.MustRegister(daemon.NewTenantCollector(sidecar.Forwarder.Tenants, sidecar.ConfigClient.KeyLease))
 	admin := backendapi.New(program.Host, sidecar, program.Metrics(), program.Stop)
 	if err := program.ServeHTTP(program.Settings["http"], ingress.NewServer(admin)); err != nil {
 		return err
--- a/internal/compatibility/values_test.go
+++ b/internal/compatibility/values_test.go
@@ -180,6 +180,7 @@
 	{"desired tenure lost", eventlog.ConfigLeaseExpired},
 	{"desired spread", eventlog.ConfigPropagated},
 	{"difference refused", eventlog.DeltaRejected},
+	{"key lease expired", eventlog.KeyLeaseExpired},
 	{"guard local trip", eventlog.BreakerTrippedLocally},
 	{"guard changed", eventlog.BreakerStateChanged},
 	{"guard degraded", eventlog.BreakerDegraded},
--- a/internal/config/changes/changes_test.go
+++ b/internal/config/changes/changes_test.go
@@ -76,7 +76,9 @@
 		func(at int) { next.Routes = slices.Delete(next.Routes, at, at+1) },
 		func(at int) { next.Routes[at].Host = "y" },
 		func(int) { next.Groups[0].Services[0].Retry = &wire.Retry{MostTries: proto.Uint32(2)} },
-		func(at int) { next.Tenants = append(next.Tenants, &wire.Tenant{Name: fmt.Sprint("new-", at, len(next.Tenants)), Keys: []string{fmt.Sprint("new-", at, len(next.Tenants))}}) },
+		func(at int) {
+			next.Tenants = append(next.Tenants, &wire.Tenant{Name: fmt.Sprint("new-", at, len(next.Tenants)), Keys: []string{fmt.Sprint("new-", at, len(next.Tenants))}})
+		},
 		func(int) {
 			if len(next.Tenants) > 1 { // its keys pass to another tenant
 				last := len(next.Tenants) - 1
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -42,6 +42,7 @@
 	ConfigLeaseExpired      = 404
 	ConfigPropagated        = 405
 	DeltaRejected           = 406
+	KeyLeaseExpired         = 407
 	BreakerTrippedLocally   = 501
 	BreakerStateChanged     = 502
 	BreakerDegraded         = 503
@@ -106,6 +107,7 @@
 	ConfigLeaseExpired:      {log.WarnLevel, "configuration lease expired, rejecting requests"},
 	ConfigPropagated:        {log.InfoLevel, "configuration adopted by every lease holder"},
 	DeltaRejected:           {log.WarnLevel, "configuration delta rejected, requesting the full configuration"},
+	KeyLeaseExpired:         {log.WarnLevel, "lease on tenants' keys expired, rejecting their requests"},
 	BreakerTrippedLocally:   {log.WarnLevel, "local breaker tripped"},
 	BreakerStateChanged:     {log.WarnLevel, "shared breaker state changed"},
 	BreakerDegraded:         {log.WarnLevel, "shared breaker state unreachable, using the local window"},
--- a/internal/proxy/configclient/adopt.go
+++ b/internal/proxy/configclient/adopt.go
@@ -158,7 +158,7 @@
 		if !c.confirmed || c.confirmedAt < requestedAt {
 			c.confirmed, c.confirmedAt = true, requestedAt
 		}
-		c.lapseReported = false
+		c.lapseReported, c.keyLapseReported = false, false
 	}
 }
 
@@ -186,3 +186,15 @@
 		c.host.Report(eventlog.ConfigLeaseExpired, eventlog.Attributes{})
 	}
 }
+
+// reportKeyLapse reports once that the lease on tenants' keys has ended, if the adopted version has tenants and they need a lease.
+func (c *Client) reportKeyLapse() {
+	remaining, limited := c.KeyLease()
+	c.mu.Lock()
+	lapsed := limited && remaining <= 0 && c.confirmed && c.snapshot.HasTenants() && !c.keyLapseReported
+	c.keyLapseReported = c.keyLapseReported || lapsed
+	c.mu.Unlock()
+	if lapsed {
+		c.host.Report(eventlog.KeyLeaseExpired, eventlog.Attributes{})
+	}
+}
--- a/internal/proxy/configclient/client.go
+++ b/internal/proxy/configclient/client.go
@@ -67,6 +67,8 @@
 	confirmed   bool
 	// lapseReported is set once the expiry of the present lease has been reported.
 	lapseReported bool
+	// keyLapseReported is set once the expiry of the present lease on tenants' keys has been reported.
+	keyLapseReported bool
 	// released is set once the proxy has stopped serving for good and takes no more leases.
 	released bool
 	// longPoll is how long the primary leaves a poll open, by its last response.
--- a/internal/proxy/configclient/poll.go
+++ b/internal/proxy/configclient/poll.go
@@ -37,6 +37,7 @@
 		first = true
 		c.host.Sleep(minRetryDelay + monotonic.Micros(c.host.Random()%uint64(minRetryDelay)))
 		c.reportLapse()
+		c.reportKeyLapse()
 	}
 }
 
--- a/internal/proxy/forward/authentication.go
+++ b/internal/proxy/forward/authentication.go
@@ -4,6 +4,7 @@
 	"snowflow/internal/apierror"
 	"snowflow/internal/config"
 	"snowflow/internal/monotonic"
+	"snowflow/internal/proxy/tenantstats"
 )
 
 // tenantScopePrefix begins the idempotency scope of a tenant's request. Scopes are sent and stored.
@@ -55,30 +56,41 @@
 		return nil, nil
 	}
 	if len(keys) != 1 {
+		f.tenants.CountRefusal(reasonOf(len(keys)))
 		return nil, apierror.New(apierror.Unauthenticated, apierror.NotRun, "it bears %d keys in place of one", len(keys))
 	}
 	if remaining, limited := f.config.ConfigClient.KeyLease(); limited && remaining <= 0 {
-		return nil, keyLeaseExpired()
+		return nil, f.keyLeaseExpired()
 	}
 	tenant := snapshot.FindTenant(keys[0])
 	if tenant != nil {
 		return tenant, nil
 	}
 	if !f.config.ConfigClient.InContact() {
-		return nil, keyLeaseExpired() // a newer version may have the key
+		return nil, f.keyLeaseExpired() // a newer version may have the key
 	}
+	f.tenants.CountRefusal(tenantstats.UnknownKey)
 	return nil, apierror.New(apierror.Unauthenticated, apierror.NotRun, "its key is of no tenant")
 }
 
+// reasonOf returns why a request that bears another number of keys than one is refused.
+func reasonOf(keys int) tenantstats.Reason {
+	if keys == 0 {
+		return tenantstats.NoKey
+	}
+	return tenantstats.SeveralKeys
+}
+
 // checkKeyLease rejects a tenant's request once the lease on the keys has ended.
 func (f *Forwarder) checkKeyLease(exchange *Exchange) *apierror.Error {
 	if remaining, limited := f.config.ConfigClient.KeyLease(); exchange.Tenant != nil && limited && remaining <= 0 {
-		return keyLeaseExpired()
+		return f.keyLeaseExpired()
 	}
 	return nil
 }
 
-func keyLeaseExpired() *apierror.Error {
+func (f *Forwarder) keyLeaseExpired() *apierror.Error {
+	f.tenants.CountRefusal(tenantstats.LeaseExpired)
 	return apierror.New(apierror.KeyLeaseExpired, apierror.NotRun, "this proxy is out of contact and can't tell which keys are in force")
 }
 
--- a/internal/proxy/forward/forwarder.go
+++ b/internal/proxy/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"snowflow/internal/proxy/retry"
 	"snowflow/internal/proxy/session"
 	"snowflow/internal/proxy/shutdown"
+	"snowflow/internal/proxy/tenantstats"
 	"snowflow/internal/resourcepath"
 	"snowflow/internal/transport/wire"
 )
@@ -88,6 +89,7 @@
 	retryAfterJitter *retry.Jitter
 	services         serviceCounters
 	balancer         *loadbalancer.Balancer
+	tenants          *tenantstats.Counters
 }
 
 // New returns a forwarder. It starts no tasks.
@@ -98,6 +100,7 @@
 		shutdown:         shutdown.New(config.Host),
 		retryAfterJitter: retry.NewJitter(config.Host),
 		services:         serviceCounters{counts: map[string]int64{}},
+		tenants:          tenantstats.New(),
 		balancer: loadbalancer.New(loadbalancer.Config{
 			Host:               config.Host,
 			Domain:             config.Domain,
@@ -123,6 +126,9 @@
 // InFlight is the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Count() }
 
+// Tenants returns the counts of requests by tenant.
+func (f *Forwarder) Tenants() tenantstats.Report { return f.tenants.Report() }
+
 // StopAccepting makes the forwarder reject new requests with the cause Draining.
 func (f *Forwarder) StopAccepting() { f.draining.Store(true) }
 
@@ -174,6 +180,9 @@
 func (f *Forwarder) forward(req *request.Request, task *shutdown.Task) (response *request.Response, fault *apierror.Error) {
 	exchange := f.newExchange(req, task)
 	defer func() {
+		if exchange.Tenant != nil {
+			f.tenants.CountRequest(exchange.Tenant.Name, fault != nil)
+		}
 		if f.config.OnFinished != nil {
 			f.config.OnFinished(exchange, response, fault)
 		}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -5,6 +5,7 @@
 	"snowflow/internal/proxy/configclient"
 	"snowflow/internal/proxy/localbackends"
 	"snowflow/internal/proxy/session"
+	"snowflow/internal/proxy/tenantstats"
 	"snowflow/internal/transport/wire"
 )
 
@@ -21,6 +22,9 @@
 	ConfigAgeMicros int64              `json:"desired_age_micros"`      // since the version was adopted
 	ConfigUpdates   configclient.Stats `json:"desired_taken"`
 
+	Tenants        tenantstats.Report `json:"tenants"`
+	KeyLeaseMicros int64              `json:"key_lease_micros,omitempty"` // for which tenants' keys may still be relied on; left out if they need no lease
+
 	Running         int64 `json:"requests_running"` // callers' requests in flight
 	AdmittedRunning int64 `json:"passes_running"`   // requests in flight to the local backends
 
@@ -38,6 +42,7 @@
 func (p *Proxy) Status() Status {
 	ready, reason := p.Ready()
 	version, age, digest := p.ConfigClient.Adopted()
+	keyLease, _ := p.ConfigClient.KeyLease()
 	return Status{
 		Name:             p.options.Name,
 		Domain:           p.options.Domain,
@@ -48,6 +53,8 @@
 		ConfigDigest:     digest,
 		ConfigAgeMicros:  int64(age),
 		ConfigUpdates:    p.ConfigClient.Stats(),
+		Tenants:          p.Forwarder.Tenants(),
+		KeyLeaseMicros:   int64(keyLease),
 		Running:          p.Forwarder.InFlight(),
 		AdmittedRunning:  p.Admission.InFlight(),
 		Backends:         p.LocalBackends.Backends(),
