Replication: a replica that missed its register learns of it from others, not from a primary alone

What callers saw: after as many disks as are tolerated were lost at once, while all else lost power, an acknowledged configuration never came back (LOST), or no submission was served any more.

Cause: a register value is chosen once a quorum has accepted it. A replica's own voter may have missed it, when it began to vote during the proposal or the request was lost; while it runs it hears the value from the primary, but only in memory. After a start it knew no voters then, took itself for a process that has to ask the primary for a vote, and asked nobody else. If that replica is the last one, only it may become primary, and it waited for one for good. The value was known to the voters beside it all the time.

Now a process that isn't a voter as far as it knows reads the registers of all others if no primary has recorded it, and campaigns if a value names its replica. A proposal still reads a quorum, so that a value learned this way stays a hint. The same holds for a standby whose last known primary is gone.

--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -53,7 +53,9 @@
 		m.renewLease()
 		m.changeMembership()
 	case !m.isVoter() && !m.hasCurrentReplica():
-		m.requestJoin(true)
+		if !m.requestJoin(true) {
+			m.refreshRegister() // a newer value may name this member, and there may be no primary before it campaigns
+		}
 		m.host.Sleep(m.config.standbyInterval())
 	case silence <= m.config.LeaseDuration && !coldStart || m.otherLeaseRemaining() > 0:
 		timer.quorumFreeSince = quorumNotFree
--- a/internal/replication/join.go
+++ b/internal/replication/join.go
@@ -84,8 +84,9 @@
 }
 
 // requestJoin asks the primary to add this process to the voters. A process without a register begins with the primary's: no
-// configuration that may decide names it, so nothing that an earlier process of its name has forgotten counts.
-func (m *Member) requestJoin(hasRegister bool) {
+// configuration that may decide names it, so nothing that an earlier process of its name has forgotten counts. It reports whether a
+// primary has recorded this process.
+func (m *Member) requestJoin(hasRegister bool) (recorded bool) {
 	for _, primary := range m.primaryCandidates() {
 		response := &wire.JoinResponse{}
 		request := &wire.JoinRequest{To: primary, Name: m.config.Name, HasRegister: hasRegister, Address: m.resolver.Self()}
@@ -95,9 +96,10 @@
 		m.observeRegister(response.Proposal, response.Value)
 		if response.Accepted {
 			m.enrol(hasRegister, primary, response)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // primaryCandidates returns who may be the primary, the likeliest first.
--- a/internal/simulation/scenario/core.go
+++ b/internal/simulation/scenario/core.go
@@ -106,6 +106,7 @@
 	m.registries[process.name] = service
 	service.Member.ClockWatch.TrustClock(m.defects.TrustClock)
 	service.Register(process.handlers)
+	m.interceptAccepts(process.name, process.handlers)
 	m.interceptWrites(process.host.Node(), process.handlers)
 	m.interceptRegistryPolls(process.name, process.handlers)
 	service.Start()
@@ -131,6 +132,7 @@
 	m.operatorAPIs[process.name] = api.NewStore(process.host, process.resolver)
 	service.Member.ClockWatch.TrustClock(m.defects.TrustClock)
 	service.Register(process.handlers)
+	m.interceptAccepts(process.name, process.handlers)
 	m.interceptDesiredPolls(process.handlers)
 	service.Start()
 	return nil
--- a/internal/simulation/scenario/interceptors.go
+++ b/internal/simulation/scenario/interceptors.go
@@ -3,6 +3,7 @@
 import (
 	"google.golang.org/protobuf/proto"
 
+	"snowflow/internal/apierror"
 	"snowflow/internal/host"
 	"snowflow/internal/simulation/world"
 	"snowflow/internal/transport/wire"
@@ -39,6 +40,20 @@
 	})
 }
 
+// errMissedAccept is what a proposer gets from a process that misses accept requests.
+var errMissedAccept = apierror.Lost.New("the request was lost")
+
+// interceptAccepts loses the accept requests to the processes that missesAccepts names.
+func (m *Mesh) interceptAccepts(name string, handlers host.Handlers) {
+	handle := handlers[wire.Kind_accept]
+	handlers[wire.Kind_accept] = func(content []byte) (proto.Message, error) {
+		if m.missesAccepts != nil && m.missesAccepts(name) {
+			return nil, errMissedAccept
+		}
+		return handle(content)
+	}
+}
+
 // intercept wraps the handler of a kind. Each request and its response are passed to the present hook, unless that is nil. The
 // hook may change the response.
 func intercept[Request any, RequestPointer interface {
--- a/internal/simulation/scenario/mesh.go
+++ b/internal/simulation/scenario/mesh.go
@@ -79,6 +79,7 @@
 	recordCallCounts bool                        // the breakers' counters are recorded
 
 	// Hooks, nil if unused.
+	missesAccepts     func(name string) bool         // whether a core process loses the accept requests that it is sent
 	waitForReplies    func(timeout monotonic.Micros) // called by a stopping proxy, see proxy.Options
 	adjustReplication func(*replication.Config)
 	afterWrite        func(node *world.Node, kind wire.Kind)                                                            // called for each write that a registry acknowledges
--- a/internal/simulation/scenario/operator_workload.go
+++ b/internal/simulation/scenario/operator_workload.go
@@ -129,6 +129,25 @@
 	m.History.RecordOperatorCall(read)
 }
 
+// replicaMachines returns the core machines, those with a replica of the configurations first, the primary's foremost.
+func (m *Mesh) replicaMachines() (machines []string) {
+	add := func(machine string) {
+		if !slices.Contains(machines, machine) {
+			machines = append(machines, machine)
+		}
+	}
+	if primary := m.primary(configstore.Group); primary != nil {
+		add(primary.Machine)
+		for _, backup := range m.configStores[primary.Name].Member.Backups() {
+			add(m.World.Node(backup).Machine)
+		}
+	}
+	for _, machine := range m.coreMachines {
+		add(machine)
+	}
+	return machines
+}
+
 // Losses at the moment in which an operator is notified of a write.
 var (
 	loseDiskAtWrite = fault{"lose the disk of the configuration store's primary at a confirmed write", func(m *Mesh) {
@@ -139,6 +158,19 @@
 			}
 		}
 	}}
+	// loseDisksAndPowerAtWrite loses as many disks as there are replicas but one: the primary's, and any others', those of replicas first.
+	loseDisksAndPowerAtWrite = fault{"lose as many disks as are tolerated at a confirmed write, and the power of all others", func(m *Mesh) {
+		m.onConfirmedWrite = func() {
+			if !m.lossAllowed() {
+				return
+			}
+			m.delayNextLoss(8 * monotonic.Second)
+			for _, victim := range m.replicaMachines()[:max(1, m.topology.Replicas-1)] {
+				m.restartMachine(victim, m.randomDuration(200*monotonic.Millisecond, 2*monotonic.Second), m.World.LoseDisk)
+			}
+			powerOffEverything.inject(m)
+		}
+	}}
 	loseDiskAndPowerAtWrite = fault{"lose a disk at a confirmed write, and the power of all others", func(m *Mesh) {
 		m.onConfirmedWrite = func() {
 			if !m.lossAllowed() {
--- a/internal/simulation/scenario/scenario_test.go
+++ b/internal/simulation/scenario/scenario_test.go
@@ -42,6 +42,13 @@
 	runScenario(t, "revocations-4", 1, 2)
 }
 
+// TestClosingLosses guards against acknowledged configurations that are gone after as many disks as are tolerated were lost at once.
+func TestClosingLosses(t *testing.T) {
+	for _, name := range []string{"closing-losses-3", "closing-losses-4", "closing-losses-5"} {
+		runScenario(t, name, 1, 39)
+	}
+}
+
 func TestGuards(t *testing.T) { runScenario(t, "guards", 1) }
 
 // TestReplay: the same seed gives the same run. The second scenario loses power with several files unsynced, which once drew random
--- a/internal/simulation/scenario/scenarios.go
+++ b/internal/simulation/scenario/scenarios.go
@@ -300,6 +300,8 @@
 			longCorePartition, restartDuringPartition, killOthersAfterPartition, longFullPartition, staleMemberAfterPartition, splitCore, freezePrimary, killPrimary, powerOffCore)
 		add("exchanges", "core machines replaced as planned and lost for good, right after one another",
 			lossDuringReplacement, plannedReplacement, permanentLoss, lossDuringReplacement, loseDiskThenReplace, loseDiskAtWrite, powerOffCore, loseDiskAndPowerAtWrite, slowSingleDisk, longCorePartition)
+		add("closing-losses", "as many disks as are tolerated are lost at a confirmed write, those of replicas, while all else loses power",
+			loseDisksAndPowerAtWrite, loseDisksAndPowerAtWrite, loseDisksAndPowerAtWrite, powerOffEverything, killPrimary)
 		add("many-changes", "hundreds of changes, members that restart behind, lose their disks or find them damaged",
 			loseDiskAtWrite, killPrimary, staleMemberAfterPartition, loseDiskAndPowerAtWrite, killCoreProcess, powerOffCoreMachine, loseDisk, damageDisk, fillDisk, failSync, powerOffCore)
 	}
