--- a/internal/configstore/api/api_test.go
+++ b/internal/configstore/api/api_test.go
@@ -52,9 +52,15 @@
 // TestResponses approves a transcript of the HTTP interface: status, headers and bodies, byte by byte but for random request IDs and
 // the primary's address. "request METHOD path=PATH" sends the input as body, in which LONG stands for more than is accepted, and
 // "stop" kills all stores but one.
-func TestResponses(t *testing.T) {
+func TestResponses(t *testing.T) { runTranscript(t, "testdata/responses") }
+
+// TestTenants approves in the same way what operators are shown of tenants: no key, and the beginnings of keys' digests.
+func TestTenants(t *testing.T) { runTranscript(t, "testdata/tenants") }
+
+func runTranscript(t *testing.T, file string) {
+	t.Helper()
 	s := newSite(t)
-	datadriven.RunTest(t, "testdata/responses", func(t *testing.T, data *datadriven.TestData) string {
+	datadriven.RunTest(t, file, func(t *testing.T, data *datadriven.TestData) string {
 		if data.Cmd == "stop" {
 			for index := range storetest.Stores - 1 {
 				s.World.Kill(s.World.Node(storetest.Name(index)))
--- a/internal/configstore/api/handler.go
+++ b/internal/configstore/api/handler.go
@@ -42,6 +42,7 @@
 	router.Get("/history", h.listHistory)
 	router.Get("/changes", h.compareVersions)
 	router.Post("/changes", h.compareDraft)
+	router.Get("/tenants", h.listTenants)
 	router.Get("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, h.overview()) })
 	router.Get("/local", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, status()) })
 	router.Get("/live", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, liveness{Live: true}) })
--- a/internal/snowctl/operations.go
+++ b/internal/snowctl/operations.go
@@ -28,6 +28,13 @@
 	}}
 }
 
+func tenantsCommand(client *apiClient) *cobra.Command {
+	return &cobra.Command{Use: "tenants", Short: "list the tenants of the newest version, with the beginnings of their keys' digests", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return printResponse(client.send(http.MethodGet, "/tenants", nil))
+		}}
+}
+
 func breakerCommand() *cobra.Command {
 	return &cobra.Command{Use: "breaker PROXY-ADDRESS SERVICE force_open|disable|metrics_only|reset", Aliases: []string{"guard"},
 		Short: "set a manual control of a service's breaker at one proxy", Args: cobra.ExactArgs(3),
--- a/internal/snowctl/snowctl.go
+++ b/internal/snowctl/snowctl.go
@@ -30,7 +30,7 @@
 	deprecateFlag(flags, "desks", "addresses")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return daemon.NewUsageError(err) })
 	root.AddCommand(applyCommand(client), checkCommand(), getCommand(client), historyCommand(client), diffCommand(client), rolloutCommand(client),
-		statusCommand(client), breakerCommand(), drainCommand(), doctorCommand(client), safeCommand(client))
+		statusCommand(client), tenantsCommand(client), breakerCommand(), drainCommand(), doctorCommand(client), safeCommand(client))
 	return root
 }
 
