Configuration: a poll ends once another primary is known

A primary that is cut off answers nothing, so that a proxy waits that long, though the registry's answers tell it of the next primary meanwhile.

Now the watcher of the clock, which wakes each 100 ms anyway, ends a poll to a process that isn't the newest primary known.

TestSupersededPollIsAbandoned, TestAdoptionAfterLostPrimary.

--- a/internal/proxy/admission/claim_test.go
+++ b/internal/proxy/admission/claim_test.go
@@ -74,6 +74,7 @@
 		{"granted", &wire.ClaimResponse{Outcome: idempotency.Granted}, 0, ""},
 		{"another body", &wire.ClaimResponse{Outcome: idempotency.BodyMismatch}, apierror.BodyMismatch, apierror.MayHaveRun},
 		{"voided attempt", &wire.ClaimResponse{Outcome: idempotency.Voided}, apierror.KeyFenced, apierror.NotRun},
+		{"breaker not closed", &wire.ClaimResponse{Outcome: idempotency.NotAdmitted}, apierror.BreakerOpen, apierror.NotRun},
 		{"fenced key", &wire.ClaimResponse{Outcome: idempotency.Fenced}, apierror.KeyFenced, apierror.NotRun},
 		{"unknown outcome", &wire.ClaimResponse{Outcome: "new"}, apierror.ClaimUnreachable, apierror.MayHaveRun},
 		{
--- a/internal/proxy/admission/serve.go
+++ b/internal/proxy/admission/serve.go
@@ -77,7 +77,7 @@
 	response, fault := c.execute(&execution{
 		req:          req,
 		deadline:     deadline,
-		keyExpiry:    keyExpiry(req, received),
+		received:     received,
 		permit:       permit,
 		observation:  observation,
 		cancellation: cancellation,
@@ -93,22 +93,13 @@
 type execution struct {
 	req          *wire.ForwardRequest
 	deadline     monotonic.Micros
-	keyExpiry    monotonic.Micros // when the sender's lease on the tenants' keys ends; 0 if it needs none
+	received     monotonic.Micros // when the request was received
 	permit       *permit
 	observation  *localbackends.Observation
 	cancellation *cancellation // nil for a run-once request
 	task         *shutdown.Task
 }
 
-// keyExpiry returns when the sender's lease on the tenants' keys ends, for a request that was received at a time; 0 if the request needs
-// no lease.
-func keyExpiry(req *wire.ForwardRequest, received monotonic.Micros) monotonic.Micros {
-	if req.KeyLease == 0 {
-		return 0
-	}
-	return received + monotonic.Micros(req.KeyLease)
-}
-
 // cancellable reports whether the request may be aborted while its backend works on it. Only a request that may be repeated is:
 // neither a run-once request nor one that may run at most once and has no idempotency key.
 func (e *execution) cancellable() bool { return !e.req.RunOnce && !e.req.AtMostOnce }
@@ -163,6 +154,15 @@
 	return backendRequest
 }
 
+// checkKeyLease rejects a request if the sender's lease on the tenants' keys has ended since it was received.
+func (c *Controller) checkKeyLease(e *execution) *apierror.Error {
+	lease := monotonic.Micros(e.req.KeyLease)
+	if lease > 0 && c.options.Host.Now()-e.received >= lease {
+		return apierror.New(apierror.KeyLeaseExpired, apierror.NotRun, "whether the tenant's key is still in force isn't known")
+	}
+	return nil
+}
+
 // checkBeforeSend is the last check before the request is sent. It covers what may have changed while the request waited.
 func (c *Controller) checkBeforeSend(e *execution) *apierror.Error {
 	if e.cancellation.cancelled() {
@@ -171,8 +171,8 @@
 	if c.options.Host.Now() >= e.permit.startBy {
 		return apierror.New(apierror.ClaimTimeout, apierror.NotRun, "too late to start")
 	}
-	if e.keyExpiry > 0 && c.options.Host.Now() >= e.keyExpiry {
-		return apierror.New(apierror.KeyLeaseExpired, apierror.NotRun, "whether the tenant's key is still in force isn't known")
+	if fault := c.checkKeyLease(e); fault != nil {
+		return fault
 	}
 	if fault := c.checkLease(); fault != nil {
 		return fault
--- a/internal/proxy/configclient/client.go
+++ b/internal/proxy/configclient/client.go
@@ -73,6 +73,8 @@
 	released bool
 	// longPoll is how long the primary leaves a poll open, by its last response.
 	longPoll monotonic.Micros
+	// pending is the poll that waits for its response.
+	pending pendingPoll
 	// waiters are fired at the next adoption.
 	waiters []host.Signal
 	stats   Stats
--- a/internal/proxy/configclient/client_test.go
+++ b/internal/proxy/configclient/client_test.go
@@ -27,6 +27,8 @@
 	store  *world.Node
 	proxy  *world.Host
 	client *configclient.Client
+	// resolver is the proxy's.
+	resolver *discovery.Resolver
 	// answer returns the store's answer to a poll.
 	answer func(request *wire.ConfigPollRequest) *wire.ConfigPollResponse
 	polls  []*wire.ConfigPollRequest
@@ -48,7 +50,7 @@
 	f.world.Start(f.store)
 	f.world.Start(f.world.Add("proxy", "proxy", "proxy", func(h *world.Host) (host.Handlers, error) {
 		resolver := discovery.New(h, nil, []string{storeAddress})
-		f.proxy = h
+		f.proxy, f.resolver = h, resolver
 		f.client = configclient.New(configclient.Options{Host: h, Resolver: resolver, Proxy: "proxy", Incarnation: 7, ClockWatch: clockwatch.New(h), ServeStale: serveStale, KeyLease: keyLease})
 		h.Go(f.client.Run)
 		return host.Handlers{}, nil
@@ -163,6 +165,40 @@
 	}
 }
 
+// TestSupersededPollIsAbandoned guards against a proxy that waits for the answer of a primary which was cut off, though it knows the
+// next one: a version is then adopted seconds after its acknowledgement.
+func TestSupersededPollIsAbandoned(t *testing.T) {
+	for name, abandon := range map[string]bool{"abandoned": true, "waited for": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1, true)
+			f.world.Start(f.world.Add("next", "next:store", "next", func(h *world.Host) (host.Handlers, error) {
+				resolver := discovery.New(h, &wire.PeerAddress{Name: "next", Address: "next:store", Group: group}, nil)
+				handlers := host.Handlers{}
+				resolver.Register(handlers)
+				host.Handle(handlers, wire.Kind_config_poll, func(*wire.ConfigPollRequest) (*wire.ConfigPollResponse, error) { return primaryWith(2), nil })
+				return handlers, nil
+			}))
+			f.run(2 * monotonic.Second)
+			f.check("at the first primary", 1, true)
+			f.world.Freeze(f.store, monotonic.Minute)
+			f.run(longPoll)
+			f.resolver.AddPeers([]*wire.PeerAddress{{Name: "next", Address: "next:store", Group: group}})
+			f.resolver.ObservePrimaries([]*wire.Primary{{Group: group, Epoch: 2, Name: "next"}})
+			if abandon {
+				f.client.AbandonSuperseded()
+			}
+			f.run(600 * monotonic.Millisecond)
+			expected := uint64(1)
+			if abandon {
+				expected = 2
+			}
+			f.check("shortly after the next primary is known", expected, true)
+			f.run(3 * monotonic.Second)
+			f.check("in the end", 2, true)
+		})
+	}
+}
+
 // TestVersionsNeverFall checks that an older version of the primary isn't adopted.
 func TestVersionsNeverFall(t *testing.T) {
 	f := newFixture(t, 5, false)
--- a/internal/proxy/configclient/poll.go
+++ b/internal/proxy/configclient/poll.go
@@ -52,8 +52,8 @@
 	}
 	timeout := c.pollTimeout()
 	requestedAt := c.host.Now()
-	response := &wire.ConfigPollResponse{}
-	if err := c.resolver.Call(target, wire.Kind_config_poll, c.pollRequest(current, first), response, timeout); err != nil {
+	response := c.callPending(target, c.pollRequest(current, first), timeout)
+	if response == nil {
 		c.resolver.Refresh()
 		return false
 	}
--- a/internal/proxy/ingress/handler_test.go
+++ b/internal/proxy/ingress/handler_test.go
@@ -166,3 +166,20 @@
 		}
 	}
 }
+
+// TestTenantKeysStayHere guards against keys of tenants, and names of tenants that callers made up, among the headers for backends.
+func TestTenantKeysStayHere(t *testing.T) {
+	forwarder := &fakeForwarder{response: &request.Response{Status: 200}}
+	incoming := httptest.NewRequest(http.MethodGet, "/forms/1", nil)
+	incoming.Header.Add(request.TenantKeyHeader, "key-1")
+	incoming.Header.Add(strings.ToLower(request.TenantKeyHeader), "key-2")
+	incoming.Header.Set(request.TenantHeader, "forged")
+	incoming.Header.Set("Accept", "text/plain")
+	serve(forwarder, incoming)
+	if keys := forwarder.forwarded.TenantKeys; !slices.Equal(keys, []string{"key-1", "key-2"}) {
+		t.Errorf("keys %q", keys)
+	}
+	if headers := forwarder.forwarded.Headers; len(headers) != 1 || headers[0].Name != "Accept" {
+		t.Errorf("headers %v", headers)
+	}
+}
