A planned stop ends within its time: the HTTP servers shut down together

Cause: since a stop waits for answers that are still being written, it may use its whole grace period, 5.3 of 6 s. Then 0.2 s go for replies to other processes, and up to 0.25 s for each HTTP server, one after another; a proxy on the platform has four: 6.5 s.

All servers now shut down at the same time, 5.75 s at the most. TestServersShutDownTogether has four requests that end once all servers have begun to shut down: cut in turn before, answered now.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,8 +35,6 @@
 	discoveryInterval = monotonic.Second
 	// replyTimeout bounds how long a planned stop waits for replies to other processes that are not written yet.
 	replyTimeout = 200 * monotonic.Millisecond
-	// httpShutdownTimeout bounds how long a planned stop waits for HTTP requests.
-	httpShutdownTimeout = 250 * time.Millisecond
 	// failureTimeout is how long after a failure the process is ended even if its main task is stuck.
 	failureTimeout = 2 * time.Second
 	// signalQueue is how many unread stop signals and failures are buffered. One of each would be enough; more are ignored.
@@ -59,7 +57,8 @@
 
 	supervisor  *suture.Supervisor
 	cleanups    []func()
-	failures    chan string // the reasons for which the process must stop
+	servers     []*http.Server // all are shut down by one cleanup
+	failures    chan string    // the reasons for which the process must stop
 	stopSignals chan os.Signal
 }
 
@@ -166,12 +165,10 @@
 		}
 		return suture.ErrDoNotRestart
 	})
-	d.Defer(func() {
-		limit, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(limit)
-		_ = server.Close()
-	})
+	if len(d.servers) == 0 {
+		d.Defer(func() { shutdownAll(d.servers) })
+	}
+	d.servers = append(d.servers, server)
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/http_shutdown_test.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// TestServersShutDownTogether guards against a planned stop that outlasts its time and is killed: each server waited in turn for requests
+// that were still running. Here each request runs until all servers have begun to shut down, so that it's cut if they do so in turn.
+func TestServersShutDownTogether(t *testing.T) {
+	const count = 4
+	var begun, running sync.WaitGroup
+	begun.Add(count)
+	running.Add(count)
+	var servers []*http.Server
+	results := make(chan error, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			running.Done()
+			begun.Wait()
+			_, _ = io.WriteString(writer, "done")
+		})}
+		server.RegisterOnShutdown(begun.Done)
+		servers = append(servers, server)
+		go func() { _ = server.Serve(listener) }()
+		go func() {
+			response, err := http.Get("http://" + listener.Addr().String())
+			if err == nil {
+				err = response.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	running.Wait()
+	shutdownAll(servers)
+	for range count {
+		if err := <-results; err != nil {
+			t.Errorf("a request was cut: %v", err)
+		}
+	}
+}
