Claims: a verdict on a tenant's key counts the claims of builds before

A rejection that says not_run is about the key. For a tenant's request it asked the registry about the tenant's scope alone, while a claim that a build without tenants made under the former scope may have run: the rejection would have said not_run for a key that ran, in the two minutes after an upgrade. Found by reading. A void now names the former scope too, and is answered as claimed while that claim is pending.

--- a/internal/proxy/forward/verdict.go
+++ b/internal/proxy/forward/verdict.go
@@ -82,7 +82,7 @@
 // request that was read before now. It returns the claim's state, or an empty string if the registry can't be reached in time.
 func (f *Forwarder) voidAttempt(exchange *Exchange, attempt string, fence bool) string {
 	timeout := min(max(exchange.Deadline-f.config.Host.Now(), minVoidTimeout), voidTimeout)
-	message := &wire.VoidClaimRequest{Scope: exchange.IdempotencyScope, Digest: exchange.Digest, Attempt: attempt, Fence: fence}
+	message := &wire.VoidClaimRequest{Scope: exchange.IdempotencyScope, Digest: exchange.Digest, Attempt: attempt, Fence: fence, FormerScope: exchange.FormerScope}
 	response := &wire.VoidClaimResponse{}
 	if err := f.config.CallLeader(wire.Kind_void_claim, message, response, timeout); err != nil {
 		return ""
--- a/internal/registry/idempotency/table.go
+++ b/internal/registry/idempotency/table.go
@@ -102,7 +102,7 @@
 			return &wire.ClaimResponse{Outcome: Fenced}
 		}
 	}
-	if former := t.findFormer(request); former != nil {
+	if former := t.findFormer(request.FormerScope); former != nil {
 		response := t.claimPending(former, request)
 		response.Scope = former.Scope
 		return response
@@ -140,6 +140,9 @@
 		}
 		return &wire.VoidClaimResponse{Outcome: Claimed}
 	}
+	if t.findFormer(request.FormerScope) != nil {
+		return &wire.VoidClaimResponse{Outcome: Claimed}
+	}
 	record := t.recordFor(request.Scope, now)
 	addVoided(record, request.Attempt)
 	response := &wire.VoidClaimResponse{Outcome: Voided}
@@ -173,12 +176,12 @@
 	}
 }
 
-// findFormer returns the pending record of a claim that a build without tenants made for the request's key, nil if there is none.
-func (t *Table) findFormer(request *wire.ClaimRequest) *wire.ClaimRecord {
-	if request.FormerScope == "" {
+// findFormer returns the pending record of a claim that a build without tenants made under a scope, nil if there is none.
+func (t *Table) findFormer(scope string) *wire.ClaimRecord {
+	if scope == "" {
 		return nil
 	}
-	if record := t.find(request.FormerScope); record != nil && record.State == statePending {
+	if record := t.find(scope); record != nil && record.State == statePending {
 		return record
 	}
 	return nil
--- a/internal/registry/idempotency/table_test.go
+++ b/internal/registry/idempotency/table_test.go
@@ -218,6 +218,10 @@
 	if got := claim("north k", "k", "new-2", "b", start+1); got.Outcome != idempotency.BodyMismatch {
 		t.Errorf("another body is %v", got)
 	}
+	void := &wire.VoidClaimRequest{Scope: "north k", FormerScope: "k", Attempt: "new-6", Fence: true}
+	if got := table.Void(void, 1, start+1); got.Outcome != idempotency.Claimed || got.Fence != nil {
+		t.Errorf("a void of the key is %v", got)
+	}
 	if got := claim("north j", "j", "new-3", "a", start+2); got.Outcome != idempotency.Granted {
 		t.Errorf("another key is %v", got)
 	}
