--- a/internal/proxy/configclient/adopt.go
+++ b/internal/proxy/configclient/adopt.go
@@ -19,8 +19,8 @@
 	changed int
 }
 
-// adopt adopts the version of a response to a poll that was sent at requestedAt, if it's newer, and takes the lease. It returns false if the response can't be used: its
-// version is older than the adopted one or can't be parsed.
+// adopt adopts the version of a response to a poll that was sent at requestedAt, if it's newer, and takes the lease. It returns false if
+// the response can't be used: its version is older than the adopted one or can't be parsed.
 func (c *Client) adopt(response *wire.ConfigPollResponse, requestedAt monotonic.Micros) bool {
 	version, _ := c.Version()
 	if response.Primary && c.unconfirmedSince > 0 {
@@ -150,7 +150,8 @@
 	c.extendLease(response, requestedAt)
 }
 
-// extendLease takes the lease and the poll time of a response; a process that isn't the primary grants no lease. It must be called with mu held.
+// extendLease takes the lease and the poll time of a response. A process that isn't the primary grants no lease. It must be called with
+// mu held.
 func (c *Client) extendLease(response *wire.ConfigPollResponse, requestedAt monotonic.Micros) {
 	c.longPoll = monotonic.Micros(response.LongPoll)
 	if response.Primary && c.snapshot != nil && !c.released {
