Rehearsals: callers bear tenants' keys, which are replaced under faults

The scenario revocations replaces each tenant's key every half second while proxies are frozen for longer than their lease, and killed. The check "tenant keys" runs with no time allowed: the product's own programs acknowledge a version only once no proxy serves by an older one. It now also finds backends that are shown a key. The scenario looks for keys in all pages, its test in all logs.

The first form of the desired state had anonymous routes with the same prefix as a service's path, which the path won: lookups were refused (rule 12); the routes' prefixes now end with a slash.

--- a/internal/invariants/records.go
+++ b/internal/invariants/records.go
@@ -48,6 +48,7 @@
 	Path          string
 	At            monotonic.Micros
 	Tenant        string // whose the request is, as the backend is told; empty for nobody's
+	TenantKey     string // a tenant's key that the backend was shown, which it never may be
 	Executed      bool   // false if the backend stated that it did not execute the request
 	Sum           string // the checksum of the response's body; empty if no complete response was sent
 }
--- a/internal/invariants/tenant_checks.go
+++ b/internal/invariants/tenant_checks.go
@@ -38,6 +38,9 @@
 	}
 	for _, run := range history.Runs {
 		attempt := attempts[run.Attempt]
+		if run.TenantKey != "" {
+			findings = append(findings, newFinding("%s ran at a backend that was shown a tenant's key", run.Attempt))
+		}
 		if attempt == nil || attempt.Anonymous {
 			continue
 		}
--- a/internal/rehearse/scenario/catalog.go
+++ b/internal/rehearse/scenario/catalog.go
@@ -48,6 +48,8 @@
 	Scenario{Name: "rush", Summary: "many times the traffic for a while, at backends with few workers", Rules: []int{1, 3, 8}, Run: overload},
 
 	Scenario{Name: "configurations", Summary: "bursts of configurations, races between two operators, and invalid ones, with a proxy frozen", Rules: []int{1, 3, 5, 6, 7}, Run: applyConfigurationBursts},
+	Scenario{Name: "revocations", Summary: "callers bear tenants' keys, which are replaced again and again while proxies are frozen and killed",
+		Rules: []int{1, 3, 5, 6, 7, 12}, Checks: []invariants.Check{invariants.RevocationTimeout(0)}, Prepare: prepareTenants, Run: revokeKeys},
 	Scenario{Name: "acknowledge", Summary: "apply configurations with all proxies running, then right after one was killed", Rules: []int{1, 3, 6, 7}, Run: measureAcknowledgements},
 
 	Scenario{Name: "isolate", Summary: "partition single hosts from all others, in one direction or both, proxies and control plane", Rules: []int{1, 3, 5, 7, 12}, Run: isolateHosts},
--- a/internal/rehearse/scenario/fleet_test.go
+++ b/internal/rehearse/scenario/fleet_test.go
@@ -47,11 +47,7 @@
 	if err != nil {
 		t.Error(err)
 	}
-	logs, err := filepath.Glob(filepath.Join(chosen.Dir, "*", "log"))
-	if err != nil || len(logs) == 0 {
-		t.Errorf("no logs in %s: %v", chosen.Dir, err)
-	}
-	for _, path := range logs {
+	for _, path := range logFiles(t, chosen.Dir) {
 		content, err := os.ReadFile(path)
 		if err != nil {
 			t.Error(err)
@@ -62,6 +58,16 @@
 	}
 }
 
+// logFiles are the processes' logs below a folder.
+func logFiles(t *testing.T, dir string) []string {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(dir, "*", "log"))
+	if err != nil || len(logs) == 0 {
+		t.Errorf("no logs in %s: %v", dir, err)
+	}
+	return logs
+}
+
 // TestFleetSurvives runs short scenarios with real processes. Only the checkers judge; nothing depends on how fast this machine is.
 func TestFleetSurvives(t *testing.T) {
 	for index, name := range []string{"kill-primaries", "closing"} {
@@ -71,6 +77,21 @@
 	}
 }
 
+// TestTenantKeysRotate replaces tenants' keys under traffic. No key may be found in a log.
+func TestTenantKeysRotate(t *testing.T) {
+	chosen := options(t, "revocations", 221)
+	runScenario(t, chosen)
+	for _, path := range logFiles(t, chosen.Dir) {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			t.Error(err)
+		}
+		if _, after, found := strings.Cut(string(content), keyMark); found {
+			t.Errorf("%s has a tenant's key: %.300s", path, after)
+		}
+	}
+}
+
 // formerNamesCommit is the last commit whose programs, folders and settings have their former names.
 const formerNamesCommit = "ce067a0c79580d2c076c4b0c8de3fd9d522b407b"
 
--- a/internal/rehearse/scenario/rehearsal.go
+++ b/internal/rehearse/scenario/rehearsal.go
@@ -60,6 +60,7 @@
 	cleanups []func()               // run by Close, last first
 	findings []string               // what the scenario itself found wrong
 	peak     *workload.RouteChanges // the route changes of peak traffic; nil in other scenarios
+	tenants  *tenants               // whose keys are replaced; nil in scenarios without tenants
 	watcher  watcher
 }
 
--- /dev/null
+++ b/internal/rehearse/scenario/tenants.go
@@ -0,0 +1,208 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"snowflow/examples"
+	"snowflow/internal/invariants"
+	"snowflow/internal/rehearse/fleet"
+)
+
+const (
+	// tenantCount is the number of tenants. Each has a key that stays, and one that is replaced again and again.
+	tenantCount = 3
+	// rotationInterval is the pause between two replacements of a key.
+	rotationInterval = 500 * time.Millisecond
+	// tenantFreezeTime is longer than a proxy's lease on the configuration.
+	tenantFreezeTime = 6 * time.Second
+	// unknownKeyShare and noKeyShare are one in how many requests that bear a key which no tenant has, or none.
+	unknownKeyShare, noKeyShare = 20, 20
+	// keyMark is part of each tenant's key, and of nothing else.
+	keyMark = "marked-key"
+)
+
+// keySearchPaths are the pages in which no tenant's key may be found.
+var keySearchPaths = []string{"/local", "/metrics", "/status", "/tenants"}
+
+// tenants are those of a run, as their operator changes them.
+type tenants struct {
+	mu       sync.Mutex // guards all below
+	variant  int
+	rotating [tenantCount]*invariants.KeyPeriod // the key of each tenant that is replaced next
+	former   []string                           // keys that were taken away
+	settled  bool                               // set once only keys that stay are sent
+}
+
+func tenantName(tenant int) string { return fmt.Sprintf("tenant-%d", tenant) }
+
+func permanentKey(tenant int) string { return fmt.Sprintf("%s-%d", keyMark, tenant) }
+
+// prepareTenants gives the layout's desired state tenants, whose keys callers bear from then on.
+func prepareTenants(r *Rehearsal) error {
+	present := &tenants{}
+	r.tenants = present
+	for number := range tenantCount {
+		r.History.RecordKeyPeriod(&invariants.KeyPeriod{Key: permanentKey(number), Tenant: tenantName(number), Permanent: true})
+		present.rotating[number] = r.newKey(number)
+	}
+	r.Load.TenantKey = present.pickKey
+	return r.applyTenants()
+}
+
+// newKey makes a key that a tenant has from the next configuration on.
+func (r *Rehearsal) newKey(tenant int) *invariants.KeyPeriod {
+	period := &invariants.KeyPeriod{Key: fmt.Sprintf("%s-%d-%08x", keyMark, tenant, rand.Uint32()), Tenant: tenantName(tenant), From: r.Clock.Now()}
+	r.History.RecordKeyPeriod(period)
+	return period
+}
+
+// content returns a desired state with the tenants' present keys. Requests that backends send need none.
+func (t *tenants) content(r *Rehearsal) ([]byte, error) {
+	content, err := examples.Desired(r.Fleet.Layout.DesiredState)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.variant++
+	var entries, routes []string
+	for number, period := range t.rotating {
+		entries = append(entries, fmt.Sprintf(`{"name": %q, "priority": %d, "keys": [%q, %q]}`, tenantName(number), number, permanentKey(number), period.Key))
+	}
+	for _, kind := range r.Fleet.Layout.LookupKinds() {
+		routes = append(routes, fmt.Sprintf(`{"name": %q, "prefix": %q, "class": "read", "anonymous": true, "split": [{"service": %q, "weight": 1}]}`, kind.Name, kind.Path+"/", kind.Service))
+	}
+	added := fmt.Sprintf("{\"tenants\": [%s],\n\"routes\": [%s],\n", strings.Join(entries, ", "), strings.Join(routes, ", "))
+	content = bytes.Replace(content, []byte("{"), []byte(added), 1)
+	return bytes.Replace(content, []byte(`"note": "`), fmt.Appendf(nil, `"note": "keys %d. `, t.variant), 1), nil
+}
+
+// applyTenants applies the tenants' present keys.
+func (r *Rehearsal) applyTenants() error {
+	content, err := r.tenants.content(r)
+	if err != nil {
+		return err
+	}
+	applied, err := r.Operator.Apply(content, "any", applyTimeout)
+	if err != nil {
+		return err
+	}
+	if applied.Outcome != "accepted" {
+		return fmt.Errorf("the tenants' keys were not accepted: %v", applied)
+	}
+	return nil
+}
+
+// pickKey gives the key that a request bears, empty for none.
+func (t *tenants) pickKey() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tenant := rand.IntN(tenantCount)
+	switch {
+	case t.settled:
+		return permanentKey(tenant)
+	case rand.IntN(noKeyShare) == 0:
+		return ""
+	case rand.IntN(unknownKeyShare) == 0:
+		return keyMark + "-of-nobody"
+	case len(t.former) > 0 && rand.IntN(4) == 0:
+		return t.former[max(0, len(t.former)-1-rand.IntN(2*tenantCount))]
+	case rand.IntN(2) == 0:
+		return t.rotating[tenant].Key
+	default:
+		return permanentKey(tenant)
+	}
+}
+
+// rotateKey replaces a tenant's key by a new one, and records when the former was taken away for good.
+func (r *Rehearsal) rotateKey(tenant int) error {
+	replacement := r.newKey(tenant)
+	r.tenants.mu.Lock()
+	former := r.tenants.rotating[tenant]
+	r.tenants.rotating[tenant] = replacement
+	r.tenants.former = append(r.tenants.former, former.Key)
+	r.tenants.mu.Unlock()
+	if err := r.applyTenants(); err != nil {
+		return err
+	}
+	acknowledged := r.Clock.Now()
+	r.History.Update(func() { former.RevokedAt = acknowledged })
+	return nil
+}
+
+// revokeKeys replaces keys while proxies are killed and frozen, and looks for keys where none may be.
+func revokeKeys(r *Rehearsal) error {
+	for began, turn := time.Now(), 0; r.running(began); turn++ {
+		victim := randomItem(r.Fleet.Proxies)
+		disturbed := make(chan struct{})
+		go func() {
+			defer close(disturbed)
+			r.disturb(victim, turn%2 == 0)
+		}()
+		for tenant := range tenantCount {
+			r.Wait(rotationInterval)
+			if err := r.rotateKey(tenant); err != nil {
+				return err
+			}
+		}
+		<-disturbed
+	}
+	if err := fleet.AwaitReady(r.Fleet.Proxies, readyTimeout); err != nil {
+		return err
+	}
+	r.tenants.mu.Lock()
+	r.tenants.settled = true
+	r.tenants.mu.Unlock()
+	r.markRecovered()
+	r.searchPagesForKeys()
+	return nil
+}
+
+// disturb freezes a proxy until its lease has ended, or kills it and starts it again.
+func (r *Rehearsal) disturb(victim *fleet.Process, freeze bool) {
+	if freeze {
+		victim.Signal(syscall.SIGSTOP)
+		r.Wait(tenantFreezeTime)
+		victim.Signal(syscall.SIGCONT)
+		return
+	}
+	victim.Kill()
+	r.restartAfter(victim, time.Second)
+}
+
+// searchPagesForKeys adds a finding for each page of a process that shows a tenant's key.
+func (r *Rehearsal) searchPagesForKeys() {
+	searched := 0
+	for _, process := range r.Fleet.All() {
+		for _, path := range keySearchPaths {
+			content, err := r.readPage(process, path)
+			if err != nil {
+				r.Logf("%s %s: %v", process.Name, path, err)
+				continue
+			}
+			searched += len(content)
+			if bytes.Contains(content, []byte(keyMark)) {
+				r.AddFinding("%s shows a tenant's key at %s", process.Name, path)
+			}
+		}
+	}
+	if searched == 0 {
+		r.AddFinding("no page could be searched for keys")
+	}
+}
+
+func (r *Rehearsal) readPage(process *fleet.Process, path string) ([]byte, error) {
+	response, err := r.Operator.Client.Get("http://" + process.AdminAddress + path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return io.ReadAll(response.Body)
+}
--- a/internal/rehearse/standin/backend.go
+++ b/internal/rehearse/standin/backend.go
@@ -166,7 +166,8 @@
 	attempt, number := splitRequestID(incoming.Header.Get(request.RequestIDHeader))
 	body := b.responseBody(attempt, len(requestBody))
 	run := invariants.Run{Attempt: attempt, AttemptNumber: number, Key: incoming.Header.Get(request.IdempotencyKeyHeader), Service: b.Service.Name, Instance: b.Instance,
-		Method: incoming.Method, Path: incoming.URL.Path, At: b.sender.clock.Now(), Executed: behavior != NotExecuted}
+		Method: incoming.Method, Path: incoming.URL.Path, At: b.sender.clock.Now(), Executed: behavior != NotExecuted,
+		Tenant: incoming.Header.Get(request.TenantHeader), TenantKey: incoming.Header.Get(request.TenantKeyHeader)}
 	if misbehave == nil {
 		run.Sum = Checksum(body)
 	}
@@ -212,7 +213,7 @@
 // sendLookup sends a read to another service through the instance's proxy.
 func (b *Backend) sendLookup(attempt string, number int64) {
 	lookup := &invariants.Attempt{ID: fmt.Sprintf("%s-look-%d-%d", attempt, number, rand.Uint32()), Kind: lookupKindPrefix + b.Service.LookupPath, Caller: b.proxy.Name,
-		Method: http.MethodGet, Path: fmt.Sprintf("%s/%d", b.Service.LookupPath, number), Sent: b.sender.clock.Now()}
+		Method: http.MethodGet, Path: fmt.Sprintf("%s/%d", b.Service.LookupPath, number), Anonymous: true, Sent: b.sender.clock.Now()}
 	b.sender.send(b.proxy, lookup, nil)
 }
 
--- a/internal/rehearse/standin/load_generator.go
+++ b/internal/rehearse/standin/load_generator.go
@@ -28,6 +28,8 @@
 type LoadGenerator struct {
 	// RequestPath gives a request's path. Nil for the kind's own path with the number behind it.
 	RequestPath func(kind layout.Kind, number int64) string
+	// TenantKey gives the tenant's key that a request bears with all its retries, empty for none. Nil for no keys at all.
+	TenantKey func() string
 	// RetryTimeout is for how long after the first attempt a key is retried; zero for no limit.
 	RetryTimeout time.Duration
 	// MaxRetries is how often a key is retried at most.
@@ -153,10 +155,11 @@
 	if kind.BodyBytes > 0 {
 		body = bytes.Repeat([]byte("x"), kind.BodyBytes)
 	}
+	tenantKey := g.tenantKey()
 	for began, retries := time.Now(), 0; ; retries++ {
 		process := g.pickProxy()
 		attempt := &invariants.Attempt{ID: fmt.Sprintf("%s-%s%d-%d", kind.Name, g.idPrefix, number, retries), Key: key, Kind: kind.Name,
-			Caller: process.Name, Method: kind.Method, Path: g.path(kind, number), Sent: g.sender.clock.Now()}
+			Caller: process.Name, Method: kind.Method, Path: g.path(kind, number), TenantKey: tenantKey, Sent: g.sender.clock.Now()}
 		g.sender.send(process, attempt, body)
 		if !kind.Idempotent || isServed(attempt) || retries >= g.MaxRetries || g.RetryTimeout > 0 && time.Since(began) > g.RetryTimeout {
 			return
@@ -167,6 +170,13 @@
 	}
 }
 
+func (g *LoadGenerator) tenantKey() string {
+	if g.TenantKey == nil {
+		return ""
+	}
+	return g.TenantKey()
+}
+
 func (g *LoadGenerator) path(kind layout.Kind, number int64) string {
 	if g.RequestPath != nil {
 		return g.RequestPath(kind, number)
--- a/internal/rehearse/standin/sender.go
+++ b/internal/rehearse/standin/sender.go
@@ -48,6 +48,9 @@
 	if attempt.Key != "" {
 		req.Header.Set(request.IdempotencyKeyHeader, attempt.Key)
 	}
+	if attempt.TenantKey != "" {
+		req.Header.Set(request.TenantKeyHeader, attempt.TenantKey)
+	}
 	var wrote, reused atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn:      func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
