--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -71,8 +71,8 @@
 }
 
 // Fingerprint returns a digest over a snapshot's behavior: the policies of its services, the route of each request, and the keys of
-// tenants. Two
-// snapshots with the same fingerprint behave alike, whether they were compiled or made by With. It's slow, for tests and checks.
+// tenants. Two snapshots with the same fingerprint behave alike, whether they were compiled or made by With. It's slow, for tests and
+// checks.
 func (s *Snapshot) Fingerprint() string {
 	lines := s.fingerprintTenants()
 	for _, service := range s.Services {
