--- a/internal/proxy/configclient/adopt.go
+++ b/internal/proxy/configclient/adopt.go
@@ -156,9 +156,7 @@
 	c.longPoll = monotonic.Micros(response.LongPoll)
 	if response.Primary && c.snapshot != nil && !c.released {
 		c.leaseExpiry = max(c.leaseExpiry, requestedAt+monotonic.Micros(response.Lease))
-		if !c.confirmed || c.confirmedAt < requestedAt {
-			c.confirmed, c.confirmedAt = true, requestedAt
-		}
+		c.keys.confirm(requestedAt)
 		c.lapseReported, c.keyLapseReported = false, false
 	}
 }
@@ -192,7 +190,7 @@
 func (c *Client) reportKeyLapse() {
 	remaining, limited := c.KeyLease()
 	c.mu.Lock()
-	lapsed := limited && remaining <= 0 && c.confirmed && c.snapshot.HasTenants() && !c.keyLapseReported
+	lapsed := limited && remaining <= 0 && c.keys.confirmed && c.snapshot.HasTenants() && !c.keyLapseReported
 	c.keyLapseReported = c.keyLapseReported || lapsed
 	c.mu.Unlock()
 	if lapsed {
--- a/internal/proxy/configclient/client.go
+++ b/internal/proxy/configclient/client.go
@@ -61,10 +61,8 @@
 	unconfirmedSince monotonic.Micros
 	// leaseExpiry is the end of the lease, counted from before the poll that granted it.
 	leaseExpiry monotonic.Micros
-	// confirmedAt is when the last poll was sent by which a primary confirmed the adopted version as the newest. It counts once
-	// confirmed is set.
-	confirmedAt monotonic.Micros
-	confirmed   bool
+	// keys is the lease on the adopted version's keys of tenants.
+	keys keyLease
 	// lapseReported is set once the expiry of the present lease has been reported.
 	lapseReported bool
 	// keyLapseReported is set once the expiry of the present lease on tenants' keys has been reported.
@@ -95,7 +93,7 @@
 	if options.Parse == nil {
 		options.Parse = config.ParseAccepted
 	}
-	return &Client{options: options, host: options.Host, resolver: options.Resolver}
+	return &Client{options: options, host: options.Host, resolver: options.Resolver, keys: keyLease{length: options.KeyLease}}
 }
 
 // IgnoreLease lets the proxy serve without a lease. It is a deliberate fault with which tests show that their checkers detect it; no
@@ -134,17 +132,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.confirmed || c.released || c.options.ClockWatch.WentBack() {
+	if c.released || c.options.ClockWatch.WentBack() {
 		return 0, true
 	}
-	return max(0, c.confirmedAt+c.options.KeyLease-c.host.Now()), true
+	return c.keys.remaining(c.host.Now()), true
 }
 
 // InContact reports whether a primary has lately confirmed the adopted version, so that a key which isn't in it is of no tenant.
 func (c *Client) InContact() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.confirmed && c.host.Now() < c.leaseExpiry && !c.options.ClockWatch.WentBack()
+	return c.keys.confirmed && c.host.Now() < c.leaseExpiry && !c.options.ClockWatch.WentBack()
 }
 
 // Version returns the adopted version and the time since its adoption, zeros before the first.
--- a/internal/rehearse/scenario/tenants.go
+++ b/internal/rehearse/scenario/tenants.go
@@ -33,11 +33,11 @@
 
 // tenants are those of a run, as their operator changes them.
 type tenants struct {
-	mu       sync.Mutex // guards all below
-	variant  int
-	rotating [tenantCount]*invariants.KeyPeriod // the key of each tenant that is replaced next
-	former   []string                           // keys that were taken away
-	settled  bool                               // set once only keys that stay are sent
+	mu            sync.Mutex // guards all below
+	variant       int
+	rotating      [tenantCount]*invariants.KeyPeriod // the key of each tenant that is replaced next
+	former        []string                           // keys that were taken away
+	onlyPermanent bool                               // set once only keys that stay are sent
 }
 
 func tenantName(tenant int) string { return fmt.Sprintf("tenant-%d", tenant) }
@@ -106,7 +106,7 @@
 	defer t.mu.Unlock()
 	tenant := rand.IntN(tenantCount)
 	switch {
-	case t.settled:
+	case t.onlyPermanent:
 		return permanentKey(tenant)
 	case rand.IntN(noKeyShare) == 0:
 		return ""
@@ -158,7 +158,7 @@
 		return err
 	}
 	r.tenants.mu.Lock()
-	r.tenants.settled = true
+	r.tenants.onlyPermanent = true
 	r.tenants.mu.Unlock()
 	r.markRecovered()
 	r.searchPagesForKeys()
