Doctor: names proxies without a lease on the configuration

Nothing in the doctor's findings told of a proxy that is out of contact and so rejects requests, among them those of tenants. The check leases compares the sessions that the registry knows with the leases that the configuration store's primary has granted.

--- a/internal/snowctl/doctor/checks.go
+++ b/internal/snowctl/doctor/checks.go
@@ -158,6 +158,26 @@
 	return found
 }
 
+// checkLeases finds proxies that other parts of the mesh know, but that have no lease of the configuration store's primary.
+func checkLeases(mesh Mesh) (found []Finding) {
+	store, known := mesh.servingConfigStore()
+	if !known || store.Version == 0 {
+		return nil // the checks of replicas and proxies say so
+	}
+	leased := map[string]bool{}
+	for _, lease := range store.Leases {
+		leased[lease.Proxy] = true
+	}
+	for _, session := range mesh.sessions() {
+		if !leased[session.Proxy] {
+			found = append(found, Finding{Level: Warning, What: session.Proxy + " has no lease on the configuration and on tenants' keys",
+				Advice: "it rejects requests, where keys may be revoked in bounded time at least those of tenants; check the network between it and the " +
+					"configuration store's primary. Right after a change of primary, ask again"})
+		}
+	}
+	return found
+}
+
 func checkBreakers(mesh Mesh) (found []Finding) {
 	status, known := mesh.servingRegistry()
 	if !known {
--- a/internal/snowctl/doctor/doctor.go
+++ b/internal/snowctl/doctor/doctor.go
@@ -58,7 +58,7 @@
 	check func(mesh Mesh) []Finding
 }{
 	{"seeds", checkSeeds}, {"split", checkPartition}, {"copies", checkReplicas}, {"versions", checkReleases}, {"clock", checkClocks}, {"disk", checkDisks},
-	{"carriers", checkProxies}, {"guards", checkBreakers}, {"backends", checkBackends},
+	{"carriers", checkProxies}, {"leases", checkLeases}, {"guards", checkBreakers}, {"backends", checkBackends},
 }
 
 // Check runs every check on a gathered status. A check that finds no fault gives a healthy finding.
--- a/internal/snowctl/doctor/doctor_test.go
+++ b/internal/snowctl/doctor/doctor_test.go
@@ -16,7 +16,7 @@
 	mesh := Mesh{ConfigStores: map[string]configstore.Status{}, Registries: map[string]registry.Status{}, QueriedAt: 1_000_000_000}
 	for _, number := range []string{"1", "2", "3"} {
 		core := replication.Status{Joined: true, Epoch: 4, BackupsInSync: true, Serving: number == "1", FreeBytes: 1 << 30, Release: "a", Wall: mesh.QueriedAt}
-		store, registry := configstore.Status{Core: core, Version: 3}, registry.Status{Replication: core, LeaderTime: int64(monotonic.Minute)}
+		store, registry := configstore.Status{Core: core, Version: 3, Leases: []configstore.LeaseStatus{{Proxy: "carrier-1"}}}, registry.Status{Replication: core, LeaderTime: int64(monotonic.Minute)}
 		store.Core.Primary, store.Core.Backup = "postmaster-1", "postmaster-2"
 		registry.Replication.Primary, registry.Replication.Backup = "sorter-1", "sorter-2"
 		store.Core.Group, store.Core.Name, store.Core.Voters = "postmaster", "postmaster-"+number, []string{"postmaster-1", "postmaster-2", "postmaster-3"}
@@ -73,6 +73,11 @@
 			changeRegistry(mesh, "sorter-1", func(status *registry.Status) { status.Replication.SyncTime = int64(monotonic.Second) })
 		}},
 		{"carriers", Warning, "version 2", func(mesh Mesh) { mesh.Registries["sorter-1"].Proxies[0].ConfigVersion = 2 }},
+		{"leases", Warning, "carrier-1 has no lease", func(mesh Mesh) {
+			store := mesh.ConfigStores["postmaster-1"]
+			store.Leases = nil
+			mesh.ConfigStores["postmaster-1"] = store
+		}},
 		{"guards", Unhealthy, "forms is open", func(mesh Mesh) {
 			changeRegistry(mesh, "sorter-1", func(status *registry.Status) {
 				status.Breakers = []*wire.BreakerRecord{{Service: "forms", State: "open"}}
--- a/internal/snowctl/doctor/gather.go
+++ b/internal/snowctl/doctor/gather.go
@@ -99,6 +99,16 @@
 	return all
 }
 
+// servingConfigStore is the configuration store's primary, which alone grants leases.
+func (m Mesh) servingConfigStore() (status configstore.Status, known bool) {
+	for _, name := range slices.Sorted(maps.Keys(m.ConfigStores)) {
+		if status := m.ConfigStores[name]; status.Core.Serving {
+			return status, true
+		}
+	}
+	return configstore.Status{}, false
+}
+
 // servingRegistry is the registry's primary. Only the primary's status contains the breakers.
 func (m Mesh) servingRegistry() (status registry.Status, known bool) {
 	for _, name := range slices.Sorted(maps.Keys(m.Registries)) {
